--- /dev/null
+++ b/crates/fernring-core/src/code.rs
@@ -0,0 +1,189 @@
+//! The numbered result codes of the caller interface.
+//!
+//! `docs/result-codes.md` holds the same table; a test keeps the two equal.
+
+use serde::Serialize;
+
+/// What a final answer promises about the work that was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub enum Class {
+    /// Answered once and complete.
+    Answered,
+    /// Nothing of this submission reached an upstream.
+    NotRun,
+    /// Stages ran, none with a side effect.
+    Failed,
+    /// Stages ran, none with a side effect, and the window ended first.
+    Late,
+    /// A side effect may have happened. The key is never run again.
+    Unknown,
+}
+
+impl Class {
+    /// Returns the name used on the caller interface.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "ANSWERED",
+            Self::NotRun => "NOT_RUN",
+            Self::Failed => "FAILED",
+            Self::Late => "LATE",
+            Self::Unknown => "UNKNOWN",
+        }
+    }
+}
+
+macro_rules! result_codes {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $class:ident, $status:literal;)+) => {
+        /// A numbered result code. Numbers are stable: never reused, never changed.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum ResultCode {
+            $($(#[doc = $doc])+ $name,)+
+        }
+
+        impl ResultCode {
+            /// Every code, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)+];
+
+            /// Returns the stable number.
+            pub fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)+ }
+            }
+
+            /// Returns what the code promises.
+            pub fn class(self) -> Class {
+                match self { $(Self::$name => Class::$class,)+ }
+            }
+
+            /// Returns the HTTP status sent with the code.
+            pub fn http_status(self) -> u16 {
+                match self { $(Self::$name => $status,)+ }
+            }
+
+            /// Returns the name in the table.
+            pub fn name(self) -> &'static str {
+                match self { $(Self::$name => stringify!($name),)+ }
+            }
+
+            /// Returns the meaning, one sentence.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Self::$name => concat!($($doc),+).trim_ascii(),)+ }
+            }
+
+            /// Finds a code by its number.
+            pub fn from_number(number: u16) -> Option<Self> {
+                Self::ALL.iter().copied().find(|code| code.number() == number)
+            }
+        }
+    };
+}
+
+result_codes! {
+    /// Answered once, complete, within the window.
+    Ok = 1000, Answered, 200;
+
+    /// The body is not the JSON object that the interface takes.
+    BadBody = 2000, NotRun, 400;
+    /// The body is larger than the node's limit.
+    BodyTooLarge = 2001, NotRun, 413;
+    /// No pipeline of this name is in force.
+    UnknownPipeline = 2002, NotRun, 404;
+    /// No workspace of this name is in force, or it may not use this pipeline.
+    UnknownWorkspace = 2003, NotRun, 403;
+    /// The key is neither a UUIDv7 nor a ticket.
+    BadKey = 2004, NotRun, 400;
+    /// The pipeline has a stage with a side effect, or the request is marked non-idempotent, and no key was sent.
+    KeyRequired = 2005, NotRun, 400;
+    /// The window is 0 or above the pipeline's maximum.
+    BadWindow = 2006, NotRun, 400;
+    /// The key is from the future by more than the allowed clock skew.
+    KeyFromFuture = 2007, NotRun, 400;
+    /// No request of this key is known here.
+    UnknownKey = 2008, Unknown, 404;
+    /// The path, method or header is not one that the interface has.
+    BadRequest = 2009, NotRun, 400;
+    /// The key was used before for another request: the pipeline or the input differs.
+    KeyMismatch = 2010, NotRun, 409;
+
+    /// The node is shutting down or not ready; another one takes the request.
+    NotReady = 3000, NotRun, 503;
+    /// The queue of the stage is full.
+    QueueFull = 3001, NotRun, 503;
+    /// The predicted finish lies outside the window.
+    WouldBeLate = 3002, NotRun, 503;
+    /// The workspace is over its limit.
+    OverLimit = 3003, NotRun, 429;
+    /// No upstream of a stage is available.
+    NoUpstream = 3004, NotRun, 503;
+    /// The claim could not be settled on the log in time; the same key may be sent again.
+    ClaimUnsettled = 3005, NotRun, 503;
+    /// The key was claimed but never run, and never will be; send the request under a new key.
+    KeySpent = 3006, NotRun, 409;
+    /// The node's view of the claim stream does not reach back to the key's minting time.
+    ClaimViewTooShort = 3007, NotRun, 503;
+    /// The window ended while the request waited, before anything ran.
+    ExpiredInQueue = 3008, NotRun, 503;
+    /// The node holds as many requests as its settings allow.
+    NodeFull = 3009, NotRun, 503;
+
+    /// A stage failed and no retry was possible within the window or the retry budget.
+    StageFailed = 4000, Failed, 502;
+    /// The answer ended early after a part of it was already delivered.
+    AnswerTruncated = 4001, Failed, 502;
+
+    /// The key was used up by a request that ended without its side effect; use a new key.
+    KeyEnded = 4002, Failed, 409;
+
+    /// The window ended before the answer was complete.
+    WindowEnded = 5000, Late, 504;
+
+    /// A stage with a side effect was sent and its outcome is not known.
+    EffectUnknown = 6000, Unknown, 504;
+    /// A stage with a side effect ran, but the answer could not be completed.
+    EffectDoneAnswerLost = 6001, Unknown, 502;
+    /// The node that owns this key can't be reached; the key is never run elsewhere.
+    OwnerUnreachable = 6002, Unknown, 503;
+    /// The request of this key is still running; ask again for its outcome.
+    StillRunning = 6003, Unknown, 504;
+    /// The key is too old for its history to be known.
+    KeyExpired = 6004, Unknown, 410;
+    /// The answer was complete, but is no longer kept; it is not run again.
+    AnswerNotKept = 6005, Unknown, 410;
+}
+
+/// What the caller should do with a refused request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Advice {
+    /// Send it again under the same key: it can't run twice.
+    SameKey,
+    /// Send it again under a new key: the old one will never run.
+    NewKey,
+    /// Ask for the outcome of the key; do not send the work again under another key.
+    AskOutcome,
+    /// Correct the request first.
+    Correct,
+}
+
+impl ResultCode {
+    /// Returns what the caller should do next; `None` when nothing is left to do.
+    pub fn advice(self) -> Option<Advice> {
+        match self {
+            Self::Ok => None,
+            Self::BadBody
+            | Self::BodyTooLarge
+            | Self::UnknownPipeline
+            | Self::UnknownWorkspace
+            | Self::BadKey
+            | Self::KeyRequired
+            | Self::BadWindow
+            | Self::BadRequest
+            | Self::KeyMismatch => Some(Advice::Correct),
+            Self::KeySpent | Self::KeyEnded => Some(Advice::NewKey),
+            Self::StageFailed | Self::AnswerTruncated | Self::WindowEnded => Some(Advice::NewKey),
+            Self::UnknownKey => Some(Advice::SameKey),
+            code if code.class() == Class::NotRun => Some(Advice::SameKey),
+            _ => Some(Advice::AskOutcome),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernring-policy/src/dispatcher/predict.rs
@@ -0,0 +1,142 @@
+//! When a request would finish.
+
+use {
+    crate::estimate::Estimate,
+    fernring_core::catalog::Pipeline,
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+};
+
+/// Quantile of a stage's service time that a request must be able to afford.
+const CAREFUL_QUANTILE: f64 = 0.9;
+/// Quantile below which a service time is not to be hoped for.
+const HOPEFUL_QUANTILE: f64 = 0.05;
+/// Quantile of a stage's service time after which an attempt is a straggler.
+const STRAGGLER_QUANTILE: f64 = 0.95;
+/// A straggler has run for at least this multiple of the mean.
+const STRAGGLER_MEANS: f64 = 1.5;
+/// An attempt is never a straggler before this, in milliseconds.
+const STRAGGLER_MIN_MS: f64 = 20.0;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct StageKey {
+    pipeline: Arc<str>,
+    stage: u16,
+}
+
+/// How much room a pool has, for a forecast.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Room {
+    pub(crate) free: u64,
+    pub(crate) total: u64,
+}
+
+/// Service times by stage and the work that is still to come to each pool.
+#[derive(Debug, Default)]
+pub(crate) struct Forecast {
+    stages: HashMap<StageKey, Estimate>,
+    pools: HashMap<String, Estimate>,
+    /// Requests accepted whose stage at the pool was not sent yet.
+    pending: BTreeMap<String, u64>,
+}
+
+impl Forecast {
+    /// Counts the stages of a request from `from` on as still to come.
+    pub(crate) fn expect(&mut self, pipeline: &Pipeline, from: u16) {
+        for stage in &pipeline.stages[usize::from(from)..] {
+            *self.pending.entry(stage.pool.clone()).or_default() += 1;
+        }
+    }
+
+    /// No longer counts the stages `from..to` of a request.
+    pub(crate) fn settle(&mut self, pipeline: &Pipeline, from: u16, to: u16) {
+        let range = usize::from(from)..usize::from(to).max(usize::from(from));
+        for stage in &pipeline.stages[range] {
+            if let Some(count) = self.pending.get_mut(&stage.pool) {
+                *count = count.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Takes in a measured service time.
+    pub(crate) fn record(&mut self, name: &Arc<str>, pipeline: &Pipeline, stage: u16, ms: f64) {
+        let declared = &pipeline.stages[usize::from(stage)];
+        let key = StageKey { pipeline: name.clone(), stage };
+        let by_stage = self.stages.entry(key);
+        by_stage.or_insert_with(|| Estimate::expecting(declared.expected_ms)).record(ms);
+        let by_pool = self.pools.entry(declared.pool.clone());
+        by_pool.or_insert_with(|| Estimate::expecting(declared.expected_ms)).record(ms);
+    }
+
+    /// Predicts the time that a new request needs for all its stages, in milliseconds: work
+    /// already accepted drains from each pool while the request passes through the earlier
+    /// ones, and the worst single stage is taken at a careful quantile.
+    pub(crate) fn finish_ms(
+        &self,
+        name: &Arc<str>,
+        pipeline: &Pipeline,
+        room: impl Fn(&str) -> Room,
+    ) -> f64 {
+        let mut elapsed_ms: f64 = 0.0;
+        let mut spread_ms: f64 = 0.0;
+        for (index, stage) in pipeline.stages.iter().enumerate() {
+            elapsed_ms = elapsed_ms.max(self.drain_ms(&stage.pool, stage.expected_ms, &room));
+            let (mean_ms, careful_ms) = self.with_stage(name, pipeline, index as u16, |estimate| {
+                (estimate.mean_ms(), estimate.quantile_ms(CAREFUL_QUANTILE))
+            });
+            elapsed_ms += mean_ms;
+            spread_ms = spread_ms.max(careful_ms - mean_ms);
+        }
+        elapsed_ms + spread_ms
+    }
+
+    /// Returns the least time that the stages from `from` on can be hoped to take, in
+    /// milliseconds.
+    pub(crate) fn least_ms(&self, name: &Arc<str>, pipeline: &Pipeline, from: u16) -> f64 {
+        let stages = from..pipeline.stages.len() as u16;
+        let least = |stage| {
+            self.with_stage(name, pipeline, stage, |e| {
+                e.quantile_ms(HOPEFUL_QUANTILE).min(e.mean_ms())
+            })
+        };
+        stages.map(least).sum()
+    }
+
+    /// Returns after how long an attempt is a straggler, in milliseconds.
+    pub(crate) fn straggler_ms(&self, name: &Arc<str>, pipeline: &Pipeline, stage: u16) -> f64 {
+        self.with_stage(name, pipeline, stage, |estimate| {
+            let by_quantile = estimate.quantile_ms(STRAGGLER_QUANTILE);
+            by_quantile.max(estimate.mean_ms() * STRAGGLER_MEANS).max(STRAGGLER_MIN_MS)
+        })
+    }
+
+    /// Time until the work already accepted for a pool has drained, in milliseconds.
+    fn drain_ms(&self, pool: &str, expected_ms: u64, room: &impl Fn(&str) -> Room) -> f64 {
+        let pending = self.pending.get(pool).copied().unwrap_or(0);
+        let Room { free, total } = room(pool);
+        if total == 0 {
+            return f64::INFINITY;
+        }
+        let mean_ms = self.pools.get(pool).map_or(expected_ms as f64, Estimate::mean_ms);
+        pending.saturating_sub(free) as f64 * mean_ms / total as f64
+    }
+
+    fn with_stage<T>(
+        &self,
+        name: &Arc<str>,
+        pipeline: &Pipeline,
+        stage: u16,
+        read: impl Fn(&Estimate) -> T,
+    ) -> T {
+        let key = StageKey { pipeline: name.clone(), stage };
+        match self.stages.get(&key) {
+            Some(estimate) => read(estimate),
+            None => {
+                let declared = &pipeline.stages[usize::from(stage)];
+                read(&Estimate::expecting(declared.expected_ms))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernring-policy/src/settings.rs
@@ -0,0 +1,163 @@
+//! What can be set about decisions. All of it has defaults.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// How much of the policy is at work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// Everything this crate decides.
+    #[default]
+    Full,
+    /// Round robin, first come first served, no admission, no hedges: the measure of the rest.
+    Baseline,
+}
+
+/// Settings of the decisions; table `[policy]` of a node's settings file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PolicySettings {
+    /// Whether the whole policy or the plain baseline decides.
+    pub mode: Mode,
+    /// Whether requests that can't finish within their window are refused on arrival.
+    pub admission: bool,
+    /// Whether a straggling attempt without side effect gets one hedge.
+    pub hedging: bool,
+    /// Whether limits of upstreams adapt to their latency.
+    pub adaptive_limits: bool,
+    /// Whether engines are chosen by prompt prefix.
+    pub prefix_affinity: bool,
+    /// Most requests held at once by the node.
+    pub requests_max: usize,
+    /// Most requests waiting at one pool.
+    pub queue_max: usize,
+    /// Largest answer of one stage, in bytes.
+    pub answer_max_bytes: usize,
+    /// Most attempts at one stage of one request.
+    pub stage_attempts_max: u32,
+    /// Extra attempts allowed, in percent of recent first attempts.
+    pub retry_budget_percent: u32,
+    /// Largest share of a pool that is ejected at once, in percent.
+    pub eject_max_percent: u32,
+    /// Failures in a row after which an upstream is ejected.
+    pub eject_after_failures: u32,
+    /// First ejection of an upstream lasts this long, in milliseconds; later ones longer.
+    pub eject_base_ms: u64,
+    /// An upstream that returns gets its full share after this long, in milliseconds.
+    pub slow_start_ms: u64,
+    /// Reports of upstreams older than this are not used, in milliseconds.
+    pub report_stale_ms: u64,
+    /// Oldest key that may be claimed, in milliseconds. Must be well under the log's retention.
+    pub claim_horizon_ms: u64,
+    /// Largest difference between clocks that keys are judged with, in milliseconds.
+    pub clock_skew_ms: u64,
+    /// A claim that the log has not taken for this long makes new claims refused on arrival, in
+    /// milliseconds.
+    pub claim_patience_ms: u64,
+    /// Pause before an append that failed is tried again, in milliseconds.
+    pub claim_retry_ms: u64,
+    /// How long a ticket may be used, in milliseconds.
+    pub ticket_valid_ms: u64,
+    /// Most tickets that are valid at once.
+    pub tickets_max: u64,
+    /// How long finished answers are kept whole for repeats, in milliseconds.
+    pub kept_answer_ms: u64,
+    /// Most finished answers kept whole.
+    pub kept_answers_max: usize,
+    /// When to come back after a refusal that names no better time, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+impl Default for PolicySettings {
+    fn default() -> Self {
+        Self {
+            mode: Mode::Full,
+            admission: true,
+            hedging: true,
+            adaptive_limits: true,
+            prefix_affinity: true,
+            requests_max: 10_000,
+            queue_max: 5_000,
+            answer_max_bytes: 1 << 20,
+            stage_attempts_max: 3,
+            retry_budget_percent: 10,
+            eject_max_percent: 50,
+            eject_after_failures: 5,
+            eject_base_ms: 1_000,
+            slow_start_ms: 3_000,
+            report_stale_ms: 2_000,
+            claim_horizon_ms: 600_000,
+            clock_skew_ms: 2_000,
+            claim_patience_ms: 1_000,
+            claim_retry_ms: 100,
+            ticket_valid_ms: 3_600_000,
+            tickets_max: 100_000,
+            kept_answer_ms: 60_000,
+            kept_answers_max: 10_000,
+            retry_after_ms: 1_000,
+        }
+    }
+}
+
+/// A setting that is not allowed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("policy.{key}: {problem}")]
+pub struct PolicySettingError {
+    /// The key within `[policy]`.
+    pub key: &'static str,
+    /// What is wrong and what is allowed.
+    pub problem: String,
+}
+
+impl PolicySettings {
+    /// Checks every value.
+    ///
+    /// # Errors
+    /// Returns the first value that is not allowed.
+    pub fn check(&self) -> Result<(), PolicySettingError> {
+        let counts = [
+            ("requests_max", self.requests_max as u64),
+            ("queue_max", self.queue_max as u64),
+            ("answer_max_bytes", self.answer_max_bytes as u64),
+            ("stage_attempts_max", u64::from(self.stage_attempts_max)),
+            ("eject_after_failures", u64::from(self.eject_after_failures)),
+            ("eject_base_ms", self.eject_base_ms),
+            ("report_stale_ms", self.report_stale_ms),
+            ("claim_horizon_ms", self.claim_horizon_ms),
+            ("claim_patience_ms", self.claim_patience_ms),
+            ("claim_retry_ms", self.claim_retry_ms),
+            ("ticket_valid_ms", self.ticket_valid_ms),
+            ("retry_after_ms", self.retry_after_ms),
+        ];
+        for (key, value) in counts {
+            if value == 0 {
+                return Err(PolicySettingError { key, problem: "must be 1 or more".to_owned() });
+            }
+        }
+        let percents = [
+            ("retry_budget_percent", self.retry_budget_percent),
+            ("eject_max_percent", self.eject_max_percent),
+        ];
+        for (key, value) in percents {
+            if value > 100 {
+                return Err(PolicySettingError { key, problem: "must be 0 to 100".to_owned() });
+            }
+        }
+        if self.clock_skew_ms >= self.claim_horizon_ms {
+            let problem = "must be less than claim_horizon_ms".to_owned();
+            return Err(PolicySettingError { key: "clock_skew_ms", problem });
+        }
+        Ok(())
+    }
+
+    pub(crate) fn full(&self) -> bool {
+        self.mode == Mode::Full
+    }
+
+    pub(crate) fn kept_answer(&self) -> Duration {
+        Duration::from_millis(self.kept_answer_ms)
+    }
+}
--- /dev/null
+++ b/crates/fernring-protocol/src/lib.rs
@@ -0,0 +1,44 @@
+//! What fernring nodes say to each other: `prost` messages in length-delimited frames.
+//!
+//! A connection carries one [`Frame`] in each direction at a time: a question, then its answer.
+//! Claim records on the log service use the same encoding ([`messages::ClaimBatchMessage`]).
+//!
+//! ```
+//! use fernring_protocol::{Frame, messages::{ConfigRequest, frame::Body}};
+//!
+//! let frame = Frame { body: Some(Body::ConfigRequest(ConfigRequest { have_version: 7 })) };
+//! let bytes = fernring_protocol::encode(&frame);
+//! assert_eq!(fernring_protocol::decode(&bytes).unwrap(), frame);
+//! ```
+
+pub mod messages;
+
+pub use messages::Frame;
+
+use {bytes::Bytes, prost::Message, thiserror::Error, tokio_util::codec::LengthDelimitedCodec};
+
+/// Largest frame, in bytes: a whole answer, or the configuration of the long-run size.
+pub const FRAME_MAX_BYTES: usize = 16 << 20;
+
+/// A frame that is not one of ours.
+#[derive(Debug, Error)]
+#[error("malformed frame: {0}")]
+pub struct FrameError(#[from] prost::DecodeError);
+
+/// Returns the framing of a peer connection.
+pub fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_MAX_BYTES).new_codec()
+}
+
+/// Encodes a frame.
+pub fn encode(frame: &Frame) -> Bytes {
+    frame.encode_to_vec().into()
+}
+
+/// Decodes a frame.
+///
+/// # Errors
+/// Refuses bytes that are not a frame.
+pub fn decode(bytes: &[u8]) -> Result<Frame, FrameError> {
+    Ok(Frame::decode(bytes)?)
+}
--- /dev/null
+++ b/crates/fernring-standins/src/burst.rs
@@ -0,0 +1,1 @@
+//! An open-loop load driver.
--- /dev/null
+++ b/crates/fernring-standins/src/cluster.rs
@@ -0,0 +1,441 @@
+//! A whole deployment of processes on this machine.
+//!
+//! Every failure domain has its own loopback address, from which its nodes connect, so that the
+//! platform and the links between nodes can cut a domain off by source address.
+
+use {
+    crate::{
+        caller::Caller,
+        deployment::{DOMAINS, Deployment, UpstreamSpec},
+        link::{self, Cuts, Target},
+        platform::Control,
+        process::{PATIENCE, Process, value_of},
+        upstream::{Behaviour, OrderTaken, Run},
+    },
+    anyhow::{Context, bail},
+    fernring_core::change::{CONFIG_STREAM, Change, ConfigRecord, Operation, Version},
+    fernring_platform::{HttpLog, LogService, VmEntry, VmRole, VmState},
+    serde::Deserialize,
+    std::{
+        collections::BTreeMap,
+        fs,
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    uuid::Uuid,
+};
+
+/// Pause between two looks at something that is waited for.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// What a deployment is made of.
+#[derive(Debug, Clone)]
+pub struct ClusterSpec {
+    /// Pools, pipelines and workspaces.
+    pub deployment: Deployment,
+    /// Failure domains that get nodes, each with a number of them.
+    pub nodes: Vec<NodeSpec>,
+    /// Lines added to every node's settings file.
+    pub extra_settings: String,
+    /// Whether each upstream is a process of its own; otherwise each pool is one.
+    pub process_per_upstream: bool,
+}
+
+/// A node to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodeSpec {
+    /// Its failure domain.
+    pub failure_domain: &'static str,
+}
+
+/// One node in each failure domain, times `count`.
+pub fn nodes_per_domain(count: usize) -> Vec<NodeSpec> {
+    let domains = DOMAINS.iter().flat_map(|domain| std::iter::repeat_n(*domain, count));
+    domains.map(|failure_domain| NodeSpec { failure_domain }).collect()
+}
+
+/// A node that was started.
+#[derive(Debug)]
+pub struct NodeProcess {
+    /// Its process.
+    pub process: Process,
+    /// Its failure domain.
+    pub failure_domain: &'static str,
+    /// Its address for callers.
+    pub caller_address: SocketAddr,
+    /// The address that other nodes reach it under.
+    pub peer_address: SocketAddr,
+}
+
+/// An upstream that was started.
+#[derive(Debug, Clone)]
+pub struct UpstreamHandle {
+    /// What it is.
+    pub spec: UpstreamSpec,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The part of `/v1/status` that is looked at here.
+#[derive(Debug, Clone, Deserialize)]
+pub struct NodeView {
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Version of the configuration in force.
+    pub config_version: Version,
+    /// Live nodes of its failure domain.
+    pub live_nodes: u32,
+    /// Its numbers.
+    pub counters: BTreeMap<String, u64>,
+    /// Costs by stage.
+    pub costs: Vec<CostView>,
+}
+
+/// One row of costs.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CostView {
+    /// Name of the pipeline.
+    pub pipeline: String,
+    /// Name of the workspace.
+    pub workspace: String,
+    /// Name of the stage.
+    pub stage: String,
+    /// Time whose result was used, in milliseconds.
+    pub useful_ms: f64,
+    /// Time of attempts that failed, in milliseconds.
+    pub failed_ms: f64,
+    /// Time of attempts that lost against their twin, in milliseconds.
+    pub hedged_ms: f64,
+    /// Time of attempts whose request had ended, in milliseconds.
+    pub abandoned_ms: f64,
+}
+
+/// A running deployment. Its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The nodes.
+    pub nodes: Vec<NodeProcess>,
+    /// The upstreams by name.
+    pub upstreams: BTreeMap<String, UpstreamHandle>,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Cuts between nodes.
+    pub cuts: Cuts,
+    /// The caller used by tests.
+    pub caller: Caller,
+    /// Version after the last change published here.
+    pub version: Version,
+    spec: ClusterSpec,
+    folder: TempDir,
+    node_count: usize,
+    vms: Vec<VmEntry>,
+    upstream_processes: BTreeMap<String, Process>,
+    _platform_process: Process,
+}
+
+/// Returns the loopback address of a failure domain.
+pub fn domain_ip(failure_domain: &str) -> IpAddr {
+    let index = DOMAINS.iter().position(|domain| *domain == failure_domain).unwrap_or(0);
+    IpAddr::V4(Ipv4Addr::new(127, 0, index as u8 + 1, 1))
+}
+
+fn parse_listening(process: &Process, name: &str) -> anyhow::Result<SocketAddr> {
+    let line = process.wait_line("listening", |line| {
+        line.starts_with("listening") && value_of(line, "name") == Some(name)
+    });
+    Ok(value_of(&line, "address").context("no address in the line")?.parse()?)
+}
+
+impl Cluster {
+    /// Starts everything, publishes the deployment's configuration and waits until every node
+    /// has it in force.
+    ///
+    /// # Errors
+    /// If something can't be started.
+    pub async fn start(spec: ClusterSpec) -> anyhow::Result<Self> {
+        let platform_process = Process::start("platform", "standin_platform", &[])?;
+        let platform = parse_listening(&platform_process, "platform")?;
+        let mut cluster = Self {
+            nodes: Vec::new(),
+            upstreams: BTreeMap::new(),
+            platform,
+            cuts: Cuts::default(),
+            caller: Caller::new(),
+            version: 0,
+            folder: TempDir::new()?,
+            node_count: 0,
+            vms: Vec::new(),
+            upstream_processes: BTreeMap::new(),
+            _platform_process: platform_process,
+            spec,
+        };
+        cluster.start_upstreams()?;
+        let mut operations = cluster.spec.deployment.declare();
+        let upstreams = cluster.upstreams.values();
+        operations.extend(upstreams.map(|handle| handle.spec.declare(handle.address)));
+        cluster.publish(operations).await?;
+        for node in cluster.spec.nodes.clone() {
+            cluster.start_node(node).await?;
+        }
+        cluster.settle().await?;
+        Ok(cluster)
+    }
+
+    fn start_upstreams(&mut self) -> anyhow::Result<()> {
+        let mut groups: BTreeMap<String, Vec<UpstreamSpec>> = BTreeMap::new();
+        for spec in self.spec.deployment.upstreams() {
+            let alone = self.spec.process_per_upstream;
+            let group = if alone { spec.name.clone() } else { spec.pool.clone() };
+            groups.entry(group).or_default().push(spec);
+        }
+        for (group, specs) in groups {
+            let mut args = Vec::new();
+            for spec in &specs {
+                let behaviour = serde_json::to_string(&spec.behaviour)?;
+                args.push(format!("{}={behaviour}", spec.name));
+            }
+            let args: Vec<&str> = args.iter().map(String::as_str).collect();
+            let process = Process::start(&group, "standin_upstream", &args)?;
+            for spec in specs {
+                let address = parse_listening(&process, &spec.name)?;
+                self.upstreams.insert(spec.name.clone(), UpstreamHandle { spec, address });
+            }
+            self.upstream_processes.insert(group, process);
+        }
+        Ok(())
+    }
+
+    /// Starts one more node and tells the VM list of it.
+    ///
+    /// # Errors
+    /// If it can't be started.
+    pub async fn start_node(&mut self, node: NodeSpec) -> anyhow::Result<usize> {
+        let ip = domain_ip(node.failure_domain);
+        let target = Target::default();
+        let peer_address = link::start(ip, target.clone(), self.cuts.clone()).await?;
+        let platform = self.platform;
+        let settings = format!(
+            "[node]\nfailure_domain = \"{}\"\ncaller_address = \"127.0.0.1:0\"\n\
+             peer_address = \"{ip}:0\"\npeer_advertised = \"{peer_address}\"\n\
+             [platform]\nlog_address = \"{platform}\"\nvm_list_address = \"{platform}\"\n\
+             vm_list_every_ms = 200\n{}\n",
+            node.failure_domain, self.spec.extra_settings
+        );
+        self.node_count += 1;
+        let name = format!("{}{}", node.failure_domain, self.node_count);
+        let path = self.folder.path().join(format!("{name}.toml"));
+        fs::write(&path, settings)?;
+        let path = path.to_str().context("the path is not text")?;
+        let process = Process::start(&name, "fernring", &["serve", path])?;
+        let line = process.wait_event("listening");
+        let address = |key| -> anyhow::Result<SocketAddr> {
+            Ok(value_of(&line, key).context("no address in the line")?.parse()?)
+        };
+        let caller_address = address("caller")?;
+        target.set(address("bound")?);
+        let failure_domain = node.failure_domain;
+        self.nodes.push(NodeProcess { process, failure_domain, caller_address, peer_address });
+        self.vms.push(VmEntry {
+            vm: name,
+            address: peer_address,
+            failure_domain: failure_domain.to_owned(),
+            role: VmRole::Entry,
+            state: VmState::Live,
+        });
+        self.put_vms().await?;
+        Ok(self.nodes.len() - 1)
+    }
+
+    /// Shows an upstream as leaving, or again as live, in the VM list.
+    ///
+    /// # Errors
+    /// If the platform does not take it.
+    pub async fn list_upstream(&mut self, name: &str, state: VmState) -> anyhow::Result<()> {
+        let handle = self.upstreams.get(name).context("no such upstream")?;
+        let entry = VmEntry {
+            vm: name.to_owned(),
+            address: handle.address,
+            failure_domain: handle.spec.failure_domain.to_owned(),
+            role: VmRole::Upstream,
+            state,
+        };
+        self.vms.retain(|vm| vm.vm != name);
+        self.vms.push(entry);
+        self.put_vms().await
+    }
+
+    async fn put_vms(&self) -> anyhow::Result<()> {
+        self.caller.put(self.platform, "/control/vms", &self.vms).await
+    }
+
+    /// Publishes a change and returns its version. It must be accepted.
+    ///
+    /// # Errors
+    /// If the log does not take it.
+    pub async fn publish(&mut self, operations: Vec<Operation>) -> anyhow::Result<Version> {
+        let change =
+            Change { base: self.version, id: Uuid::now_v7(), author: "test".into(), operations };
+        let data = serde_json::to_vec(&ConfigRecord::Change(change))?;
+        let log = HttpLog::new(self.platform, PATIENCE, None);
+        self.version = log.append(CONFIG_STREAM, &data).await?.offset + 1;
+        Ok(self.version)
+    }
+
+    /// Waits until every node is ready and has the last published version in force.
+    ///
+    /// # Errors
+    /// If one does not get there.
+    pub async fn settle(&self) -> anyhow::Result<()> {
+        for index in 0..self.nodes.len() {
+            self.settle_node(index).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a node is ready and has the last published version in force.
+    ///
+    /// # Errors
+    /// If it does not get there.
+    pub async fn settle_node(&self, index: usize) -> anyhow::Result<()> {
+        let version = self.version;
+        let in_force = |view: &NodeView| view.ready && view.config_version >= version;
+        self.wait_node(index, "the configuration in force", in_force).await?;
+        Ok(())
+    }
+
+    /// Returns what a node tells of itself.
+    ///
+    /// # Errors
+    /// If it does not answer.
+    pub async fn view(&self, index: usize) -> anyhow::Result<NodeView> {
+        self.caller.get(self.nodes[index].caller_address, "/v1/status").await
+    }
+
+    /// Waits until a node's view is as wanted.
+    ///
+    /// # Errors
+    /// If it does not get there.
+    pub async fn wait_node(
+        &self,
+        index: usize,
+        what: &str,
+        wanted: impl Fn(&NodeView) -> bool,
+    ) -> anyhow::Result<NodeView> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            if let Ok(view) = self.view(index).await
+                && wanted(&view)
+            {
+                return Ok(view);
+            }
+            if Instant::now() >= end {
+                bail!("node {index}: {what} did not come");
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Changes the platform's behaviour.
+    ///
+    /// # Errors
+    /// If it does not take it.
+    pub async fn control_platform(&self, control: &Control) -> anyhow::Result<()> {
+        self.caller.post(self.platform, "/control", control).await?.error_for_status()?;
+        Ok(())
+    }
+
+    /// Changes an upstream's behaviour.
+    ///
+    /// # Errors
+    /// If it does not take it.
+    pub async fn control_upstream(&self, name: &str, behaviour: &Behaviour) -> anyhow::Result<()> {
+        let address = self.upstreams.get(name).context("no such upstream")?.address;
+        self.caller.post(address, "/control", behaviour).await?.error_for_status()?;
+        Ok(())
+    }
+
+    /// Returns what an upstream has run.
+    ///
+    /// # Errors
+    /// If it does not answer.
+    pub async fn runs(&self, name: &str) -> anyhow::Result<Vec<Run>> {
+        let address = self.upstreams.get(name).context("no such upstream")?.address;
+        self.caller.get(address, "/control/runs").await
+    }
+
+    /// Returns what all upstreams of a pool have run.
+    ///
+    /// # Errors
+    /// If one does not answer.
+    pub async fn pool_runs(&self, pool: &str) -> anyhow::Result<Vec<Run>> {
+        let mut all = Vec::new();
+        for (name, handle) in &self.upstreams {
+            if handle.spec.pool == pool {
+                all.extend(self.runs(name).await?);
+            }
+        }
+        Ok(all)
+    }
+
+    /// Waits until the runs of a pool are as wanted, and returns them.
+    ///
+    /// # Errors
+    /// If they do not get there.
+    pub async fn wait_runs(
+        &self,
+        pool: &str,
+        wanted: impl Fn(&[Run]) -> bool,
+    ) -> anyhow::Result<Vec<Run>> {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let runs = self.pool_runs(pool).await?;
+            if wanted(&runs) {
+                return Ok(runs);
+            }
+            if Instant::now() >= end {
+                bail!("pool {pool}: the wanted runs did not come");
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    /// Waits until an engine has taken an order, and returns the first one taken.
+    ///
+    /// # Errors
+    /// If none comes.
+    pub async fn wait_order(&self, name: &str) -> anyhow::Result<OrderTaken> {
+        let address = self.upstreams.get(name).context("no such upstream")?.address;
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            let orders: Vec<OrderTaken> = self.caller.get(address, "/control/orders").await?;
+            if let Some(order) = orders.into_iter().find(|order| order.taken) {
+                return Ok(order);
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+        bail!("no order came to {name}");
+    }
+
+    /// Waits until the log has dropped every record of a stream.
+    ///
+    /// # Errors
+    /// If it does not.
+    pub async fn wait_log_expired(&self, stream: &str) -> anyhow::Result<()> {
+        let log = HttpLog::new(self.platform, PATIENCE, None);
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            let page = log.read(stream, 0, Duration::ZERO).await?;
+            if page.records.is_empty() && page.first_offset > 0 {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+        bail!("the records of {stream} were kept");
+    }
+
+    /// Kills the process that holds an upstream.
+    pub fn kill_upstream(&mut self, group: &str) {
+        self.upstream_processes.remove(group);
+    }
+}
--- /dev/null
+++ b/crates/fernring-standins/src/platform.rs
@@ -0,0 +1,343 @@
+//! A stand-in for the platform: an append-only log with offsets, limited retention, a rate limit
+//! and outages; a lagging VM list; a rate-limited weight store.
+//!
+//! `POST /control` changes its behaviour; `GET /control` shows it.
+
+use {
+    crate::server::{Server, start},
+    fernring_platform::{AppendAnswer, LogPage, LogRecord, VmEntry},
+    rocket::{
+        Data, State, data::ToByteUnit, get, http::Status, post, put, routes, serde::json::Json,
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        net::IpAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::sync::watch,
+};
+
+/// Longest that a request without an answer is held.
+const HOLD: Duration = Duration::from_secs(120);
+/// Most records in one page.
+const PAGE_MAX_RECORDS: usize = 1_000;
+
+/// What happens to appends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Default)]
+#[serde(rename_all = "snake_case")]
+pub enum AppendFault {
+    /// They take effect and are answered.
+    #[default]
+    None,
+    /// They take effect, and the answer never comes.
+    AnswerLost,
+    /// They don't take effect, and no answer comes.
+    Dropped,
+    /// They take effect after `delay_ms`, long after the caller may have given up.
+    Late,
+}
+
+/// How the platform behaves.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Control {
+    /// Whether the log answers at all.
+    pub log_down: bool,
+    /// Pause before each answer of the log, in milliseconds.
+    pub delay_ms: u64,
+    /// What happens to appends.
+    pub append_fault: AppendFault,
+    /// Appends that the fault applies to; then it ends.
+    pub append_fault_count: u64,
+    /// Appends taken in a second.
+    pub appends_per_s: u64,
+    /// How long records are kept, in milliseconds.
+    pub retention_ms: u64,
+    /// How far the VM list lags, in milliseconds.
+    pub vm_lag_ms: u64,
+    /// Source addresses that get no answer of any kind.
+    pub cut: Vec<IpAddr>,
+    /// Bytes a second that the weight store hands out.
+    pub weight_bytes_per_s: u64,
+}
+
+impl Default for Control {
+    fn default() -> Self {
+        Self {
+            log_down: false,
+            delay_ms: 0,
+            append_fault: AppendFault::None,
+            append_fault_count: 0,
+            appends_per_s: 500,
+            retention_ms: 86_400_000,
+            vm_lag_ms: 0,
+            cut: Vec::new(),
+            weight_bytes_per_s: 1 << 30,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first_offset: u64,
+    records: Vec<LogRecord>,
+    appends: u64,
+}
+
+#[derive(Debug)]
+struct VmVersion {
+    at: Instant,
+    list: Vec<VmEntry>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    control: Control,
+    streams: HashMap<String, Stream>,
+    vms: Vec<VmVersion>,
+    tokens: f64,
+    filled_at: Instant,
+    weights_free_at: Instant,
+}
+
+/// The platform's state.
+#[derive(Debug)]
+struct Platform {
+    inner: Mutex<Inner>,
+    appended: watch::Sender<u64>,
+}
+
+/// Appends that each stream has taken.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamCount {
+    /// Name of the stream.
+    pub stream: String,
+    /// Appends since the start.
+    pub appends: u64,
+}
+
+impl Platform {
+    fn new() -> Self {
+        let now = Instant::now();
+        let inner = Inner {
+            control: Control::default(),
+            streams: HashMap::new(),
+            vms: Vec::new(),
+            tokens: 50.0,
+            filled_at: now,
+            weights_free_at: now,
+        };
+        Self { inner: Mutex::new(inner), appended: watch::Sender::new(0) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn append(&self, stream: &str, data: Vec<u8>) -> AppendAnswer {
+        let mut inner = self.lock();
+        let time_ms = unix_ms();
+        let stream = inner.streams.entry(stream.to_owned()).or_default();
+        let time_ms = stream.records.last().map_or(time_ms, |last| last.time_ms.max(time_ms));
+        let offset = stream.first_offset + stream.records.len() as u64;
+        stream.records.push(LogRecord { offset, time_ms, data });
+        stream.appends += 1;
+        drop(inner);
+        self.appended.send_modify(|count| *count += 1);
+        AppendAnswer { offset, time_ms }
+    }
+
+    fn page(&self, stream: &str, from: u64) -> LogPage {
+        let mut inner = self.lock();
+        let retention_ms = inner.control.retention_ms;
+        let stream = inner.streams.entry(stream.to_owned()).or_default();
+        let time_ms = unix_ms();
+        let old = |record: &LogRecord| record.time_ms + retention_ms < time_ms;
+        let expired = stream.records.iter().take_while(|record| old(record)).count();
+        stream.records.drain(..expired);
+        stream.first_offset += expired as u64;
+        let skip = from.saturating_sub(stream.first_offset) as usize;
+        let records = stream.records.iter().skip(skip).take(PAGE_MAX_RECORDS).cloned().collect();
+        LogPage {
+            first_offset: stream.first_offset,
+            next_offset: stream.first_offset + stream.records.len() as u64,
+            time_ms,
+            records,
+        }
+    }
+
+    fn take_token(&self) -> bool {
+        let mut inner = self.lock();
+        let rate = inner.control.appends_per_s as f64;
+        let elapsed_s = inner.filled_at.elapsed().as_secs_f64();
+        inner.filled_at = Instant::now();
+        inner.tokens = (inner.tokens + elapsed_s * rate).min((rate / 10.0).max(1.0));
+        if inner.tokens < 1.0 {
+            return false;
+        }
+        inner.tokens -= 1.0;
+        true
+    }
+
+    fn take_fault(&self) -> AppendFault {
+        let mut inner = self.lock();
+        if inner.control.append_fault_count == 0 {
+            return AppendFault::None;
+        }
+        inner.control.append_fault_count -= 1;
+        inner.control.append_fault
+    }
+
+    /// Holds a request back if its source is cut off or the log is down; refuses it then.
+    async fn gate(&self, source: IpAddr, log: bool) -> Result<(), Status> {
+        let (cut, down, delay_ms) = {
+            let inner = self.lock();
+            let control = &inner.control;
+            (control.cut.contains(&source), log && control.log_down, control.delay_ms)
+        };
+        if cut {
+            tokio::time::sleep(HOLD).await;
+        }
+        if down || cut {
+            return Err(Status::ServiceUnavailable);
+        }
+        if log && delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        Ok(())
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
+#[post("/streams/<stream>/records", data = "<data>")]
+async fn append(
+    stream: &str,
+    data: Data<'_>,
+    source: IpAddr,
+    platform: &State<Arc<Platform>>,
+) -> Result<Json<AppendAnswer>, Status> {
+    platform.gate(source, true).await?;
+    let data = data.open(16.mebibytes()).into_bytes().await;
+    let data = data.map_err(|_| Status::BadRequest)?.into_inner();
+    if !platform.take_token() {
+        return Err(Status::TooManyRequests);
+    }
+    match platform.take_fault() {
+        AppendFault::None => Ok(Json(platform.append(stream, data))),
+        AppendFault::AnswerLost => {
+            platform.append(stream, data);
+            tokio::time::sleep(HOLD).await;
+            Err(Status::GatewayTimeout)
+        }
+        AppendFault::Dropped => {
+            tokio::time::sleep(HOLD).await;
+            Err(Status::GatewayTimeout)
+        }
+        AppendFault::Late => {
+            let delay_ms = platform.lock().control.delay_ms;
+            let (platform, stream) = (platform.inner().clone(), stream.to_owned());
+            // The append goes on even if the caller hangs up.
+            let late = tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                platform.append(&stream, data)
+            });
+            late.await.map(Json).map_err(|_| Status::InternalServerError)
+        }
+    }
+}
+
+#[get("/streams/<stream>/records?<from>&<wait_ms>")]
+async fn read(
+    stream: &str,
+    from: u64,
+    wait_ms: Option<u64>,
+    source: IpAddr,
+    platform: &State<Arc<Platform>>,
+) -> Result<Json<LogPage>, Status> {
+    platform.gate(source, true).await?;
+    let mut appended = platform.appended.subscribe();
+    let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms.unwrap_or(0));
+    loop {
+        let page = platform.page(stream, from);
+        let waiting = page.records.is_empty() && page.first_offset <= from;
+        if !waiting || tokio::time::timeout_at(end, appended.changed()).await.is_err() {
+            // An outage that began meanwhile takes the answer with it.
+            platform.gate(source, true).await?;
+            return Ok(Json(page));
+        }
+    }
+}
+
+#[get("/vms")]
+async fn vms(
+    source: IpAddr,
+    platform: &State<Arc<Platform>>,
+) -> Result<Json<Vec<VmEntry>>, Status> {
+    platform.gate(source, false).await?;
+    let inner = platform.lock();
+    let lag = Duration::from_millis(inner.control.vm_lag_ms);
+    let shown = inner.vms.iter().rev().find(|version| version.at.elapsed() >= lag);
+    Ok(Json(shown.map(|version| version.list.clone()).unwrap_or_default()))
+}
+
+#[put("/control/vms", data = "<list>")]
+fn set_vms(list: Json<Vec<VmEntry>>, platform: &State<Arc<Platform>>) {
+    let version = VmVersion { at: Instant::now(), list: list.into_inner() };
+    platform.lock().vms.push(version);
+}
+
+/// Hands out a model's weights: the answer comes when the store's rate allows it.
+#[get("/weights/<_model>?<bytes>")]
+async fn weights(_model: &str, bytes: u64, platform: &State<Arc<Platform>>) -> &'static str {
+    let wait = {
+        let mut inner = platform.lock();
+        let rate = inner.control.weight_bytes_per_s.max(1) as f64;
+        let begin = inner.weights_free_at.max(Instant::now());
+        inner.weights_free_at = begin + Duration::from_secs_f64(bytes as f64 / rate);
+        inner.weights_free_at - Instant::now()
+    };
+    tokio::time::sleep(wait).await;
+    "done\n"
+}
+
+#[get("/control")]
+fn control(platform: &State<Arc<Platform>>) -> Json<Control> {
+    Json(platform.lock().control.clone())
+}
+
+#[post("/control", data = "<control>")]
+fn set_control(control: Json<Control>, platform: &State<Arc<Platform>>) {
+    platform.lock().control = control.into_inner();
+}
+
+#[get("/control/appends")]
+fn appends(platform: &State<Arc<Platform>>) -> Json<Vec<StreamCount>> {
+    let inner = platform.lock();
+    let counts = inner.streams.iter();
+    let count = |(name, stream): (&String, &Stream)| StreamCount {
+        stream: name.clone(),
+        appends: stream.appends,
+    };
+    Json(counts.map(count).collect())
+}
+
+/// Starts the platform on a free port of `ip`.
+///
+/// # Errors
+/// If it can't listen there.
+pub async fn serve(ip: IpAddr) -> anyhow::Result<Server> {
+    let platform = Arc::new(Platform::new());
+    start(ip, |rocket| {
+        rocket.manage(platform).mount(
+            "/",
+            routes![append, read, vms, set_vms, weights, control, set_control, appends,],
+        )
+    })
+    .await
+}
--- /dev/null
+++ b/crates/fernring-standins/tests/testsuite/builder.rs
@@ -0,0 +1,127 @@
+//! A small deployment for tests.
+
+use {
+    fernring_standins::{
+        caller::Call,
+        cluster::{Cluster, ClusterSpec, NodeSpec, nodes_per_domain},
+        deployment::{
+            Deployment, PipelineSpec, PoolSpec, WorkspaceSpec, effect, pipeline, stage, workspace,
+        },
+        upstream::{Behaviour, output_of},
+    },
+    uuid::Uuid,
+};
+
+/// Window that no test reaches unless it means to, in milliseconds.
+pub(crate) const LONG_WINDOW_MS: u64 = 60_000;
+
+/// Upstreams in each pool, one in each failure domain.
+const PER_POOL: usize = 3;
+
+/// Builds a deployment with a pure pipeline of four stages (`answer`) and one that ends in a
+/// side effect (`letter`).
+pub(crate) struct Builder {
+    nodes: Vec<NodeSpec>,
+    extra_settings: String,
+    engine: Behaviour,
+}
+
+impl Builder {
+    pub(crate) fn new() -> Self {
+        Self {
+            nodes: nodes_per_domain(1),
+            extra_settings: String::new(),
+            engine: Behaviour { engine: true, parts: 4, ..Behaviour::default() },
+        }
+    }
+
+    pub(crate) fn nodes(self, nodes: Vec<NodeSpec>) -> Self {
+        Self { nodes, ..self }
+    }
+
+    pub(crate) fn settings(self, lines: &str) -> Self {
+        Self { extra_settings: lines.to_owned(), ..self }
+    }
+
+    pub(crate) fn engine(self, engine: Behaviour) -> Self {
+        Self { engine: Behaviour { engine: true, ..engine }, ..self }
+    }
+
+    pub(crate) async fn start(self) -> Cluster {
+        let pool = |pool, behaviour: Behaviour| PoolSpec { pool, count: PER_POOL, behaviour };
+        let plain = Behaviour::default();
+        let deployment = Deployment {
+            name: "test",
+            pools: vec![
+                pool("encoders", plain.clone()),
+                pool("retrievers", plain.clone()),
+                pool("rerankers", plain.clone()),
+                pool("engines", self.engine.clone()),
+                pool("letters", plain),
+            ],
+            pipelines: vec![
+                PipelineSpec {
+                    name: "answer",
+                    traffic: 1,
+                    pipeline: pipeline(
+                        vec![
+                            stage("encode", "encoders", 5, 1),
+                            stage("retrieve", "retrievers", 5, 1),
+                            stage("rerank", "rerankers", 5, 1),
+                            stage("generate", "engines", 5, 10),
+                        ],
+                        LONG_WINDOW_MS,
+                    ),
+                },
+                PipelineSpec {
+                    name: "letter",
+                    traffic: 1,
+                    pipeline: pipeline(
+                        vec![
+                            stage("retrieve", "retrievers", 5, 1),
+                            stage("generate", "engines", 5, 10),
+                            effect("dispatch", "letters", 5),
+                        ],
+                        LONG_WINDOW_MS,
+                    ),
+                },
+            ],
+            workspaces: vec![WorkspaceSpec {
+                name: "members",
+                traffic: 1,
+                workspace: workspace(1),
+            }],
+        };
+        let spec = ClusterSpec {
+            deployment,
+            nodes: self.nodes,
+            extra_settings: self.extra_settings,
+            process_per_upstream: true,
+        };
+        Cluster::start(spec).await.expect("the deployment starts")
+    }
+}
+
+/// A request of the workspace `members`.
+pub(crate) fn call(input: &str) -> Call {
+    Call { workspace: "members".to_owned(), input: input.to_owned(), ..Call::default() }
+}
+
+/// A request with a fresh key.
+pub(crate) fn keyed(input: &str) -> Call {
+    Call { key: Some(Uuid::now_v7().to_string()), ..call(input) }
+}
+
+/// What the pipeline `answer` must make of an input.
+pub(crate) fn whole_answer(input: &str) -> String {
+    ["encode", "retrieve", "rerank", "generate"]
+        .iter()
+        .fold(input.to_owned(), |text, stage| output_of(stage, &text))
+}
+
+/// What the pipeline `letter` must make of an input.
+pub(crate) fn whole_letter(input: &str) -> String {
+    ["retrieve", "generate", "dispatch"]
+        .iter()
+        .fold(input.to_owned(), |text, stage| output_of(stage, &text))
+}
--- /dev/null
+++ b/crates/fernring/src/cmd/mod.rs
@@ -0,0 +1,20 @@
+//! The subcommands, one file each: its arguments and a short `execute`.
+
+pub mod check;
+pub mod serve;
+pub mod settings;
+
+use {crate::settings::Settings, std::process::ExitCode};
+
+/// Exit code of a run that failed.
+const EXIT_FAILED: u8 = 1;
+/// Exit code of bad arguments or settings; the argument parser uses the same.
+const EXIT_BAD_INPUT: u8 = 2;
+
+/// Loads settings, or prints what is wrong with them.
+fn load(path: &std::path::Path) -> Result<Settings, ExitCode> {
+    crate::settings::load(path).map_err(|error| {
+        eprintln!("fernring: {error}");
+        ExitCode::from(EXIT_BAD_INPUT)
+    })
+}
--- /dev/null
+++ b/crates/fernring/src/http/reply.rs
@@ -0,0 +1,92 @@
+//! Responses of the caller interface.
+
+use {
+    super::body::AnswerBody,
+    fernring_core::code::ResultCode,
+    futures_util::stream::BoxStream,
+    rocket::{
+        Request, Response, catch,
+        http::{ContentType, Status},
+        response::{
+            Responder,
+            stream::{Event, EventStream},
+        },
+    },
+    serde::Serialize,
+};
+
+/// One JSON body with its status and, for a refusal, when to come back.
+pub(super) struct JsonReply {
+    status: Status,
+    retry_after_ms: Option<u64>,
+    text: String,
+    /// Held until the response is built.
+    _open: Option<crate::node::OpenResponse>,
+}
+
+impl JsonReply {
+    pub(super) fn new(status: u16, body: &impl Serialize) -> Self {
+        let status = Status::from_code(status).unwrap_or(Status::InternalServerError);
+        let text = serde_json::to_string(body).unwrap_or_else(|_| "{}".to_owned());
+        Self { status, retry_after_ms: None, text, _open: None }
+    }
+
+    pub(super) fn answer(body: &AnswerBody) -> Self {
+        let status = ResultCode::from_number(body.code).map_or(500, ResultCode::http_status);
+        Self { retry_after_ms: body.retry_after_ms, ..Self::new(status, body) }
+    }
+
+    pub(super) fn refuse(code: ResultCode) -> Self {
+        Self::answer(&AnswerBody::of_code(code, Some(0)))
+    }
+
+    pub(super) fn holding(self, open: crate::node::OpenResponse) -> Self {
+        Self { _open: Some(open), ..self }
+    }
+}
+
+impl<'r> Responder<'r, 'static> for JsonReply {
+    fn respond_to(self, _: &'r Request<'_>) -> rocket::response::Result<'static> {
+        let mut response = Response::build();
+        response.status(self.status).header(ContentType::JSON);
+        if let Some(ms) = self.retry_after_ms {
+            // The header has whole seconds; rounding down would bring callers back too early.
+            response.raw_header("Retry-After", ms.div_ceil(1_000).to_string());
+        }
+        response.sized_body(self.text.len(), std::io::Cursor::new(self.text)).ok()
+    }
+}
+
+/// A whole answer, or its parts as they come.
+pub(super) enum Reply {
+    Whole(JsonReply),
+    Parts(EventStream<BoxStream<'static, Event>>),
+}
+
+impl<'r> Responder<'r, 'r> for Reply {
+    fn respond_to(self, request: &'r Request<'_>) -> rocket::response::Result<'r> {
+        match self {
+            Self::Whole(reply) => reply.respond_to(request),
+            Self::Parts(stream) => stream.respond_to(request),
+        }
+    }
+}
+
+#[catch(404)]
+pub(super) fn not_found() -> JsonReply {
+    let body = AnswerBody::of_code(ResultCode::BadRequest, None);
+    JsonReply::new(404, &body)
+}
+
+#[catch(default)]
+pub(super) fn bad_request(status: Status, _request: &Request<'_>) -> JsonReply {
+    let body = AnswerBody::of_code(ResultCode::BadRequest, None);
+    JsonReply::new(status.code, &body)
+}
+
+/// An error inside the node. Nothing is promised about the request.
+#[catch(500)]
+pub(super) fn internal_error() -> JsonReply {
+    let body = AnswerBody::of_code(ResultCode::EffectUnknown, None);
+    JsonReply::new(500, &body)
+}
--- /dev/null
+++ b/crates/fernring/src/http/routes.rs
@@ -0,0 +1,245 @@
+//! The routes.
+
+use {
+    super::{
+        body::{AnswerBody, RequestBody, TicketsBody, read_json},
+        reply::{JsonReply, Reply},
+    },
+    crate::node::{Node, OpenResponse, WaiterEvent},
+    fernring_core::{
+        code::ResultCode,
+        ids::{Incarnation, RequestKey, ScopedKey, WaiterId},
+        text::is_name,
+    },
+    fernring_policy::{
+        answer::Answer,
+        event::{KeyStatus, Submission},
+    },
+    fernring_protocol::messages::{KeyRequest, KeyStatusMessage, frame::Body},
+    futures_util::{StreamExt, stream},
+    rocket::{
+        Data, State, get, post,
+        response::stream::{Event, EventStream},
+    },
+    serde_json::json,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::sync::mpsc::UnboundedReceiver,
+    uuid::Uuid,
+};
+
+/// How long the owner of a key is waited for when its status is asked.
+const STATUS_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Tells the node when whoever waits for a request goes away before its final answer.
+struct WaiterGuard {
+    node: Arc<Node>,
+    waiter: WaiterId,
+    _open: OpenResponse,
+}
+
+impl Drop for WaiterGuard {
+    fn drop(&mut self) {
+        self.node.forget_waiter(self.waiter);
+    }
+}
+
+/// Runs a request through a pipeline.
+#[post("/v1/pipelines/<name>/requests", data = "<data>")]
+pub(super) async fn submit(name: &str, data: Data<'_>, node: &State<Arc<Node>>) -> Reply {
+    let node = node.inner().clone();
+    let open = node.open_response();
+    let body: RequestBody = match read_json(data, node.settings().limits.body_max_bytes).await {
+        Ok(body) => body,
+        Err(code) => return Reply::Whole(JsonReply::refuse(code)),
+    };
+    if !node.is_configured() {
+        return Reply::Whole(JsonReply::refuse(ResultCode::NotReady));
+    }
+    let key = match body.key.as_deref().map(str::parse::<RequestKey>).transpose() {
+        Ok(key) => key,
+        Err(_) => return Reply::Whole(JsonReply::refuse(ResultCode::BadKey)),
+    };
+    let key_text = body.key.clone();
+    let streaming = body.stream;
+    let (waiter, events) = node.submit(|waiter| Submission {
+        waiter,
+        uid: Uuid::now_v7(),
+        pipeline: name.to_owned(),
+        workspace: body.workspace.into(),
+        key,
+        non_idempotent: body.non_idempotent,
+        window_ms: body.window_ms,
+        input: body.input.into(),
+        prefix: body.prefix,
+        streaming,
+        forwarded: false,
+    });
+    let guard = WaiterGuard { node, waiter, _open: open };
+    reply(events, guard, key_text).await
+}
+
+/// Waits for the first event. A final answer becomes one JSON body with its own status; a first
+/// part begins a stream of events that ends with the final answer.
+async fn reply(
+    mut events: UnboundedReceiver<WaiterEvent>,
+    guard: WaiterGuard,
+    key: Option<String>,
+) -> Reply {
+    let Some(first) = events.recv().await else {
+        return Reply::Whole(JsonReply::refuse(ResultCode::EffectUnknown));
+    };
+    if let WaiterEvent::Final(answer) = &first {
+        let open = guard.node.open_response();
+        let reply = JsonReply::answer(&AnswerBody::new(answer, key));
+        return Reply::Whole(reply.holding(open));
+    }
+    let rest = stream::unfold((events, guard), |(mut events, guard)| async move {
+        events.recv().await.map(|event| (event, (events, guard)))
+    });
+    let all = stream::once(async move { first }).chain(rest);
+    let parts = all.map(move |event| match event {
+        WaiterEvent::Part(text) => Event::json(&json!({ "text": text })).event("part"),
+        WaiterEvent::Final(answer) => {
+            Event::json(&AnswerBody::new(&answer, key.clone())).event("answer")
+        }
+    });
+    Reply::Parts(EventStream::from(parts.boxed()))
+}
+
+/// Mints tickets.
+#[post("/v1/tickets", data = "<data>")]
+pub(super) async fn tickets(data: Data<'_>, node: &State<Arc<Node>>) -> JsonReply {
+    let limits = &node.settings().limits;
+    let body: TicketsBody = match read_json(data, limits.body_max_bytes).await {
+        Ok(body) => body,
+        Err(code) => return JsonReply::refuse(code),
+    };
+    if body.count == 0 || body.count > limits.tickets_per_request_max {
+        return JsonReply::refuse(ResultCode::BadBody);
+    }
+    match node.mint_tickets(body.count) {
+        Ok(tickets) => {
+            let tickets: Vec<_> = tickets.iter().map(ToString::to_string).collect();
+            JsonReply::new(200, &json!({ "tickets": tickets }))
+        }
+        Err(answer) => JsonReply::answer(&AnswerBody::new(&answer, None)),
+    }
+}
+
+/// Says what truly happened to a key.
+#[get("/v1/requests/<key>?<workspace>")]
+pub(super) async fn key(key: &str, workspace: &str, node: &State<Arc<Node>>) -> JsonReply {
+    let Ok(parsed) = key.parse::<RequestKey>() else {
+        return JsonReply::refuse(ResultCode::BadKey);
+    };
+    if !is_name(workspace) {
+        return JsonReply::refuse(ResultCode::UnknownWorkspace);
+    }
+    let scoped = ScopedKey { workspace: workspace.into(), key: parsed };
+    match node.key_status(&scoped) {
+        KeyStatus::Running { stage } => running(key, u32::from(stage)),
+        KeyStatus::Ended(answer) => ended(key, &answer),
+        KeyStatus::Unknown => JsonReply::answer(&AnswerBody::of_code(ResultCode::UnknownKey, None)),
+        KeyStatus::Elsewhere { incarnation, address } => {
+            ask_owner(node, &scoped, incarnation, address).await
+        }
+    }
+}
+
+async fn ask_owner(
+    node: &Arc<Node>,
+    key: &ScopedKey,
+    incarnation: Incarnation,
+    address: SocketAddr,
+) -> JsonReply {
+    let text = key.key.to_string();
+    let request = KeyRequest {
+        incarnation: incarnation.0.as_bytes().to_vec(),
+        workspace: key.workspace.to_string(),
+        key: text.clone(),
+    };
+    let answer = node.peer().ask(address, Body::KeyRequest(request), STATUS_PATIENCE).await;
+    let Ok(Body::KeyStatus(KeyStatusMessage { code, stage, output })) = answer else {
+        return JsonReply::answer(&AnswerBody::of_code(ResultCode::OwnerUnreachable, Some(0)));
+    };
+    match u16::try_from(code).ok().and_then(ResultCode::from_number) {
+        Some(code) => {
+            let body = AnswerBody { output, key: Some(text), ..AnswerBody::of_code(code, None) };
+            JsonReply::new(200, &json!({ "state": "ended", "answer": body }))
+        }
+        None if code == 0 => running(&text, stage),
+        None => JsonReply::answer(&AnswerBody::of_code(ResultCode::OwnerUnreachable, Some(0))),
+    }
+}
+
+fn running(key: &str, stage: u32) -> JsonReply {
+    JsonReply::new(200, &json!({ "state": "running", "key": key, "stage": stage }))
+}
+
+fn ended(key: &str, answer: &Answer) -> JsonReply {
+    let body = AnswerBody::new(answer, Some(key.to_owned()));
+    JsonReply::new(200, &json!({ "state": "ended", "answer": body }))
+}
+
+/// Says that the process runs.
+#[get("/healthz")]
+pub(super) fn healthz() -> &'static str {
+    "ok\n"
+}
+
+/// Says whether requests are taken.
+#[get("/readyz")]
+pub(super) fn readyz(node: &State<Arc<Node>>) -> JsonReply {
+    let ready = node.is_ready();
+    let status = if ready { 200 } else { 503 };
+    JsonReply::new(status, &json!({ "ready": ready, "draining": node.is_draining() }))
+}
+
+/// Tells operators about the node.
+#[get("/v1/status")]
+pub(super) fn status(node: &State<Arc<Node>>) -> JsonReply {
+    let status = node.status();
+    let counters = status.counters;
+    let costs = status.costs.iter().map(|(key, cost)| {
+        json!({
+            "pipeline": key.pipeline, "workspace": key.workspace, "stage": key.stage,
+            "attempts": cost.attempts, "useful_ms": cost.useful_ms, "failed_ms": cost.failed_ms,
+            "hedged_ms": cost.hedged_ms, "abandoned_ms": cost.abandoned_ms,
+        })
+    });
+    let upstreams = node.upstreams();
+    let models = upstreams.iter().filter(|upstream| !upstream.models.is_empty());
+    let models =
+        models.map(|upstream| json!({ "upstream": upstream.name, "models": upstream.models }));
+    let body = json!({
+        "incarnation": status.identity.incarnation.to_string(),
+        "failure_domain": status.identity.failure_domain,
+        "peer_address": status.identity.address,
+        "ready": status.ready,
+        "draining": status.draining,
+        "config_version": status.config_version,
+        "config_age_ms": status.config_age_ms,
+        "config_gap": status.config_gap,
+        "highest_peer_version": status.highest_peer_version,
+        "live_nodes": status.live_nodes,
+        "claims_known": status.claims_known,
+        "order_holder": status.order_holder.map(|(incarnation, fence)| {
+            json!({ "incarnation": incarnation.to_string(), "fence": fence })
+        }),
+        "models": models.collect::<Vec<_>>(),
+        "counters": {
+            "accepted": counters.accepted, "refused": counters.refused,
+            "answered": counters.answered, "not_run": counters.not_run,
+            "failed": counters.failed, "unknown": counters.unknown,
+            "in_flight": counters.in_flight, "repeats": counters.repeats,
+            "forwarded": counters.forwarded,
+            "parts_misdirected": counters.parts_misdirected,
+            "parts_duplicate": counters.parts_duplicate, "parts_late": counters.parts_late,
+            "first_attempts": counters.first_attempts, "retries": counters.retries,
+            "hedges": counters.hedges, "effects": counters.effects,
+            "appends": counters.appends,
+        },
+        "costs": costs.collect::<Vec<_>>(),
+    });
+    JsonReply::new(200, &body)
+}
--- /dev/null
+++ b/crates/fernring/src/main.rs
@@ -0,0 +1,32 @@
+//! The `fernring` command: runs and checks a node.
+
+use {
+    clap::{Parser, Subcommand},
+    fernring::cmd::{check::CheckArgs, serve::ServeArgs, settings::SettingsArgs},
+    std::process::ExitCode,
+};
+
+/// Serves multi-stage model pipelines from an entry VM.
+///
+/// Exit codes: 0 done; 1 failed while running; 2 bad arguments or settings.
+#[derive(Debug, Parser)]
+#[command(name = "fernring", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    Serve(ServeArgs),
+    Check(CheckArgs),
+    Settings(SettingsArgs),
+}
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Serve(args) => args.execute(),
+        Command::Check(args) => args.execute(),
+        Command::Settings(args) => args.execute(),
+    }
+}
--- /dev/null
+++ b/crates/fernring/src/node/codec.rs
@@ -0,0 +1,52 @@
+//! Claim records as bytes on the log service.
+
+use {
+    crate::peer::{incarnation_bytes, incarnation_from},
+    fernring_core::{
+        claim::{ClaimBatch, ClaimEntry, ClaimKind},
+        ids::{RequestKey, ScopedKey},
+    },
+    fernring_protocol::messages::{ClaimBatchMessage, ClaimEntryMessage},
+    prost::Message,
+    uuid::Uuid,
+};
+
+/// Encodes a record. Tickets are never claimed, so an entry with one is left out.
+pub(super) fn encode_claims(batch: &ClaimBatch) -> Vec<u8> {
+    let entries = batch.entries.iter().filter_map(|entry| match entry.key.key {
+        RequestKey::Minted(uuid) => Some(ClaimEntryMessage {
+            workspace: entry.key.workspace.to_string(),
+            key: uuid.as_bytes().to_vec(),
+            kind: entry.kind as u32,
+        }),
+        RequestKey::Ticket(_) => None,
+    });
+    let message = ClaimBatchMessage {
+        incarnation: incarnation_bytes(batch.incarnation),
+        address: batch.address.to_string(),
+        entries: entries.collect(),
+    };
+    message.encode_to_vec()
+}
+
+/// Decodes a record; `None` if it is not one of ours.
+pub(super) fn decode_claims(data: &[u8]) -> Option<ClaimBatch> {
+    let message = ClaimBatchMessage::decode(data).ok()?;
+    let entries = message.entries.into_iter().map(decode_entry).collect::<Option<_>>()?;
+    Some(ClaimBatch {
+        incarnation: incarnation_from(&message.incarnation)?,
+        address: message.address.parse().ok()?,
+        entries,
+    })
+}
+
+fn decode_entry(message: ClaimEntryMessage) -> Option<ClaimEntry> {
+    let kind = match message.kind {
+        0 => ClaimKind::Claim,
+        1 => ClaimKind::Spent,
+        2 => ClaimKind::Ended,
+        _ => return None,
+    };
+    let key = RequestKey::Minted(Uuid::from_slice(&message.key).ok()?);
+    Some(ClaimEntry { key: ScopedKey { workspace: message.workspace.into(), key }, kind })
+}
--- /dev/null
+++ b/crates/fernring/src/node/order_loop.rs
@@ -0,0 +1,83 @@
+//! The order stream: taking charge of the failure domain's orders, and sending them.
+
+use {
+    super::state::{Node, lock},
+    crate::upstream::OrderOutcome,
+    fernring_core::{orders::ORDER_STREAM, text::LogLine},
+    fernring_platform::LogRecord,
+    fernring_policy::placement::{GrantRecord, PlacementStep, TargetOrder},
+    spdlog::{info, warn},
+    std::{sync::Arc, time::Duration},
+};
+
+/// How often the next step is looked for.
+const STEP_EVERY: Duration = Duration::from_millis(500);
+
+/// Takes part in placement for as long as the node runs.
+pub(super) async fn run(node: Arc<Node>) {
+    let mut from = 0;
+    loop {
+        tokio::time::sleep(STEP_EVERY).await;
+        let Ok(page) = node.log.read(ORDER_STREAM, from, Duration::ZERO).await else {
+            continue;
+        };
+        let records: Vec<_> = page.records.iter().map(grant_record).collect();
+        from = records.last().map_or(from.max(page.first_offset), |last| last.offset + 1);
+        let now = node.now();
+        let step = {
+            let catalog = lock(&node.fold).catalog().clone();
+            let models = lock(&node.models).clone();
+            let mut placement = lock(&node.placement);
+            placement.read(now.monotonic, page.time_ms, &records);
+            // A draining node takes no charge, so that another one does.
+            match node.is_draining() {
+                true => PlacementStep::Idle,
+                false => placement.step(now.monotonic, now.wall_ms(), &catalog, &models),
+            }
+        };
+        act(&node, step).await;
+    }
+}
+
+async fn act(node: &Arc<Node>, step: PlacementStep) {
+    match step {
+        PlacementStep::Idle => {}
+        PlacementStep::Append(grant) => {
+            let Ok(data) = serde_json::to_vec(&grant) else { return };
+            if node.log.append(ORDER_STREAM, &data).await.is_err() {
+                lock(&node.placement).append_failed();
+            }
+        }
+        PlacementStep::Order(orders) => {
+            for order in orders {
+                send(node, order).await;
+            }
+        }
+    }
+}
+
+async fn send(node: &Arc<Node>, target: TargetOrder) {
+    let catalog = lock(&node.fold).catalog().clone();
+    let Some(upstream) = catalog.upstreams.get(&target.upstream) else {
+        return;
+    };
+    let outcome = node.upstream.order(upstream.address, &target.order).await;
+    let line = LogLine::event("order")
+        .with("upstream", &target.upstream)
+        .with("models", target.order.models.join(","))
+        .with("fence", target.order.fence)
+        .with("checks_fencing", upstream.checks_fencing)
+        .with("outcome", format!("{outcome:?}").to_lowercase());
+    match outcome {
+        OrderOutcome::Taken => info!("{line}"),
+        OrderOutcome::Fenced | OrderOutcome::Unknown => warn!("{line}"),
+    }
+}
+
+fn grant_record(record: &LogRecord) -> GrantRecord {
+    GrantRecord {
+        offset: record.offset,
+        time_ms: record.time_ms,
+        grant: serde_json::from_slice(&record.data).ok(),
+    }
+}
--- /dev/null
+++ b/crates/fernring/src/node/peer_loop.rs
@@ -0,0 +1,217 @@
+//! Heartbeats, and questions of other nodes.
+
+use {
+    super::state::{Node, WaiterEvent, lock},
+    crate::peer::{heartbeat_from, heartbeat_message, incarnation_bytes, key_from},
+    fernring_core::{
+        change::Snapshot,
+        ids::{RequestKey, WaiterId},
+        text::LogLine,
+    },
+    fernring_policy::event::{KeyStatus, Submission},
+    fernring_protocol::{
+        Frame, codec, decode, encode,
+        messages::{
+            ConfigRequest, ConfigState, ForwardMessage, KeyRequest, KeyStatusMessage,
+            SubmissionAnswer, frame::Body,
+        },
+    },
+    futures_util::{SinkExt, StreamExt, future::join_all},
+    spdlog::{info, warn},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Semaphore,
+    },
+    tokio_util::codec::Framed,
+    uuid::Uuid,
+};
+
+/// Pause after a failed accept, which means that the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Code of an answer by a node that is not the incarnation asked for.
+const WRONG_INCARNATION: u32 = 0;
+/// Code of a key status that nothing is known for.
+pub(crate) const STATUS_UNKNOWN: u32 = 1;
+/// Code of a key status of a request that runs.
+pub(crate) const STATUS_RUNNING: u32 = 0;
+
+/// Answers other nodes for as long as the node runs.
+pub(super) async fn serve(node: Arc<Node>, listener: TcpListener) {
+    let slots = Arc::new(Semaphore::new(node.settings.peers.connections_max));
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = node.clone();
+                tokio::spawn(async move {
+                    answer_all(node, stream).await;
+                    drop(slot);
+                });
+            }
+            Err(error) => {
+                warn!("{}", LogLine::event("peer_accept_failed").with("error", error));
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer_all(node: Arc<Node>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut connection = Framed::new(stream, codec());
+    while let Some(Ok(bytes)) = connection.next().await {
+        let Some(question) = decode(&bytes).ok().and_then(|frame| frame.body) else {
+            warn!("{}", LogLine::event("peer_malformed").with("bytes", bytes.len()));
+            return;
+        };
+        let Some(answer) = answer(&node, question).await else {
+            return;
+        };
+        if connection.send(encode(&Frame { body: Some(answer) })).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Answers one question; `None` ends the connection.
+async fn answer(node: &Arc<Node>, question: Body) -> Option<Body> {
+    match question {
+        Body::Heartbeat(message) => {
+            let heartbeat = heartbeat_from(message)?;
+            lock(&node.membership).heard(node.now().monotonic, heartbeat);
+            Some(Body::Heartbeat(heartbeat_message(&node.heartbeat())))
+        }
+        Body::ConfigRequest(request) => Some(Body::ConfigState(config_state(node, request))),
+        Body::Forward(message) => Some(Body::Answer(answer_forward(node, message).await)),
+        Body::KeyRequest(request) => Some(Body::KeyStatus(key_status(node, &request))),
+        Body::ConfigState(_) | Body::Answer(_) | Body::KeyStatus(_) => None,
+    }
+}
+
+fn config_state(node: &Node, request: ConfigRequest) -> ConfigState {
+    let fold = lock(&node.fold);
+    let version = fold.version();
+    let newer = version > request.have_version;
+    let catalog_json = match newer {
+        true => serde_json::to_vec(fold.catalog().as_ref()).unwrap_or_default(),
+        false => Vec::new(),
+    };
+    ConfigState { version, catalog_json }
+}
+
+fn is_me(node: &Node, incarnation: &[u8]) -> bool {
+    incarnation_bytes(node.identity.incarnation) == incarnation
+}
+
+async fn answer_forward(node: &Arc<Node>, message: ForwardMessage) -> SubmissionAnswer {
+    let refusal = SubmissionAnswer { code: WRONG_INCARNATION, output: None, retry_after_ms: None };
+    let Ok(key) = message.key.parse::<RequestKey>() else {
+        return refusal;
+    };
+    if !is_me(node, &message.incarnation) {
+        return refusal;
+    }
+    let (waiter, mut events) = node.submit(|waiter| forwarded(waiter, key, message));
+    while let Some(event) = events.recv().await {
+        if let WaiterEvent::Final(answer) = event {
+            return SubmissionAnswer {
+                code: u32::from(answer.code().number()),
+                output: answer.output().map(ToString::to_string),
+                retry_after_ms: answer.retry_after_ms(),
+            };
+        }
+    }
+    node.forget_waiter(waiter);
+    refusal
+}
+
+fn forwarded(waiter: WaiterId, key: RequestKey, message: ForwardMessage) -> Submission {
+    Submission {
+        waiter,
+        uid: Uuid::now_v7(),
+        pipeline: message.pipeline,
+        workspace: message.workspace.into(),
+        key: Some(key),
+        non_idempotent: message.non_idempotent,
+        window_ms: (message.window_ms > 0).then_some(message.window_ms),
+        input: message.input.into(),
+        prefix: (!message.prefix.is_empty()).then_some(message.prefix),
+        streaming: false,
+        forwarded: true,
+    }
+}
+
+fn key_status(node: &Node, request: &KeyRequest) -> KeyStatusMessage {
+    let unknown = KeyStatusMessage { code: STATUS_UNKNOWN, stage: 0, output: None };
+    let Some(key) = key_from(request).filter(|_| is_me(node, &request.incarnation)) else {
+        return unknown;
+    };
+    match node.key_status(&key) {
+        KeyStatus::Running { stage } => {
+            KeyStatusMessage { code: STATUS_RUNNING, stage: stage.into(), output: None }
+        }
+        KeyStatus::Ended(answer) => KeyStatusMessage {
+            code: u32::from(answer.code().number()),
+            stage: 0,
+            output: answer.output().map(ToString::to_string),
+        },
+        KeyStatus::Elsewhere { .. } | KeyStatus::Unknown => unknown,
+    }
+}
+
+/// Exchanges heartbeats with the other nodes for as long as the node runs.
+pub(super) async fn exchange_heartbeats(node: Arc<Node>) {
+    let every = Duration::from_millis(node.settings.peers.heartbeat_ms);
+    loop {
+        let contacts = lock(&node.membership).contacts();
+        join_all(contacts.into_iter().map(|address| beat(&node, address, every))).await;
+        note_peers(&node);
+        let version = lock(&node.fold).version();
+        let ahead = lock(&node.membership).ahead_of(version);
+        if let Some(address) = ahead {
+            fetch_config(&node, address, version).await;
+        }
+        tokio::time::sleep(every).await;
+    }
+}
+
+async fn beat(node: &Arc<Node>, address: SocketAddr, patience: Duration) {
+    let question = Body::Heartbeat(heartbeat_message(&node.heartbeat()));
+    let Ok(Body::Heartbeat(message)) = node.peer.ask(address, question, patience).await else {
+        return;
+    };
+    if let Some(heartbeat) = heartbeat_from(message) {
+        lock(&node.membership).heard(node.now().monotonic, heartbeat);
+    }
+}
+
+fn note_peers(node: &Arc<Node>) {
+    let now = node.now().monotonic;
+    let (live_nodes, demand) = {
+        let membership = lock(&node.membership);
+        (membership.live_nodes(now), membership.peer_demand(now))
+    };
+    lock(&node.dispatcher).set_peers(live_nodes, &demand);
+}
+
+/// Takes the configuration of a peer that is ahead.
+async fn fetch_config(node: &Arc<Node>, address: SocketAddr, have_version: u64) {
+    let patience = Duration::from_millis(node.settings.platform.timeout_ms);
+    let question = Body::ConfigRequest(ConfigRequest { have_version });
+    let Ok(Body::ConfigState(state)) = node.peer.ask(address, question, patience).await else {
+        return;
+    };
+    let Ok(catalog) = serde_json::from_slice(&state.catalog_json) else {
+        return;
+    };
+    let version = state.version;
+    let changed = lock(&node.fold).adopt(Snapshot { version, catalog });
+    if changed {
+        let line = LogLine::event("config_from_peer").with("peer", address);
+        info!("{}", line.with("version", version));
+    }
+    node.configured(changed);
+}
