Check claims and configuration exhaustively and by random runs

(2) an owner whose claim was unsettled answered LATE with the advice to use a new key, while a repeat could still win the old key on another node; it now answers 4003 with the advice to keep the key. Ruled out: a fault of the claim order itself (the model holds). Conclusion: both rules stay; the mutants stay as tests.

--- a/crates/fernring-core/src/change.rs
+++ b/crates/fernring-core/src/change.rs
@@ -45,6 +45,9 @@
 pub struct Snapshot {
     /// Version that the catalog is the fold of.
     pub version: Version,
+    /// Offset up to which the stream was folded when the snapshot was taken. Invariant: no
+    /// record in `version..folded_to` was accepted.
+    pub folded_to: u64,
     /// The catalog at that version.
     pub catalog: Catalog,
 }
--- a/crates/fernring-core/src/code.rs
+++ b/crates/fernring-core/src/code.rs
@@ -133,6 +133,8 @@
 
     /// The key was used up by a request that ended without its side effect; use a new key.
     KeyEnded = 4002, Failed, 409;
+    /// Stages without side effect ran, but the claim could not be settled on the log in time; the same key may be sent again.
+    ClaimUnsettledRan = 4003, Failed, 504;
 
     /// The window ended before the answer was complete.
     WindowEnded = 5000, Late, 504;
@@ -181,7 +183,7 @@
             | Self::KeyMismatch => Some(Advice::Correct),
             Self::KeySpent | Self::KeyEnded => Some(Advice::NewKey),
             Self::StageFailed | Self::AnswerTruncated | Self::WindowEnded => Some(Advice::NewKey),
-            Self::UnknownKey => Some(Advice::SameKey),
+            Self::UnknownKey | Self::ClaimUnsettledRan => Some(Advice::SameKey),
             code if code.class() == Class::NotRun => Some(Advice::SameKey),
             _ => Some(Advice::AskOutcome),
         }
--- a/crates/fernring-policy/src/dispatcher/finish.rs
+++ b/crates/fernring-policy/src/dispatcher/finish.rs
@@ -13,7 +13,7 @@
     },
     fernring_core::{
         clock::{Now, saturating_ms},
-        code::{Class, ResultCode},
+        code::{Advice, Class, ResultCode},
         ids::{RequestId, RequestKey, ScopedKey, WaiterId},
         text::LogLine,
     },
@@ -31,6 +31,13 @@
     pub(crate) fingerprint: u64,
 }
 
+impl Kept {
+    /// Tells whether the log may have given the key to somebody else since.
+    pub(crate) fn is_unsettled(&self) -> bool {
+        matches!(self.answer.code(), ResultCode::ClaimUnsettled | ResultCode::ClaimUnsettledRan)
+    }
+}
+
 #[derive(Debug)]
 struct Expiry {
     at: Duration,
@@ -124,6 +131,12 @@
             } else {
                 not_run_code(entry)
             }
+        } else if entry.claim == ClaimState::Pending && code.advice() == Some(Advice::NewKey) {
+            // The log may yet give the key to a repeat that was sent to another node.
+            match entry.attempts_made {
+                0 => ResultCode::ClaimUnsettled,
+                _ => ResultCode::ClaimUnsettledRan,
+            }
         } else {
             code
         };
--- a/crates/fernring-policy/src/dispatcher/mod.rs
+++ b/crates/fernring-policy/src/dispatcher/mod.rs
@@ -208,7 +208,7 @@
         if let Some(id) = self.by_key.get(key) {
             return KeyStatus::Running { stage: self.ledger[*id].stage };
         }
-        if let Some(kept) = self.kept.get(key) {
+        if let Some(kept) = self.kept.get(key).filter(|kept| !kept.is_unsettled()) {
             return KeyStatus::Ended(kept.answer.clone());
         }
         if let RequestKey::Ticket(ticket) = key.key
--- a/crates/fernring-policy/src/dispatcher/own.rs
+++ b/crates/fernring-policy/src/dispatcher/own.rs
@@ -16,7 +16,7 @@
     fernring_core::{
         claim::{ClaimEntry, ClaimKind, ClaimPage},
         clock::Now,
-        code::ResultCode,
+        code::{Class, ResultCode},
         ids::{Incarnation, RequestId, RequestKey, ScopedKey, Ticket, WaiterId},
         text::LogLine,
     },
@@ -145,17 +145,20 @@
         if kept.fingerprint != fingerprint(submission) {
             return KeyPath::Refuse(ResultCode::KeyMismatch);
         }
-        // While a claim was not settled the log may have given the key to somebody else.
-        if kept.answer.code() == ResultCode::ClaimUnsettled && !submission.forwarded {
-            match self.claim_view.verdict(key) {
-                Verdict::Owned(owner) if owner.incarnation != self.me.incarnation => {
-                    return KeyPath::Owner(address_of(owner));
-                }
-                Verdict::Undecided => {}
-                _ => return KeyPath::Refuse(ResultCode::KeySpent),
+        if !kept.is_unsettled() || submission.forwarded {
+            return KeyPath::Answer(kept.answer.clone());
+        }
+        match self.claim_view.verdict(key) {
+            Verdict::Undecided => KeyPath::Answer(kept.answer.clone()),
+            Verdict::Owned(owner) if owner.incarnation != self.me.incarnation => {
+                self.owned_path(owner)
+            }
+            // The claim turned out to be this node's own, which has given the key up.
+            _ if kept.answer.code().class() == Class::NotRun => {
+                KeyPath::Refuse(ResultCode::KeySpent)
             }
+            _ => KeyPath::Answer(Answer::ran(ResultCode::KeyEnded, 0)),
         }
-        KeyPath::Answer(kept.answer.clone())
     }
 
     fn ticket_path(&self, ticket: Ticket) -> KeyPath {
--- a/crates/fernring-policy/src/fold.rs
+++ b/crates/fernring-policy/src/fold.rs
@@ -128,8 +128,10 @@
 
     /// Returns the state as a snapshot; `None` before a configuration is known.
     pub fn snapshot(&self) -> Option<Snapshot> {
+        // Behind a gap it is not known which of the later records were accepted.
+        let folded_to = if self.gap { self.version } else { self.next_offset.max(self.version) };
         let catalog = self.catalog.as_ref().clone();
-        self.ready.then_some(Snapshot { version: self.version, catalog })
+        self.ready.then_some(Snapshot { version: self.version, folded_to, catalog })
     }
 
     /// Tells whether a snapshot should be appended: there are accepted changes, and the newest
@@ -160,14 +162,16 @@
 
     /// Takes a peer's state if it is newer. Returns whether the version in force changed.
     pub fn adopt(&mut self, snapshot: Snapshot) -> bool {
-        if snapshot.version <= self.version {
-            return false;
+        let before = self.version;
+        if snapshot.version > self.version {
+            self.catalog = Arc::new(snapshot.catalog);
+            self.version = snapshot.version;
+        }
+        if snapshot.version == self.version {
+            self.ready = true;
+            self.close_gap_at(snapshot.folded_to);
         }
-        self.catalog = Arc::new(snapshot.catalog);
-        self.version = snapshot.version;
-        self.ready = true;
-        self.close_gap_at(snapshot.version);
-        true
+        self.version != before
     }
 
     fn open_gap(&mut self, first_offset: u64) {
@@ -225,23 +229,14 @@
 
     fn fold_snapshot(&mut self, time_ms: u64, snapshot: Snapshot) {
         self.snapshot_time_ms = Some(time_ms);
-        // Changes between the snapshot's version and the first record read here may be missing.
-        if self.gap && snapshot.version >= self.contiguous_from {
-            self.adopt_bridging(snapshot);
-        }
-    }
-
-    fn adopt_bridging(&mut self, snapshot: Snapshot) {
-        if snapshot.version > self.version {
-            self.catalog = Arc::new(snapshot.catalog);
-            self.version = snapshot.version;
+        // Otherwise changes between the snapshot and the first record read here may be missing.
+        if self.gap && snapshot.folded_to >= self.contiguous_from {
+            self.adopt(snapshot);
         }
-        self.ready = true;
-        self.close_gap_at(snapshot.version);
     }
 
-    fn close_gap_at(&mut self, version: Version) {
-        if !self.gap || version < self.contiguous_from {
+    fn close_gap_at(&mut self, folded_to: u64) {
+        if !self.gap || folded_to < self.contiguous_from {
             return;
         }
         self.gap = false;
--- /dev/null
+++ b/crates/fernring-policy/tests/testsuite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the decisions: model checking of two small specifications, randomised runs of the
+//! shipped code with its invariants, and focused tests of each machine.
+
+mod claim_model;
+mod claim_view;
+mod config_fold;
+mod config_model;
+mod explore;
+mod random_run;
--- a/crates/fernring-protocol/src/messages.rs
+++ b/crates/fernring-protocol/src/messages.rs
@@ -95,6 +95,9 @@
     /// The catalog as JSON; empty if the asking node has this version.
     #[prost(bytes = "vec", tag = "2")]
     pub catalog_json: Vec<u8>,
+    /// Offset up to which the stream was folded.
+    #[prost(uint64, tag = "3")]
+    pub folded_to: u64,
 }
 
 /// A submission for the owner of its key.
--- a/crates/fernring-standins/src/cluster.rs
+++ b/crates/fernring-standins/src/cluster.rs
@@ -434,6 +434,18 @@
         bail!("the records of {stream} were kept");
     }
 
+    /// Hands over the process of every `each`-th upstream of a pool, to be killed elsewhere.
+    pub fn take_processes(&mut self, pool: &str, each: usize) -> Vec<Process> {
+        let names: Vec<_> = self
+            .upstreams
+            .values()
+            .filter(|u| u.spec.pool == pool)
+            .map(|u| u.spec.name.clone())
+            .collect();
+        let doomed = names.into_iter().step_by(each);
+        doomed.filter_map(|name| self.upstream_processes.remove(&name)).collect()
+    }
+
     /// Kills the process that holds an upstream.
     pub fn kill_upstream(&mut self, group: &str) {
         self.upstream_processes.remove(group);
--- a/crates/fernring-standins/src/process.rs
+++ b/crates/fernring-standins/src/process.rs
@@ -153,6 +153,11 @@
         kill(pid, signal).with_context(|| format!("could not signal {}", self.name))
     }
 
+    /// Returns something that kills this process while it is borrowed elsewhere.
+    pub fn take_killer(&self) -> Killer {
+        Killer { pid: self.pid() }
+    }
+
     /// Waits for the program to end.
     ///
     /// # Errors
@@ -183,6 +188,22 @@
     }
 }
 
+/// Kills one process that was started here.
+#[derive(Debug)]
+pub struct Killer {
+    pid: u32,
+}
+
+impl Killer {
+    /// Kills it at once.
+    pub fn kill(self) {
+        if let Ok(pid) = i32::try_from(self.pid) {
+            // It may have ended by itself.
+            let _ = kill(Pid::from_raw(pid), Signal::SIGKILL);
+        }
+    }
+}
+
 /// What a process has used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Usage {
--- a/crates/fernring/src/node/peer_loop.rs
+++ b/crates/fernring/src/node/peer_loop.rs
@@ -92,14 +92,14 @@
 }
 
 fn config_state(node: &Node, request: ConfigRequest) -> ConfigState {
-    let fold = lock(&node.fold);
-    let version = fold.version();
-    let newer = version > request.have_version;
-    let catalog_json = match newer {
-        true => serde_json::to_vec(fold.catalog().as_ref()).unwrap_or_default(),
-        false => Vec::new(),
-    };
-    ConfigState { version, catalog_json }
+    let newest = lock(&node.fold).snapshot();
+    match newest {
+        Some(Snapshot { version, folded_to, catalog }) if version > request.have_version => {
+            let catalog_json = serde_json::to_vec(&catalog).unwrap_or_default();
+            ConfigState { version, folded_to, catalog_json }
+        }
+        _ => ConfigState { version: 0, folded_to: 0, catalog_json: Vec::new() },
+    }
 }
 
 fn is_me(node: &Node, incarnation: &[u8]) -> bool {
@@ -169,10 +169,14 @@
         let contacts = lock(&node.membership).contacts();
         join_all(contacts.into_iter().map(|address| beat(&node, address, every))).await;
         note_peers(&node);
-        let version = lock(&node.fold).version();
-        let ahead = lock(&node.membership).ahead_of(version);
+        let have = {
+            let fold = lock(&node.fold);
+            // Behind a gap a state of the same version helps too: it says what was missed.
+            fold.version().saturating_sub(u64::from(fold.has_gap()))
+        };
+        let ahead = lock(&node.membership).ahead_of(have);
         if let Some(address) = ahead {
-            fetch_config(&node, address, version).await;
+            fetch_config(&node, address, have).await;
         }
         tokio::time::sleep(every).await;
     }
@@ -207,8 +211,8 @@
     let Ok(catalog) = serde_json::from_slice(&state.catalog_json) else {
         return;
     };
-    let version = state.version;
-    let changed = lock(&node.fold).adopt(Snapshot { version, catalog });
+    let ConfigState { version, folded_to, .. } = state;
+    let changed = lock(&node.fold).adopt(Snapshot { version, folded_to, catalog });
     if changed {
         let line = LogLine::event("config_from_peer").with("peer", address);
         info!("{}", line.with("version", version));
