Split each pool over the nodes that share it, and hedge only calm upstreams

Near capacity (100/s) hedges took slots from first attempts. Change: a node uses its share of a pool (live nodes of the domain, headroom 200 %), prefix routing counts reported load, a hedge goes only to an upstream under half load, smaller saved-up budget.

--- a/crates/fernring-policy/src/budget.rs
+++ b/crates/fernring-policy/src/budget.rs
@@ -1,9 +1,9 @@
 //! One budget for every extra attempt of a node, so that a fault never multiplies load.
 
 /// Extra attempts that may be saved up.
-const SAVED_MAX: f64 = 50.0;
+const SAVED_MAX: f64 = 10.0;
 /// Extra attempts allowed before any first attempt was made.
-const SAVED_AT_START: f64 = 10.0;
+const SAVED_AT_START: f64 = 3.0;
 
 /// Retries and hedges draw on a share of the first attempts.
 #[derive(Debug, Clone)]
--- a/crates/fernring-policy/src/dispatcher/mod.rs
+++ b/crates/fernring-policy/src/dispatcher/mod.rs
@@ -200,6 +200,7 @@
 
     /// Takes in the number of live nodes of the failure domain and the others' demand.
     pub fn set_peers(&mut self, live_nodes: u32, demand: &[Demand]) {
+        self.upstreams.set_live_nodes(live_nodes);
         self.limits.set_peers(live_nodes, demand);
     }
 
--- a/crates/fernring-policy/src/dispatcher/run.rs
+++ b/crates/fernring-policy/src/dispatcher/run.rs
@@ -200,6 +200,10 @@
         let Some(choice) = choice.filter(|choice| !tried.contains(&choice.upstream)) else {
             return;
         };
+        // Near saturation a hedge takes its slot from somebody else's first attempt.
+        if !self.upstreams.is_calm(now.monotonic, choice.upstream) {
+            return;
+        }
         if !self.budget.take() {
             return;
         }
--- a/crates/fernring-policy/src/settings.rs
+++ b/crates/fernring-policy/src/settings.rs
@@ -44,6 +44,9 @@
     pub eject_max_percent: u32,
     /// Failures in a row after which an upstream is ejected.
     pub eject_after_failures: u32,
+    /// How far a node may go above its even share of a pool's concurrency, in percent of it. More
+    /// evens out nodes that are not equally busy; less keeps the queue in the nodes.
+    pub share_headroom_percent: u32,
     /// First ejection of an upstream lasts this long, in milliseconds; later ones longer.
     pub eject_base_ms: u64,
     /// An upstream that returns gets its full share after this long, in milliseconds.
@@ -86,6 +89,7 @@
             retry_budget_percent: 10,
             eject_max_percent: 50,
             eject_after_failures: 5,
+            share_headroom_percent: 200,
             eject_base_ms: 1_000,
             slow_start_ms: 3_000,
             report_stale_ms: 2_000,
@@ -124,6 +128,7 @@
             ("answer_max_bytes", self.answer_max_bytes as u64),
             ("stage_attempts_max", u64::from(self.stage_attempts_max)),
             ("eject_after_failures", u64::from(self.eject_after_failures)),
+            ("share_headroom_percent", u64::from(self.share_headroom_percent)),
             ("eject_base_ms", self.eject_base_ms),
             ("report_stale_ms", self.report_stale_ms),
             ("claim_horizon_ms", self.claim_horizon_ms),
--- a/crates/fernring-policy/src/upstreams.rs
+++ b/crates/fernring-policy/src/upstreams.rs
@@ -19,8 +19,13 @@
 /// An engine takes a prompt prefix it does not own least only up to this multiple of the mean
 /// load (bounded-load rendezvous hashing).
 const LOAD_BOUND: f64 = 1.25;
+/// Load, relative to its concurrency, below which an upstream may be given a hedge.
+const CALM_LOAD: f64 = 0.5;
 /// Share of its limit that an upstream starts with when it returns.
 const SLOW_START_SHARE: f64 = 0.2;
+/// A node uses one part in this many of its even share of another failure domain's upstreams,
+/// while its own domain has some: enough to even out pools that are not spread evenly.
+const SPILL_PART: u64 = 4;
 /// Longest ejection, in multiples of the first.
 const EJECT_MULTIPLE_MAX: u32 = 16;
 
@@ -135,6 +140,8 @@
     states: SlotMap<UpstreamId, UpstreamState>,
     by_name: HashMap<Arc<str>, UpstreamId>,
     pools: BTreeMap<String, Vec<UpstreamId>>,
+    /// Live nodes of the own failure domain, this one included, that share its upstreams.
+    live_nodes: u32,
     turn: usize,
 }
 
@@ -147,6 +154,7 @@
             states: SlotMap::with_key(),
             by_name: HashMap::new(),
             pools: BTreeMap::new(),
+            live_nodes: 1,
             turn: 0,
         }
     }
@@ -172,6 +180,11 @@
         }
     }
 
+    /// Sets the number of live nodes that share the upstreams of the own failure domain.
+    pub fn set_live_nodes(&mut self, live_nodes: u32) {
+        self.live_nodes = live_nodes.max(1);
+    }
+
     /// Returns what is known of an upstream.
     pub fn get(&self, id: UpstreamId) -> Option<&UpstreamState> {
         self.states.get(id)
@@ -258,27 +271,33 @@
         true
     }
 
-    /// Returns the free and the total number of attempts that a pool can take now, counting the
-    /// own failure domain, and the others too if the own has none open.
+    /// Returns this node's share of the attempts that a pool can take now: of the own failure
+    /// domain, or of the others if the own has none open.
     pub fn slots(&self, now: Duration, pool: &str) -> Slots {
-        let mut own = Slots::default();
-        let mut all = Slots::default();
+        let Shares { own, foreign } = self.shares(now, pool);
+        if own.total > 0 { own } else { foreign }
+    }
+
+    /// Splits what a pool can take over the nodes that use it. Nodes do not ask each other for
+    /// slots; without a split each would count on all of them, and work would pile up at the
+    /// upstreams, where neither deadlines nor workspaces order it.
+    fn shares(&self, now: Duration, pool: &str) -> Shares {
+        let mut own = Room::default();
+        let mut foreign = Room::default();
         for id in self.pools.get(pool).into_iter().flatten() {
             let Some(state) = self.states.get(*id) else { continue };
             if !state.is_open() || state.is_ejected(now) {
                 continue;
             }
-            let allowed = self.allowed(now, state);
-            let slots = Slots {
-                free: u64::from(allowed.saturating_sub(state.in_flight)),
-                total: u64::from(allowed),
-            };
-            all = all.plus(slots);
-            if state.spec.failure_domain == self.domain.as_ref() {
-                own = own.plus(slots);
-            }
+            let is_own = state.spec.failure_domain == self.domain.as_ref();
+            let room = if is_own { &mut own } else { &mut foreign };
+            room.allowed += u64::from(self.allowed(now, state));
+            room.in_flight += u64::from(state.in_flight);
         }
-        if own.total > 0 { own } else { all }
+        let nodes = u64::from(self.live_nodes);
+        let foreign_nodes = if own.allowed > 0 { nodes * SPILL_PART } else { nodes };
+        let percent = u64::from(self.settings.share_headroom_percent);
+        Shares { own: own.split(nodes, percent), foreign: foreign.split(foreign_nodes, percent) }
     }
 
     /// Chooses an upstream of a pool with room for one attempt, none of `tried` if another can
@@ -294,7 +313,14 @@
         if !self.settings.full() {
             return self.next_in_turn(pool);
         }
-        let open = self.candidates(now, pool);
+        let shares = self.shares(now, pool);
+        let open: Vec<_> = self
+            .candidates(now, pool)
+            .into_iter()
+            .filter(
+                |id| if self.is_own(*id) { shares.own.free > 0 } else { shares.foreign.free > 0 },
+            )
+            .collect();
         let fresh: Vec<_> = open.iter().copied().filter(|id| !tried.contains(id)).collect();
         let usable = if fresh.is_empty() { open } else { fresh };
         let own: Vec<_> = usable.iter().copied().filter(|id| self.is_own(*id)).collect();
@@ -384,7 +410,7 @@
         }
         let is_engine = self.states[first].spec.kind == UpstreamKind::Engine;
         if is_engine && self.settings.prefix_affinity {
-            return self.by_prefix(usable, prefix);
+            return self.by_prefix(now, usable, prefix);
         }
         let a = rng.random_range(0..usable.len());
         let b = (a + rng.random_range(1..usable.len())) % usable.len();
@@ -393,24 +419,33 @@
         Some(Choice { upstream: chosen, runner_up: Some(other), why: Why::LessLoaded })
     }
 
+    /// Tells whether an upstream carries so little that a second attempt there delays nobody.
+    pub fn is_calm(&self, now: Duration, id: UpstreamId) -> bool {
+        self.states.contains_key(id) && self.load(now, id) < CALM_LOAD
+    }
+
     /// Own attempts under way plus what others have there by a fresh report, relative to size.
     fn load(&self, now: Duration, id: UpstreamId) -> f64 {
+        f64::from(self.carried(now, id)) / f64::from(self.states[id].spec.concurrency)
+    }
+
+    fn carried(&self, now: Duration, id: UpstreamId) -> u32 {
         let state = &self.states[id];
         let stale = Duration::from_millis(self.settings.report_stale_ms);
         let fresh = state.reported_at.is_some_and(|at| now < at + stale);
         let reported = if fresh { state.reported_load } else { 0 };
-        f64::from(state.in_flight.max(reported)) / f64::from(state.spec.concurrency)
+        state.in_flight.max(reported)
     }
 
-    fn by_prefix(&self, usable: &[UpstreamId], prefix: u64) -> Option<Choice> {
+    fn by_prefix(&self, now: Duration, usable: &[UpstreamId], prefix: u64) -> Option<Choice> {
         let mut ranked = usable.to_vec();
         ranked.sort_by_key(|id| {
             std::cmp::Reverse(xxh3_64_with_seed(self.states[*id].name.as_bytes(), prefix))
         });
-        let total: u32 = ranked.iter().map(|id| self.states[*id].in_flight).sum();
+        let total: u32 = ranked.iter().map(|id| self.carried(now, *id)).sum();
         let mean = f64::from(total + 1) / ranked.len() as f64;
         let bound = (mean * LOAD_BOUND).ceil();
-        let fits = |id: &&UpstreamId| f64::from(self.states[**id].in_flight + 1) <= bound;
+        let fits = |id: &&UpstreamId| f64::from(self.carried(now, **id) + 1) <= bound;
         let upstream = *ranked.iter().find(fits).unwrap_or(&ranked[0]);
         let why = if upstream == ranked[0] { Why::Prefix } else { Why::PrefixBounded };
         let runner_up = ranked.iter().copied().find(|id| *id != upstream);
@@ -427,8 +462,26 @@
     pub total: u64,
 }
 
-impl Slots {
-    fn plus(self, other: Self) -> Self {
-        Self { free: self.free + other.free, total: self.total + other.total }
+/// This node's shares of a pool.
+#[derive(Debug, Clone, Copy)]
+struct Shares {
+    own: Slots,
+    foreign: Slots,
+}
+
+/// What some upstreams can take, and what this node has there.
+#[derive(Debug, Clone, Copy, Default)]
+struct Room {
+    allowed: u64,
+    in_flight: u64,
+}
+
+impl Room {
+    /// Returns `percent` of the share of one of `nodes` nodes, rounded up so that no slot is left
+    /// to nobody.
+    fn split(self, nodes: u64, percent: u64) -> Slots {
+        let share = (self.allowed * percent).div_ceil(nodes.max(1) * 100);
+        let total = share.min(self.allowed);
+        Slots { free: total.saturating_sub(self.in_flight), total }
     }
 }
