--- a/crates/fernctl/src/stream.rs
+++ b/crates/fernctl/src/stream.rs
@@ -5,8 +5,8 @@
     anyhow::{Context, anyhow},
     clap::Args,
     fernring_core::change::{CONFIG_STREAM, Change, ChangeError, ConfigRecord, Version},
-    fernring_platform::{HttpLog, LogPage, LogRecord, LogService},
-    fernring_policy::fold::{ConfigFold, ConfigPage, ReadRecord},
+    fernring_platform::{HttpLog, LogService},
+    fernring_policy::fold::{ConfigFold, ConfigPage},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -90,23 +90,9 @@
         let from = self.fold.next_offset();
         let page = self.log.read(CONFIG_STREAM, from, wait).await;
         let page = page.context("could not read the configuration stream");
-        let page = config_page(from, page.map_err(Failure::Failed)?);
+        let page = ConfigPage::decode(from, page.map_err(Failure::Failed)?);
         let next_offset = page.next_offset;
         self.fold.read(page);
         Ok(self.fold.next_offset() >= next_offset)
     }
 }
-
-fn config_page(from: u64, page: LogPage) -> ConfigPage {
-    let record = |record: LogRecord| ReadRecord {
-        offset: record.offset,
-        time_ms: record.time_ms,
-        record: serde_json::from_slice(&record.data).ok(),
-    };
-    ConfigPage {
-        from,
-        first_offset: page.first_offset,
-        next_offset: page.next_offset,
-        records: page.records.into_iter().map(record).collect(),
-    }
-}
--- a/crates/fernring-core/src/lib.rs
+++ b/crates/fernring-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`catalog`]: the configuration in force: pipelines, workspaces, upstreams, events.
 //! - [`change`]: the records of the configuration stream and how they apply to a catalog.
 //! - [`claim`]: the records of the claim stream.
+//! - [`log`]: records and pages of the platform's log.
 //! - [`orders`]: orders to model engines and the grants they are sent under.
 //!
 //! ```
@@ -21,5 +22,6 @@
 pub mod clock;
 pub mod code;
 pub mod ids;
+pub mod log;
 pub mod orders;
 pub mod text;
--- a/crates/fernring-platform/src/http.rs
+++ b/crates/fernring-platform/src/http.rs
@@ -1,8 +1,9 @@
 //! The platform's HTTP interface.
 
 use {
-    crate::{AppendAnswer, LogPage, LogService, PlatformError, VmEntry, VmList},
+    crate::{AppendAnswer, LogService, PlatformError, VmEntry, VmList},
     async_trait::async_trait,
+    fernring_core::log::LogPage,
     reqwest::{Client, Response, StatusCode, redirect::Policy},
     std::{
         net::{IpAddr, SocketAddr},
--- a/crates/fernring-platform/src/lib.rs
+++ b/crates/fernring-platform/src/lib.rs
@@ -10,10 +10,12 @@
 
 pub use {
     http::{HttpLog, HttpVmList},
-    wire::{AppendAnswer, LogPage, LogRecord, VmEntry, VmRole, VmState},
+    wire::{AppendAnswer, VmEntry, VmRole, VmState},
 };
 
-use {async_trait::async_trait, std::time::Duration, thiserror::Error};
+use {
+    async_trait::async_trait, fernring_core::log::LogPage, std::time::Duration, thiserror::Error,
+};
 
 /// Why the platform did not answer as asked.
 #[derive(Debug, Error)]
--- a/crates/fernring-policy/src/dispatcher/admit.rs
+++ b/crates/fernring-policy/src/dispatcher/admit.rs
@@ -5,7 +5,7 @@
         Dispatcher,
         entry::{ClaimState, Entry, Phase, Waiter},
         own::KeyPath,
-        predict::Room,
+        predict::{Requester, Room},
         timers::TimerKind,
     },
     crate::{
@@ -127,7 +127,7 @@
         if waiting >= self.settings.queue_max {
             return Some(Refusal { code: ResultCode::QueueFull, retry_after_ms });
         }
-        let predicted_ms = self.predict_ms(now, &submission.pipeline, pipeline);
+        let predicted_ms = self.predict_ms(now, submission, terms);
         let window_ms = terms.window.as_millis() as f64;
         if self.settings.admission && predicted_ms > window_ms {
             let excess_ms = (predicted_ms - window_ms).ceil() as u64;
@@ -136,12 +136,15 @@
         None
     }
 
-    fn predict_ms(&self, now: Now, name: &str, pipeline: &Pipeline) -> f64 {
+    fn predict_ms(&self, now: Now, submission: &Submission, terms: &Terms) -> f64 {
         let room = |pool: &str| {
             let slots = self.upstreams.slots(now.monotonic, pool);
             Room { free: slots.free, total: slots.total }
         };
-        self.forecast.finish_ms(&name.into(), pipeline, room)
+        let name = submission.pipeline.as_str().into();
+        let requester =
+            Requester { workspace: &submission.workspace, weight: terms.workspace.weight };
+        self.forecast.finish_ms(&name, &terms.pipeline, requester, room)
     }
 
     fn accept(&mut self, now: Now, submission: Submission, terms: Terms) {
@@ -166,6 +169,7 @@
             tried: Vec::new(),
             stage_attempts: 0,
             hedged: false,
+            unsent: false,
             attempts_made: 0,
             claim,
             effect_sent: false,
@@ -176,7 +180,7 @@
             pipeline,
             submission,
         };
-        self.forecast.expect(&entry.pipeline, 0);
+        self.forecast.expect(&entry.pipeline, 0, entry.requester());
         self.log_accepted(&entry, window);
         let request = self.ledger.insert(entry);
         self.counters.accepted += 1;
--- a/crates/fernring-policy/src/dispatcher/entry.rs
+++ b/crates/fernring-policy/src/dispatcher/entry.rs
@@ -1,6 +1,7 @@
 //! Entries of the ledger and their attempts.
 
 use {
+    super::predict::Requester,
     crate::{assembly::Assembly, event::Submission, queue::Place},
     fernring_core::{
         catalog::{Pipeline, Stage},
@@ -74,6 +75,8 @@
     pub(crate) tried: Vec<UpstreamId>,
     pub(crate) stage_attempts: u32,
     pub(crate) hedged: bool,
+    /// Whether the last attempt ended before anything ran.
+    pub(crate) unsent: bool,
     /// Attempts of all stages that may have reached an upstream.
     pub(crate) attempts_made: u32,
     pub(crate) claim: ClaimState,
@@ -88,6 +91,10 @@
 }
 
 impl Entry {
+    pub(crate) fn requester(&self) -> Requester<'_> {
+        Requester { workspace: &self.submission.workspace, weight: self.weight }
+    }
+
     pub(crate) fn current_stage(&self) -> &Stage {
         &self.pipeline.stages[usize::from(self.stage)]
     }
@@ -121,6 +128,7 @@
         self.tried.clear();
         self.stage_attempts = 0;
         self.hedged = false;
+        self.unsent = false;
         self.effect_sent = false;
         self.pinned = None;
     }
@@ -131,6 +139,8 @@
 pub(crate) enum AttemptKind {
     First,
     Retry,
+    /// After an attempt that ran nothing.
+    Resend,
     Hedge,
 }
 
@@ -139,6 +149,7 @@
         match self {
             Self::First => "first",
             Self::Retry => "retry",
+            Self::Resend => "resend",
             Self::Hedge => "hedge",
         }
     }
--- a/crates/fernring-policy/src/dispatcher/finish.rs
+++ b/crates/fernring-policy/src/dispatcher/finish.rs
@@ -163,7 +163,8 @@
             return;
         };
         let stages = entry.pipeline.stages.len() as u16;
-        self.forecast.settle(&entry.pipeline, entry.pending_from, stages);
+        let workspace = &entry.submission.workspace;
+        self.forecast.settle(&entry.pipeline, entry.pending_from, stages, workspace);
         if let Phase::Queued(place) = &entry.phase
             && let Some(queue) = self.queues.get_mut(&entry.current_stage().pool)
         {
--- a/crates/fernring-policy/src/dispatcher/own.rs
+++ b/crates/fernring-policy/src/dispatcher/own.rs
@@ -341,7 +341,8 @@
             queue.remove(&place);
         }
         let stages = entry.pipeline.stages.len() as u16;
-        self.forecast.settle(&entry.pipeline, entry.pending_from, stages);
+        let workspace = &entry.submission.workspace;
+        self.forecast.settle(&entry.pipeline, entry.pending_from, stages, workspace);
         entry.pending_from = stages;
         let submission = entry.submission.clone();
         match owner.kind {
--- a/crates/fernring-policy/src/dispatcher/predict.rs
+++ b/crates/fernring-policy/src/dispatcher/predict.rs
@@ -39,23 +39,86 @@
     stages: HashMap<StageKey, Estimate>,
     pools: HashMap<String, Estimate>,
     /// Requests accepted whose stage at the pool was not sent yet.
-    pending: BTreeMap<String, u64>,
+    pending: BTreeMap<String, PoolPending>,
+}
+
+/// The work that is still to come to one pool.
+///
+/// Invariant: `count` is the sum over `workspaces`, each of which has a count above 0, and
+/// `weight` is the sum of their weights.
+#[derive(Debug, Default)]
+struct PoolPending {
+    count: u64,
+    weight: u64,
+    workspaces: HashMap<Arc<str>, WorkspacePending>,
+}
+
+#[derive(Debug)]
+struct WorkspacePending {
+    count: u64,
+    weight: u64,
+}
+
+/// Whose request a forecast is for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Requester<'a> {
+    pub(crate) workspace: &'a Arc<str>,
+    pub(crate) weight: u32,
+}
+
+impl PoolPending {
+    fn add(&mut self, requester: Requester<'_>) {
+        self.count += 1;
+        match self.workspaces.get_mut(requester.workspace) {
+            Some(pending) => pending.count += 1,
+            None => {
+                let weight = u64::from(requester.weight.max(1));
+                self.weight += weight;
+                let pending = WorkspacePending { count: 1, weight };
+                self.workspaces.insert(requester.workspace.clone(), pending);
+            }
+        }
+    }
+
+    fn take(&mut self, workspace: &Arc<str>) {
+        let Some(pending) = self.workspaces.get_mut(workspace) else {
+            return;
+        };
+        self.count -= 1;
+        pending.count -= 1;
+        if pending.count == 0 {
+            self.weight -= pending.weight;
+            self.workspaces.remove(workspace);
+        }
+    }
+
+    /// Returns how many requests are served before a new one of this requester: all that wait,
+    /// or, if the workspaces share fairly, the own ones and as many of the others as their
+    /// weights let through meanwhile.
+    fn ahead_of(&self, requester: Requester<'_>) -> f64 {
+        let known = self.workspaces.get(requester.workspace);
+        let own = known.map_or(0, |pending| pending.count) as f64;
+        let weight = u64::from(requester.weight.max(1));
+        let weights = if known.is_some() { self.weight } else { self.weight + weight };
+        let fair = own * weights as f64 / weight as f64;
+        fair.min(self.count as f64)
+    }
 }
 
 impl Forecast {
     /// Counts the stages of a request from `from` on as still to come.
-    pub(crate) fn expect(&mut self, pipeline: &Pipeline, from: u16) {
+    pub(crate) fn expect(&mut self, pipeline: &Pipeline, from: u16, requester: Requester<'_>) {
         for stage in &pipeline.stages[usize::from(from)..] {
-            *self.pending.entry(stage.pool.clone()).or_default() += 1;
+            self.pending.entry(stage.pool.clone()).or_default().add(requester);
         }
     }
 
     /// No longer counts the stages `from..to` of a request.
-    pub(crate) fn settle(&mut self, pipeline: &Pipeline, from: u16, to: u16) {
+    pub(crate) fn settle(&mut self, pipeline: &Pipeline, from: u16, to: u16, workspace: &Arc<str>) {
         let range = usize::from(from)..usize::from(to).max(usize::from(from));
         for stage in &pipeline.stages[range] {
-            if let Some(count) = self.pending.get_mut(&stage.pool) {
-                *count = count.saturating_sub(1);
+            if let Some(pending) = self.pending.get_mut(&stage.pool) {
+                pending.take(workspace);
             }
         }
     }
@@ -77,12 +140,14 @@
         &self,
         name: &Arc<str>,
         pipeline: &Pipeline,
+        requester: Requester<'_>,
         room: impl Fn(&str) -> Room,
     ) -> f64 {
         let mut elapsed_ms: f64 = 0.0;
         let mut spread_ms: f64 = 0.0;
         for (index, stage) in pipeline.stages.iter().enumerate() {
-            elapsed_ms = elapsed_ms.max(self.drain_ms(&stage.pool, stage.expected_ms, &room));
+            let drain_ms = self.drain_ms(&stage.pool, stage.expected_ms, requester, &room);
+            elapsed_ms = elapsed_ms.max(drain_ms);
             let (mean_ms, careful_ms) = self.with_stage(name, pipeline, index as u16, |estimate| {
                 (estimate.mean_ms(), estimate.quantile_ms(CAREFUL_QUANTILE))
             });
@@ -112,15 +177,22 @@
         })
     }
 
-    /// Time until the work already accepted for a pool has drained, in milliseconds.
-    fn drain_ms(&self, pool: &str, expected_ms: u64, room: &impl Fn(&str) -> Room) -> f64 {
-        let pending = self.pending.get(pool).copied().unwrap_or(0);
+    /// Time until what is served before a new request has left the pool's queue, in
+    /// milliseconds.
+    fn drain_ms(
+        &self,
+        pool: &str,
+        expected_ms: u64,
+        requester: Requester<'_>,
+        room: &impl Fn(&str) -> Room,
+    ) -> f64 {
         let Room { free, total } = room(pool);
         if total == 0 {
             return f64::INFINITY;
         }
+        let ahead = self.pending.get(pool).map_or(0.0, |pending| pending.ahead_of(requester));
         let mean_ms = self.pools.get(pool).map_or(expected_ms as f64, Estimate::mean_ms);
-        pending.saturating_sub(free) as f64 * mean_ms / total as f64
+        (ahead - free as f64).max(0.0) * mean_ms / total as f64
     }
 
     fn with_stage<T>(
--- a/crates/fernring-policy/src/dispatcher/run.rs
+++ b/crates/fernring-policy/src/dispatcher/run.rs
@@ -86,8 +86,12 @@
             if let Some(queue) = self.queues.get_mut(pool) {
                 queue.pop();
             }
-            let retry = self.ledger[request].stage_attempts > 0;
-            let kind = if retry { AttemptKind::Retry } else { AttemptKind::First };
+            let entry = &self.ledger[request];
+            let kind = match entry.stage_attempts {
+                0 => AttemptKind::First,
+                _ if entry.unsent => AttemptKind::Resend,
+                _ => AttemptKind::Retry,
+            };
             self.send(now, request, choice, kind);
         }
     }
@@ -123,7 +127,8 @@
         let reference = AttemptRef { request, stage, attempt: number };
         entry.live.push(reference);
         if entry.pending_from <= stage {
-            self.forecast.settle(&entry.pipeline, entry.pending_from, stage + 1);
+            let workspace = &entry.submission.workspace;
+            self.forecast.settle(&entry.pipeline, entry.pending_from, stage + 1, workspace);
             entry.pending_from = stage + 1;
         }
         let declared = entry.current_stage().clone();
@@ -181,6 +186,7 @@
                 self.budget.first_attempt();
             }
             AttemptKind::Retry => self.counters.retries += 1,
+            AttemptKind::Resend => self.counters.resends += 1,
             AttemptKind::Hedge => self.counters.hedges += 1,
         }
     }
@@ -319,6 +325,7 @@
         let not_run =
             matches!(end, AttemptEnd::NotSent | AttemptEnd::Refused | AttemptEnd::Leaving);
         let entry = &mut self.ledger[request];
+        entry.unsent = not_run;
         if unsent {
             // Nothing left this node, so nothing reached an upstream.
             entry.attempts_made -= 1;
--- a/crates/fernring-policy/src/event.rs
+++ b/crates/fernring-policy/src/event.rs
@@ -246,6 +246,8 @@
     pub first_attempts: u64,
     /// Retries sent.
     pub retries: u64,
+    /// Attempts sent again after one that ran nothing: no connection, or a refusal.
+    pub resends: u64,
     /// Hedges sent.
     pub hedges: u64,
     /// Side effects sent.
--- a/crates/fernring-policy/src/fold.rs
+++ b/crates/fernring-policy/src/fold.rs
@@ -8,6 +8,7 @@
     fernring_core::{
         catalog::Catalog,
         change::{ChangeError, ConfigRecord, Snapshot, Version, apply},
+        log::{LogPage, LogRecord},
     },
     std::{collections::BTreeMap, sync::Arc},
     uuid::Uuid,
@@ -42,6 +43,23 @@
     pub records: Vec<ReadRecord>,
 }
 
+impl ConfigPage {
+    /// Reads the records of a page that the log service gave for `from`.
+    pub fn decode(from: u64, page: LogPage) -> Self {
+        let record = |record: LogRecord| ReadRecord {
+            offset: record.offset,
+            time_ms: record.time_ms,
+            record: serde_json::from_slice(&record.data).ok(),
+        };
+        Self {
+            from,
+            first_offset: page.first_offset,
+            next_offset: page.next_offset,
+            records: page.records.into_iter().map(record).collect(),
+        }
+    }
+}
+
 /// What became of a change.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Outcome {
--- a/crates/fernring-policy/src/placement.rs
+++ b/crates/fernring-policy/src/placement.rs
@@ -9,6 +9,7 @@
     fernring_core::{
         catalog::{Catalog, UpstreamKind},
         ids::Incarnation,
+        log::LogRecord,
         orders::{Grant, Order},
     },
     std::{
@@ -34,6 +35,14 @@
     pub grant: Option<Grant>,
 }
 
+impl GrantRecord {
+    /// Reads a record of the order stream.
+    pub fn decode(record: &LogRecord) -> Self {
+        let grant = serde_json::from_slice(&record.data).ok();
+        Self { offset: record.offset, time_ms: record.time_ms, grant }
+    }
+}
+
 /// The grant in force by log time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Holder {
--- a/crates/fernring-standins/src/platform.rs
+++ b/crates/fernring-standins/src/platform.rs
@@ -5,7 +5,8 @@
 
 use {
     crate::server::{Server, start},
-    fernring_platform::{AppendAnswer, LogPage, LogRecord, VmEntry},
+    fernring_core::log::{LogPage, LogRecord},
+    fernring_platform::{AppendAnswer, VmEntry},
     rocket::{
         Data, State, data::ToByteUnit, get, http::Status, post, put, routes, serde::json::Json,
     },
--- a/crates/fernring-standins/src/upstream.rs
+++ b/crates/fernring-standins/src/upstream.rs
@@ -72,6 +72,8 @@
     pub leaving: bool,
     /// Whether its report does not tell that it is leaving.
     pub silent: bool,
+    /// Whether its report tells that it is leaving, while it still takes what it is given.
+    pub leaving_report: bool,
     /// How far its reported load lags, in milliseconds.
     pub report_lag_ms: u64,
     /// Whether it refuses orders with an old fencing number.
@@ -95,6 +97,7 @@
             fail_after_run: false,
             leaving: false,
             silent: false,
+            leaving_report: false,
             report_lag_ms: 0,
             checks_fencing: false,
         }
@@ -350,7 +353,8 @@
     while inner.loads.len() > 1 && now - inner.loads[1].0 >= lag {
         inner.loads.pop_front();
     }
-    let leaving = inner.behaviour.leaving && !inner.behaviour.silent;
+    let behaviour = &inner.behaviour;
+    let leaving = behaviour.leaving_report || (behaviour.leaving && !behaviour.silent);
     Json(Report { load: inner.loads[0].1, leaving, models: inner.models.clone() })
 }
 
--- a/crates/fernring-standins/tests/testsuite/bad_input.rs
+++ b/crates/fernring-standins/tests/testsuite/bad_input.rs
@@ -47,6 +47,7 @@
     }
     let response = client.get(format!("http://{node}/nowhere")).send().await.unwrap();
     assert_eq!(response.status(), 404);
+    assert!(response.headers().contains_key("retry-after"));
     assert_eq!(response.json::<Answer>().await.unwrap().code, 2009);
     assert_eq!(cluster.view(0).await.unwrap().counters["accepted"], 1);
 }
--- a/crates/fernring/src/http/metrics.rs
+++ b/crates/fernring/src/http/metrics.rs
@@ -45,7 +45,12 @@
     for (class, count) in ended {
         counter!("fernring_requests_ended_total", "class" => class).absolute(count);
     }
-    let attempts = [("first", c.first_attempts), ("retry", c.retries), ("hedge", c.hedges)];
+    let attempts = [
+        ("first", c.first_attempts),
+        ("retry", c.retries),
+        ("resend", c.resends),
+        ("hedge", c.hedges),
+    ];
     for (kind, count) in attempts {
         counter!("fernring_attempts_total", "kind" => kind).absolute(count);
     }
--- a/crates/fernring/src/http/reply.rs
+++ b/crates/fernring/src/http/reply.rs
@@ -74,19 +74,19 @@
 
 #[catch(404)]
 pub(super) fn not_found() -> JsonReply {
-    let body = AnswerBody::of_code(ResultCode::BadRequest, None);
-    JsonReply::new(404, &body)
+    JsonReply { status: Status::NotFound, ..JsonReply::refuse(ResultCode::BadRequest) }
 }
 
 #[catch(default)]
 pub(super) fn bad_request(status: Status, _request: &Request<'_>) -> JsonReply {
-    let body = AnswerBody::of_code(ResultCode::BadRequest, None);
-    JsonReply::new(status.code, &body)
+    JsonReply { status, ..JsonReply::refuse(ResultCode::BadRequest) }
 }
 
 /// An error inside the node. Nothing is promised about the request.
 #[catch(500)]
 pub(super) fn internal_error() -> JsonReply {
-    let body = AnswerBody::of_code(ResultCode::EffectUnknown, None);
-    JsonReply::new(500, &body)
+    JsonReply {
+        status: Status::InternalServerError,
+        ..JsonReply::refuse(ResultCode::EffectUnknown)
+    }
 }
--- a/crates/fernring/src/http/routes.rs
+++ b/crates/fernring/src/http/routes.rs
@@ -48,6 +48,9 @@
 pub(super) async fn submit(name: &str, data: Data<'_>, node: &State<Arc<Node>>) -> Reply {
     let node = node.inner().clone();
     let open = node.open_response();
+    if node.is_full() {
+        return Reply::Whole(JsonReply::refuse(ResultCode::NodeFull));
+    }
     let body: RequestBody = match read_json(data, node.settings().limits.body_max_bytes).await {
         Ok(body) => body,
         Err(code) => return Reply::Whole(JsonReply::refuse(code)),
@@ -139,7 +142,9 @@
     match node.key_status(&scoped) {
         KeyStatus::Running { stage } => running(key, u32::from(stage)),
         KeyStatus::Ended(answer) => ended(key, &answer),
-        KeyStatus::Unknown => JsonReply::answer(&AnswerBody::of_code(ResultCode::UnknownKey, None)),
+        KeyStatus::Unknown => {
+            JsonReply::answer(&AnswerBody::of_code(ResultCode::UnknownKey, Some(0)))
+        }
         KeyStatus::Elsewhere { incarnation, address } => {
             ask_owner(node, &scoped, incarnation, address).await
         }
@@ -236,7 +241,7 @@
             "parts_misdirected": counters.parts_misdirected,
             "parts_duplicate": counters.parts_duplicate, "parts_late": counters.parts_late,
             "first_attempts": counters.first_attempts, "retries": counters.retries,
-            "hedges": counters.hedges, "effects": counters.effects,
+            "resends": counters.resends, "hedges": counters.hedges, "effects": counters.effects,
             "appends": counters.appends,
         },
         "costs": costs.collect::<Vec<_>>(),
--- a/crates/fernring/src/node/claim_loop.rs
+++ b/crates/fernring/src/node/claim_loop.rs
@@ -7,9 +7,9 @@
     },
     fernring_core::{
         claim::{CLAIM_STREAM, ClaimBatch, ClaimPage, ClaimRecord},
+        log::{LogPage, LogRecord},
         text::LogLine,
     },
-    fernring_platform::{LogPage, LogRecord},
     fernring_policy::event::Event,
     spdlog::warn,
     std::{sync::Arc, time::Duration},
--- a/crates/fernring/src/node/config_loop.rs
+++ b/crates/fernring/src/node/config_loop.rs
@@ -7,8 +7,7 @@
         clock::saturating_ms,
         text::LogLine,
     },
-    fernring_platform::{LogPage, LogRecord},
-    fernring_policy::fold::{ConfigPage, ReadRecord},
+    fernring_policy::fold::ConfigPage,
     rand::RngExt,
     spdlog::{info, warn},
     std::{
@@ -31,7 +30,7 @@
         match node.log.read(CONFIG_STREAM, from, LONG_POLL).await {
             Ok(page) => {
                 let log_time_ms = page.time_ms;
-                let changed = lock(&node.fold).read(config_page(from, page));
+                let changed = lock(&node.fold).read(ConfigPage::decode(from, page));
                 let now_ms = saturating_ms(node.now().monotonic);
                 node.config_read_at_ms.store(now_ms, Ordering::Relaxed);
                 node.configured(changed);
@@ -72,17 +71,3 @@
     let appended = node.log.append(CONFIG_STREAM, &data).await.is_ok();
     info!("{}", LogLine::event("snapshot").with("version", version).with("appended", appended));
 }
-
-fn config_page(from: u64, page: LogPage) -> ConfigPage {
-    let record = |record: LogRecord| ReadRecord {
-        offset: record.offset,
-        time_ms: record.time_ms,
-        record: serde_json::from_slice(&record.data).ok(),
-    };
-    ConfigPage {
-        from,
-        first_offset: page.first_offset,
-        next_offset: page.next_offset,
-        records: page.records.into_iter().map(record).collect(),
-    }
-}
--- a/crates/fernring/src/node/order_loop.rs
+++ b/crates/fernring/src/node/order_loop.rs
@@ -4,7 +4,6 @@
     super::state::{Node, lock},
     crate::upstream::OrderOutcome,
     fernring_core::{orders::ORDER_STREAM, text::LogLine},
-    fernring_platform::LogRecord,
     fernring_policy::placement::{GrantRecord, PlacementStep, TargetOrder},
     spdlog::{info, warn},
     std::{sync::Arc, time::Duration},
@@ -21,7 +20,7 @@
         let Ok(page) = node.log.read(ORDER_STREAM, from, Duration::ZERO).await else {
             continue;
         };
-        let records: Vec<_> = page.records.iter().map(grant_record).collect();
+        let records: Vec<_> = page.records.iter().map(GrantRecord::decode).collect();
         from = records.last().map_or(from.max(page.first_offset), |last| last.offset + 1);
         let now = node.now();
         let step = {
@@ -73,11 +72,3 @@
         OrderOutcome::Fenced | OrderOutcome::Unknown => warn!("{line}"),
     }
 }
-
-fn grant_record(record: &LogRecord) -> GrantRecord {
-    GrantRecord {
-        offset: record.offset,
-        time_ms: record.time_ms,
-        grant: serde_json::from_slice(&record.data).ok(),
-    }
-}
--- a/crates/fernring/src/node/state.rs
+++ b/crates/fernring/src/node/state.rs
@@ -316,6 +316,11 @@
         OpenResponse(self.clone())
     }
 
+    /// Tells whether more callers are being served than the settings allow.
+    pub fn is_full(&self) -> bool {
+        self.open_responses.load(Ordering::SeqCst) > self.settings.limits.callers_max
+    }
+
     /// Returns the numbers of the node.
     pub fn counters(&self) -> Counters {
         lock(&self.dispatcher).counters()
--- a/crates/fernring/src/settings.rs
+++ b/crates/fernring/src/settings.rs
@@ -139,6 +139,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LimitSettings {
+    /// Most callers served at once; with `body_max_bytes` it bounds the memory of bodies.
+    pub callers_max: u64,
     /// Largest request body, in bytes.
     pub body_max_bytes: u64,
     /// Most tickets in one request.
@@ -152,6 +154,7 @@
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
+            callers_max: 10_000,
             body_max_bytes: 1 << 20,
             tickets_per_request_max: 1_000,
             connect_timeout_ms: 500,
@@ -266,6 +269,7 @@
             ("peers.connections_max", self.peers.connections_max as u64),
             ("peers.report_every_ms", self.peers.report_every_ms),
             ("peers.grant_valid_ms", self.peers.grant_valid_ms),
+            ("limits.callers_max", self.limits.callers_max),
             ("limits.body_max_bytes", self.limits.body_max_bytes),
             ("limits.tickets_per_request_max", self.limits.tickets_per_request_max),
             ("limits.connect_timeout_ms", self.limits.connect_timeout_ms),
--- /dev/null
+++ b/crates/fernring/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of a node's parts that need no other process.
+
+mod settings;
