--- a/crates/fernring-policy/src/claims.rs
+++ b/crates/fernring-policy/src/claims.rs
@@ -10,7 +10,7 @@
         ids::{Incarnation, ScopedKey},
     },
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
         time::Duration,
     },
@@ -209,12 +209,15 @@
 
 /// What this node still has to append to the claim stream.
 ///
-/// Invariant: at most one append is in flight; everything that waits goes into the next one.
+/// Invariant: at most one append is in flight; everything that waits goes into the next one, which
+/// comes no sooner than the interval after the last, so that the log's rate is kept to however
+/// fast it answers.
 #[derive(Debug, Default)]
 pub struct ClaimQueue {
     waiting: Vec<ClaimEntry>,
     in_flight: Vec<ClaimEntry>,
-    retry_at: Option<Duration>,
+    /// When the next append may be sent.
+    next_at: Duration,
     failing_since: Option<Duration>,
 }
 
@@ -224,12 +227,13 @@
         self.waiting.push(entry);
     }
 
-    /// Takes the next record's entries if one may be appended now.
-    pub fn take(&mut self, now: Duration) -> Option<Vec<ClaimEntry>> {
-        let pausing = self.retry_at.is_some_and(|at| now < at);
-        if self.waiting.is_empty() || !self.in_flight.is_empty() || pausing {
+    /// Takes the next record's entries if one may be appended now; `interval` is the least time
+    /// to the one after it.
+    pub fn take(&mut self, now: Duration, interval: Duration) -> Option<Vec<ClaimEntry>> {
+        if self.waiting.is_empty() || !self.in_flight.is_empty() || now < self.next_at {
             return None;
         }
+        self.next_at = now + interval;
         let count = self.waiting.len().min(BATCH_MAX_ENTRIES);
         self.in_flight = self.waiting.drain(..count).collect();
         Some(self.in_flight.clone())
@@ -238,7 +242,6 @@
     /// Notes that the append in flight took effect.
     pub fn succeeded(&mut self) {
         self.in_flight.clear();
-        self.retry_at = None;
         self.failing_since = None;
     }
 
@@ -248,7 +251,7 @@
         let mut again = std::mem::take(&mut self.in_flight);
         again.append(&mut self.waiting);
         self.waiting = again;
-        self.retry_at = Some(now + pause);
+        self.next_at = self.next_at.max(now + pause);
         self.failing_since.get_or_insert(now);
     }
 
@@ -257,30 +260,16 @@
         self.waiting.retain(wanted);
     }
 
-    /// Returns when a paused append may be tried again.
-    pub fn retry_at(&self) -> Option<Duration> {
-        self.retry_at
+    /// Returns when the next append may be sent, if entries wait for that time alone.
+    pub fn due_at(&self) -> Option<Duration> {
+        let waits = !self.waiting.is_empty() && self.in_flight.is_empty();
+        waits.then_some(self.next_at)
     }
 
     /// Tells whether appends have failed for longer than `patience`.
     pub fn is_failing(&self, now: Duration, patience: Duration) -> bool {
         self.failing_since.is_some_and(|since| now >= since + patience)
     }
-
-    /// Returns the keys with an entry that is waiting or in flight.
-    pub fn keys(&self) -> HashSet<&ScopedKey> {
-        self.waiting.iter().chain(&self.in_flight).map(|entry| &entry.key).collect()
-    }
-
-    /// Returns the number of entries that wait or are in flight.
-    pub fn len(&self) -> usize {
-        self.waiting.len() + self.in_flight.len()
-    }
-
-    /// Tells whether nothing waits and nothing is in flight.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
 }
 
 /// Builds the record of a batch.
--- a/crates/fernring-policy/src/dispatcher/own.rs
+++ b/crates/fernring-policy/src/dispatcher/own.rs
@@ -291,17 +291,20 @@
             Verdict::Owned(owner) => owner.incarnation == me && owner.kind < entry.kind,
             Verdict::Won | Verdict::ViewTooShort => entry.kind != ClaimKind::Claim,
         });
-        if let Some(entries) = self.claim_queue.take(now.monotonic) {
+        let interval = Duration::from_millis(self.settings.claim_interval_ms);
+        if let Some(entries) = self.claim_queue.take(now.monotonic, interval) {
             self.counters.appends += 1;
             let record = batch(me, self.me.address, entries);
             self.out.push(Action::AppendClaims(record));
         }
+        if let Some(due_at) = self.claim_queue.due_at() {
+            self.timers.set_pump(due_at);
+        }
     }
 
     pub(super) fn claims_in_doubt(&mut self, now: Now) {
         let pause = Duration::from_millis(self.settings.claim_retry_ms);
         self.claim_queue.in_doubt(now.monotonic, pause);
-        self.timers.set_pump(now.monotonic + pause);
     }
 
     pub(super) fn claims_read(&mut self, now: Now, page: ClaimPage) {
--- a/crates/fernring-policy/src/fold.rs
+++ b/crates/fernring-policy/src/fold.rs
@@ -85,7 +85,8 @@
     /// Invariant: empty unless `gap` is set.
     held: BTreeMap<u64, ConfigRecord>,
     gap: bool,
-    snapshot_time_ms: Option<u64>,
+    /// Log time of the newest snapshot, or of the first record that was read.
+    covered_time_ms: Option<u64>,
     outcomes: Vec<Outcome>,
 }
 
@@ -106,7 +107,7 @@
             contiguous_from: 0,
             held: BTreeMap::new(),
             gap: false,
-            snapshot_time_ms: None,
+            covered_time_ms: None,
             outcomes: Vec::new(),
         }
     }
@@ -153,9 +154,9 @@
     }
 
     /// Tells whether a snapshot should be appended: there are accepted changes, and the newest
-    /// snapshot is older than `age_ms` by the log's time.
+    /// snapshot, or the first record if there is none, is older than `age_ms` by the log's time.
     pub fn wants_snapshot(&self, log_time_ms: u64, age_ms: u64) -> bool {
-        let due = self.snapshot_time_ms.is_none_or(|time_ms| time_ms + age_ms <= log_time_ms);
+        let due = self.covered_time_ms.is_none_or(|time_ms| time_ms + age_ms <= log_time_ms);
         self.ready && !self.gap && self.version > 0 && due
     }
 
@@ -205,6 +206,7 @@
             return;
         }
         self.next_offset += 1;
+        self.covered_time_ms.get_or_insert(read.time_ms);
         match read.record {
             Some(ConfigRecord::Snapshot(snapshot)) => self.fold_snapshot(read.time_ms, snapshot),
             Some(record) if self.gap => self.hold(read.offset, record),
@@ -246,7 +248,7 @@
     }
 
     fn fold_snapshot(&mut self, time_ms: u64, snapshot: Snapshot) {
-        self.snapshot_time_ms = Some(time_ms);
+        self.covered_time_ms = Some(time_ms);
         // Otherwise changes between the snapshot and the first record read here may be missing.
         if self.gap && snapshot.folded_to >= self.contiguous_from {
             self.adopt(snapshot);
--- a/crates/fernring-policy/src/settings.rs
+++ b/crates/fernring-policy/src/settings.rs
@@ -60,6 +60,8 @@
     /// A claim that the log has not taken for this long makes new claims refused on arrival, in
     /// milliseconds.
     pub claim_patience_ms: u64,
+    /// Least time between two appends of this node to the claim stream, in milliseconds.
+    pub claim_interval_ms: u64,
     /// Pause before an append that failed is tried again, in milliseconds.
     pub claim_retry_ms: u64,
     /// How long a ticket may be used, in milliseconds.
@@ -96,6 +98,7 @@
             claim_horizon_ms: 600_000,
             clock_skew_ms: 2_000,
             claim_patience_ms: 1_000,
+            claim_interval_ms: 50,
             claim_retry_ms: 100,
             ticket_valid_ms: 3_600_000,
             tickets_max: 100_000,
--- a/crates/fernring-policy/tests/testsuite/random_run.rs
+++ b/crates/fernring-policy/tests/testsuite/random_run.rs
@@ -196,12 +196,7 @@
 /// Who waits under a waiter's number.
 #[derive(Clone)]
 enum Waiter {
-    Caller {
-        submission: Submission,
-        effect: bool,
-        told: Option<Answer>,
-        text: String,
-    },
+    Caller(Box<Caller>),
     /// Another node, for its own waiter.
     Node {
         node: usize,
@@ -210,6 +205,16 @@
     },
 }
 
+/// A caller and what it was told.
+#[derive(Clone)]
+struct Caller {
+    submission: Submission,
+    effect: bool,
+    told: Option<Answer>,
+    /// The parts that it was given.
+    text: String,
+}
+
 struct World {
     now: Duration,
     nodes: Vec<Node>,
@@ -397,10 +402,10 @@
     }
 
     fn deliver(&mut self, waiter: WaiterId, part: &str) {
-        let Some(Waiter::Caller { submission, effect, told, text }) = self.waiters.get_mut(&waiter)
-        else {
+        let Some(Waiter::Caller(caller)) = self.waiters.get_mut(&waiter) else {
             panic!("a part for somebody who takes none");
         };
+        let Caller { submission, effect, told, text } = caller.as_mut();
         assert!(told.is_none(), "a part behind the final answer");
         text.push_str(part);
         let whole = whole(*effect, &submission.input);
@@ -410,7 +415,8 @@
     fn finish(&mut self, waiter: WaiterId, answer: Answer) {
         match self.waiters.get_mut(&waiter) {
             None => panic!("an answer for nobody"),
-            Some(Waiter::Caller { submission, effect, told, text }) => {
+            Some(Waiter::Caller(caller)) => {
+                let Caller { submission, effect, told, text } = caller.as_mut();
                 assert!(told.is_none(), "a second answer");
                 ANSWERS.fetch_add(1, Ordering::Relaxed);
                 if let Some(output) = answer.output() {
@@ -505,8 +511,9 @@
             return;
         }
         let attempt = dispatch.attempt;
-        let parts = parts_of(&dispatch, fate);
-        if !parts.is_empty() && !(keeps && dispatch.effect) {
+        // A side effect's first part would say that it runs; here it has not begun.
+        let parts = if keeps && dispatch.effect { Vec::new() } else { parts_of(&dispatch, fate) };
+        if !parts.is_empty() {
             self.handle(node, Event::Parts { attempt, parts });
         }
         let end = match fate {
@@ -630,7 +637,8 @@
             forwarded: false,
         };
         let (told, text) = (None, String::new());
-        let caller = Waiter::Caller { submission: submission.clone(), effect, told, text };
+        let caller = Caller { submission: submission.clone(), effect, told, text };
+        let caller = Waiter::Caller(Box::new(caller));
         self.waiters.insert(waiter, caller);
         self.crashed.remove(&waiter);
         self.handle(node, Event::Submit(submission));
@@ -698,8 +706,11 @@
             return;
         }
         let (node, waiter) = waiting[index % waiting.len()];
-        let told = matches!(self.waiters[&waiter], Waiter::Caller { told: Some(_), .. });
-        if !told {
+        let untold = match &self.waiters[&waiter] {
+            Waiter::Caller(caller) => caller.told.is_none(),
+            Waiter::Node { .. } => false,
+        };
+        if untold {
             self.crashed.insert(waiter);
             self.handle(node, Event::WaiterLeft(waiter));
         }
@@ -747,9 +758,10 @@
             assert_eq!(node.dispatcher.attempts_in_flight(), 0);
         }
         for (id, waiter) in &self.waiters {
-            if let Waiter::Caller { submission, effect, told, text } = waiter
+            if let Waiter::Caller(caller) = waiter
                 && !self.crashed.contains(id)
             {
+                let Caller { submission, effect, told, text } = caller.as_ref();
                 let answer = told.as_ref().unwrap_or_else(|| panic!("no answer: {submission:?}"));
                 let streamed = !text.is_empty() && answer.code() == ResultCode::Ok;
                 assert!(!streamed || *text == whole(*effect, &submission.input));
--- a/crates/fernring-standins/examples/promises.rs
+++ b/crates/fernring-standins/examples/promises.rs
@@ -243,9 +243,11 @@
 async fn leaving() -> anyhow::Result<()> {
     let mut cluster = start().await?;
     let nodes: Vec<_> = cluster.nodes.iter().map(|node| node.caller_address).collect();
-    for (way, name) in
-        [("own report", "engines-0"), ("VM list", "engines-1"), ("own answer", "engines-2")]
-    {
+    for (way, name) in [
+        ("own report", "retrievers-0"),
+        ("VM list", "retrievers-1"),
+        ("own answer", "retrievers-2"),
+    ] {
         let end = Instant::now() + Duration::from_secs(6);
         let load = tokio::spawn(keep_sending(cluster.caller.clone(), nodes.clone(), end));
         tokio::time::sleep(Duration::from_secs(1)).await;
--- a/crates/fernring-standins/src/cluster.rs
+++ b/crates/fernring-standins/src/cluster.rs
@@ -13,7 +13,10 @@
         upstream::{Behaviour, OrderTaken, Run},
     },
     anyhow::{Context, bail},
-    fernring_core::change::{CONFIG_STREAM, Change, ConfigRecord, Operation, Version},
+    fernring_core::{
+        change::{CONFIG_STREAM, Change, ConfigRecord, Operation, Version},
+        log::{LogPage, LogRecord},
+    },
     fernring_platform::{HttpLog, LogService, VmEntry, VmRole, VmState},
     serde::Deserialize,
     std::{
@@ -417,21 +420,46 @@
         bail!("no order came to {name}");
     }
 
-    /// Waits until the log has dropped every record of a stream.
+    /// Waits until a page of a stream, read from its start, is as wanted.
     ///
     /// # Errors
-    /// If it does not.
-    pub async fn wait_log_expired(&self, stream: &str) -> anyhow::Result<()> {
+    /// If it does not get there.
+    pub async fn wait_log(
+        &self,
+        stream: &str,
+        what: &str,
+        wanted: impl Fn(&LogPage) -> bool,
+    ) -> anyhow::Result<()> {
         let log = HttpLog::new(self.platform, PATIENCE, None);
         let end = Instant::now() + PATIENCE;
         while Instant::now() < end {
-            let page = log.read(stream, 0, Duration::ZERO).await?;
-            if page.records.is_empty() && page.first_offset > 0 {
+            if wanted(&log.read(stream, 0, Duration::ZERO).await?) {
                 return Ok(());
             }
             tokio::time::sleep(LOOK_EVERY).await;
         }
-        bail!("the records of {stream} were kept");
+        bail!("stream {stream}: {what} did not come");
+    }
+
+    /// Waits until the log has dropped every record of a stream.
+    ///
+    /// # Errors
+    /// If it does not.
+    pub async fn wait_log_expired(&self, stream: &str) -> anyhow::Result<()> {
+        let expired = |page: &LogPage| page.records.is_empty() && page.first_offset > 0;
+        self.wait_log(stream, "the end of its records", expired).await
+    }
+
+    /// Waits until the configuration stream holds a snapshot.
+    ///
+    /// # Errors
+    /// If none comes.
+    pub async fn wait_snapshot(&self) -> anyhow::Result<()> {
+        let is_snapshot = |record: &LogRecord| {
+            matches!(serde_json::from_slice(&record.data), Ok(ConfigRecord::Snapshot(_)))
+        };
+        let holds = |page: &LogPage| page.records.iter().any(is_snapshot);
+        self.wait_log(CONFIG_STREAM, "a snapshot", holds).await
     }
 
     /// Hands over the process of every `each`-th upstream of a pool, to be killed elsewhere.
--- a/crates/fernring-standins/tests/testsuite/cuts.rs
+++ b/crates/fernring-standins/tests/testsuite/cuts.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::builder::{Builder, LONG_WINDOW_MS, call, keyed, whole_answer, whole_letter},
-    fernring_core::change::{CONFIG_STREAM, Operation},
+    fernring_core::{
+        change::{CONFIG_STREAM, Operation},
+        log::LogPage,
+    },
     fernring_platform::VmState,
     fernring_standins::{
         cluster::{Cluster, domain_ip, nodes_per_domain},
@@ -102,6 +105,34 @@
     assert_eq!(answer.output, Some(whole_answer("x")));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_alone_after_retention_finds_a_snapshot() {
+    // With this retention the nodes append a snapshot after a second.
+    let settings =
+        "log_retention_ms = 2000\n[policy]\nclaim_horizon_ms = 500\nclock_skew_ms = 100\n";
+    let mut cluster = Builder::new().settings(settings).start().await;
+    cluster.wait_snapshot().await.unwrap();
+    // From here on the changes before the snapshot are out of reach.
+    let short = Control { retention_ms: 2_000, ..Control::default() };
+    cluster.control_platform(&short).await.unwrap();
+    let dropped = |page: &LogPage| page.first_offset > 0 && !page.records.is_empty();
+    cluster.wait_log(CONFIG_STREAM, "the loss of the first change", dropped).await.unwrap();
+    cluster.control_platform(&Control::default()).await.unwrap();
+    cluster.wait_snapshot().await.unwrap();
+    let nodes = cluster.nodes.len();
+    for node in 0..nodes {
+        cluster.nodes[node].process.kill();
+    }
+    let node = cluster
+        .start_node(fernring_standins::cluster::NodeSpec { failure_domain: "b" })
+        .await
+        .unwrap();
+    cluster.settle_node(node).await.unwrap();
+    let address = cluster.nodes[node].caller_address;
+    let answer = cluster.caller.call(address, "answer", &call("x")).await.unwrap();
+    assert_eq!(answer.output, Some(whole_answer("x")));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_changed_pipeline_is_in_force_for_new_requests_and_leaves_running_ones_alone() {
     let mut cluster = Builder::new().settings(FAST).start().await;
--- a/crates/fernring/src/node/config_loop.rs
+++ b/crates/fernring/src/node/config_loop.rs
@@ -20,8 +20,9 @@
 const LONG_POLL: Duration = Duration::from_secs(1);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// A snapshot is appended after a random pause up to this, so that mostly one node does it.
-const SNAPSHOT_SPREAD_MS: u64 = 5_000;
+/// A node looks for the need of a snapshot at random times up to this apart, so that mostly one
+/// node appends it.
+const SNAPSHOT_CHECK_MAX_MS: u64 = 60_000;
 
 /// Reads the stream for as long as the node runs.
 pub(super) async fn run(node: Arc<Node>) {
@@ -29,12 +30,10 @@
         let from = lock(&node.fold).next_offset();
         match node.log.read(CONFIG_STREAM, from, LONG_POLL).await {
             Ok(page) => {
-                let log_time_ms = page.time_ms;
                 let changed = lock(&node.fold).read(ConfigPage::decode(from, page));
                 let now_ms = saturating_ms(node.now().monotonic);
                 node.config_read_at_ms.store(now_ms, Ordering::Relaxed);
                 node.configured(changed);
-                keep_snapshot(&node, log_time_ms).await;
             }
             Err(error) => {
                 let line = LogLine::event("log_unreachable").with("stream", CONFIG_STREAM);
@@ -45,21 +44,27 @@
     }
 }
 
-/// Appends a snapshot when the newest one is past half of retention.
-async fn keep_snapshot(node: &Arc<Node>, log_time_ms: u64) {
+/// Looks now and then whether the newest snapshot is past half of retention, and appends one.
+/// Runs beside the reading, which never waits for it.
+pub(super) async fn keep_snapshots(node: Arc<Node>) {
     let age_ms = node.settings.platform.log_retention_ms / 2;
-    if !lock(&node.fold).wants_snapshot(log_time_ms, age_ms) {
-        return;
-    }
-    let spread_ms = SNAPSHOT_SPREAD_MS.min(age_ms / 10);
-    let pause_ms = rand::rng().random_range(0..=spread_ms);
-    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-    let from = lock(&node.fold).next_offset();
-    // Another node may have appended one meanwhile; then there is something to read first.
-    match node.log.read(CONFIG_STREAM, from, Duration::ZERO).await {
-        Ok(page) if page.next_offset == from => {}
-        _ => return,
+    let every_ms = SNAPSHOT_CHECK_MAX_MS.min(age_ms / 4).max(1);
+    loop {
+        let pause_ms = rand::rng().random_range(every_ms / 2..=every_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        // What a reading has not shown yet may be another node's snapshot, so ask the log first.
+        let from = lock(&node.fold).next_offset();
+        let Ok(page) = node.log.read(CONFIG_STREAM, from, Duration::ZERO).await else {
+            continue;
+        };
+        let is_at_end = page.next_offset == from;
+        if is_at_end && lock(&node.fold).wants_snapshot(page.time_ms, age_ms) {
+            append_snapshot(&node).await;
+        }
     }
+}
+
+async fn append_snapshot(node: &Arc<Node>) {
     let Some(snapshot) = lock(&node.fold).snapshot() else {
         return;
     };
--- a/crates/fernring/src/node/state.rs
+++ b/crates/fernring/src/node/state.rs
@@ -147,6 +147,7 @@
         tokio::spawn(peer_loop::serve(node.clone(), listener));
         tokio::spawn(peer_loop::exchange_heartbeats(node.clone()));
         tokio::spawn(config_loop::run(node.clone()));
+        tokio::spawn(config_loop::keep_snapshots(node.clone()));
         tokio::spawn(claim_loop::run(node.clone()));
         tokio::spawn(order_loop::run(node.clone()));
         tokio::spawn(report_loop::poll_upstreams(node.clone()));
