--- a/crates/fernring-policy/tests/testsuite/config_fold.rs
+++ b/crates/fernring-policy/tests/testsuite/config_fold.rs
@@ -146,3 +146,16 @@
         }
     }
 }
+
+#[test]
+fn a_snapshot_is_due_by_the_age_of_the_log_and_not_before() {
+    let mut stream = Stream::default();
+    let mut fold = ConfigFold::new();
+    stream.append(0, 1);
+    fold.read(stream.page(0, usize::MAX));
+    assert!(!fold.wants_snapshot(99, 100), "the only record is 99 old");
+    assert!(fold.wants_snapshot(100, 100));
+    stream.snapshot(0);
+    fold.read(stream.page(fold.next_offset(), usize::MAX));
+    assert!(!fold.wants_snapshot(100, 100), "the snapshot is 99 old");
+}
--- a/crates/fernring-policy/tests/testsuite/dispatcher.rs
+++ b/crates/fernring-policy/tests/testsuite/dispatcher.rs
@@ -47,7 +47,9 @@
     catalog.pipelines.insert("pure".to_owned(), Arc::new(pure));
     catalog.pipelines.insert("letter".to_owned(), Arc::new(letter));
     let workspace = Workspace { weight: 1, limit_per_s, pipelines: Vec::new() };
-    catalog.workspaces.insert("members".to_owned(), Arc::new(workspace));
+    for name in ["members", "press"] {
+        catalog.workspaces.insert(name.to_owned(), Arc::new(workspace.clone()));
+    }
     for pool in ["encode", "generate", "post"] {
         for index in 0..POOL_SIZE {
             let kind = if pool == "generate" { UpstreamKind::Engine } else { UpstreamKind::Plain };
@@ -91,13 +93,23 @@
     }
 
     fn submit(&mut self, pipeline: &str, key: Option<RequestKey>, window_ms: u64) -> WaiterId {
+        self.submit_for("members", pipeline, key, window_ms)
+    }
+
+    fn submit_for(
+        &mut self,
+        workspace: &str,
+        pipeline: &str,
+        key: Option<RequestKey>,
+        window_ms: u64,
+    ) -> WaiterId {
         self.waiters += 1;
         let waiter = WaiterId(self.waiters);
         self.handle(Event::Submit(Submission {
             waiter,
             uid: Uuid::from_u128(u128::from(self.waiters)),
             pipeline: pipeline.to_owned(),
-            workspace: "members".into(),
+            workspace: workspace.into(),
             key,
             non_idempotent: false,
             window_ms: Some(window_ms),
@@ -153,6 +165,11 @@
         self.actions.contains(&cancel)
     }
 
+    /// Counts the records handed over for the claim stream so far.
+    fn appends(&self) -> usize {
+        self.actions.iter().filter(|action| matches!(action, Action::AppendClaims(_))).count()
+    }
+
     fn forward(&self) -> Option<Forward> {
         self.actions.iter().find_map(|action| match action {
             Action::Forward(forward) => Some(forward.as_ref().clone()),
@@ -424,3 +441,64 @@
     assert_eq!(free.len(), 3, "two in the own failure domain, one spilled");
     assert!(free.iter().all(|dispatch| dispatch.stage_name == "generate"));
 }
+
+#[test]
+fn a_flood_of_one_workspace_does_not_get_another_refused() {
+    let mut bench = Bench::new(PolicySettings::default(), catalog(1, 0));
+    for _ in 0..100 {
+        bench.submit_for("press", "pure", None, 1_000);
+    }
+    let flooded = bench.submit_for("press", "pure", None, 1_000);
+    assert_eq!(bench.code(flooded), Some(ResultCode::WouldBeLate));
+    let small = bench.submit_for("members", "pure", None, 1_000);
+    assert_eq!(bench.code(small), None);
+    // It is also next in the queue.
+    let first = bench.dispatches().remove(0);
+    bench.complete(&first);
+    let next: Vec<_> = bench.dispatches().into_iter().map(|dispatch| dispatch.uid).collect();
+    assert!(next.contains(&Uuid::from_u128(u128::from(small.0))), "{next:?}");
+}
+
+#[test]
+fn a_node_uses_its_share_of_a_pool() {
+    let settings = PolicySettings { share_headroom_percent: 100, ..PolicySettings::default() };
+    let mut bench = Bench::new(settings, catalog(6, 0));
+    bench.dispatcher.set_peers(3, &[]);
+    for _ in 0..20 {
+        bench.submit("pure", None, 10_000);
+    }
+    // Two upstreams of 6 in the own failure domain over 3 nodes, and a quarter of that elsewhere.
+    assert_eq!(bench.dispatches().len(), 4 + 1);
+}
+
+#[test]
+fn a_busy_upstream_gets_no_hedge() {
+    let mut bench = usual();
+    bench.submit("pure", None, 10_000);
+    bench.dispatches();
+    for index in 0..POOL_SIZE {
+        let upstream = format!("encode-{index}");
+        bench.handle(Event::Reported(UpstreamReport { upstream, load: 4, leaving: false }));
+    }
+    bench.advance(300);
+    assert!(bench.dispatches().is_empty());
+}
+
+#[test]
+fn claims_that_come_close_together_share_an_append() {
+    let mut bench = usual();
+    bench.submit("letter", Some(key()), 10_000);
+    assert_eq!(bench.appends(), 1, "the first claim goes at once");
+    bench.handle(Event::ClaimsAppended);
+    for _ in 0..10 {
+        bench.submit("letter", Some(key()), 10_000);
+    }
+    assert_eq!(bench.appends(), 1, "the next ones wait for the interval");
+    bench.advance(60);
+    assert_eq!(bench.appends(), 2);
+    let entries = bench.actions.iter().rev().find_map(|action| match action {
+        Action::AppendClaims(batch) => Some(batch.entries.len()),
+        _ => None,
+    });
+    assert_eq!(entries, Some(10));
+}
--- a/crates/fernring-policy/tests/testsuite/main.rs
+++ b/crates/fernring-policy/tests/testsuite/main.rs
@@ -7,5 +7,8 @@
 mod config_model;
 mod dispatcher;
 mod explore;
+mod membership;
+mod placement;
+mod plan;
 mod queues;
 mod random_run;
--- /dev/null
+++ b/crates/fernring-policy/tests/testsuite/membership.rs
@@ -0,0 +1,82 @@
+//! Live nodes of a failure domain.
+
+use {
+    fernring_core::ids::Incarnation,
+    fernring_policy::membership::{Heartbeat, Hint, Membership},
+    std::{net::SocketAddr, time::Duration},
+    uuid::Uuid,
+};
+
+const INTERVAL: Duration = Duration::from_millis(500);
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn heartbeat(number: u16, failure_domain: &str, config_version: u64) -> Heartbeat {
+    Heartbeat {
+        incarnation: Incarnation(Uuid::from_u128(u128::from(number))),
+        address: address(number),
+        failure_domain: failure_domain.into(),
+        config_version,
+        in_flight: 0,
+        draining: false,
+        demand: Vec::new(),
+    }
+}
+
+fn membership() -> Membership {
+    Membership::new(Incarnation(Uuid::from_u128(1)), address(1), "a".into(), INTERVAL)
+}
+
+#[test]
+fn a_peer_counts_as_live_until_it_misses_four_heartbeats() {
+    let mut membership = membership();
+    membership.heard(Duration::ZERO, heartbeat(2, "a", 0));
+    membership.heard(Duration::ZERO, heartbeat(3, "b", 0));
+    assert_eq!(membership.live_nodes(INTERVAL * 3), 2, "itself and the one of its domain");
+    assert_eq!(membership.live_nodes(INTERVAL * 4), 1);
+}
+
+#[test]
+fn a_draining_peer_shares_nothing() {
+    let mut membership = membership();
+    membership.heard(Duration::ZERO, Heartbeat { draining: true, ..heartbeat(2, "a", 0) });
+    assert_eq!(membership.live_nodes(Duration::ZERO), 1);
+}
+
+#[test]
+fn contacts_hold_the_whole_own_domain_and_a_few_others() {
+    let mut membership = membership();
+    let hint = |number: u16| {
+        let domain = if number < 20 { "a" } else { "b" };
+        Hint { address: address(number), failure_domain: domain.to_owned() }
+    };
+    membership.set_hints((1..200).map(hint));
+    let contacts = membership.contacts();
+    let own = contacts.iter().filter(|contact| contact.port() < 20).count();
+    assert_eq!(own, 18, "all of the domain but itself");
+    assert_eq!(contacts.len() - own, 3, "a few of the 180 others");
+    assert!(!contacts.contains(&address(1)));
+}
+
+#[test]
+fn a_restarted_peer_replaces_its_predecessor() {
+    let mut membership = membership();
+    membership.heard(Duration::ZERO, heartbeat(2, "a", 5));
+    let fresh = Incarnation(Uuid::from_u128(99));
+    membership.heard(Duration::ZERO, Heartbeat { incarnation: fresh, ..heartbeat(2, "a", 0) });
+    let live = membership.live(Duration::ZERO);
+    assert_eq!(live.len(), 1);
+    assert_eq!(live[0].incarnation, fresh);
+}
+
+#[test]
+fn the_peer_that_is_ahead_is_found_in_any_domain() {
+    let mut membership = membership();
+    membership.heard(Duration::ZERO, heartbeat(2, "a", 4));
+    membership.heard(Duration::ZERO, heartbeat(3, "b", 7));
+    assert_eq!(membership.ahead_of(6), Some(address(3)));
+    assert_eq!(membership.ahead_of(7), None);
+    assert_eq!(membership.highest_version(), 7);
+}
--- a/crates/fernring/src/settings.rs
+++ b/crates/fernring/src/settings.rs
@@ -12,6 +12,9 @@
     thiserror::Error,
 };
 
+/// Largest body and answer, in bytes: either has to fit into a frame between nodes.
+const MESSAGE_MAX_BYTES: u64 = fernring_protocol::FRAME_MAX_BYTES as u64 / 2;
+
 /// All settings of a node.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -279,6 +282,15 @@
                 return refuse(key, &value, "must be 1 or more");
             }
         }
+        let sizes = [
+            ("limits.body_max_bytes", self.limits.body_max_bytes),
+            ("policy.answer_max_bytes", self.policy.answer_max_bytes as u64),
+        ];
+        for (key, value) in sizes {
+            if value > MESSAGE_MAX_BYTES {
+                return refuse(key, &value, &format!("must be at most {MESSAGE_MAX_BYTES}"));
+            }
+        }
         let horizon_ms = self.policy.claim_horizon_ms;
         if horizon_ms.saturating_mul(2) > self.platform.log_retention_ms {
             let allowed = "must be at most half of platform.log_retention_ms";
