Split the asking for reports over the nodes of a failure domain

Change: one node asks each upstream (rendezvous hashing over the live nodes), and passes digests of 6 bytes on with its heartbeats; the holder of the order grant asks the engines that it orders itself.

--- a/crates/fernring-policy/src/dispatcher/entry.rs
+++ b/crates/fernring-policy/src/dispatcher/entry.rs
@@ -171,3 +171,27 @@
     /// Whether a part contradicted the answer; then the attempt can't succeed.
     pub(crate) invalid: bool,
 }
+
+impl Attempt {
+    pub(crate) fn new(
+        entry: &Entry,
+        reference: AttemptRef,
+        upstream: UpstreamId,
+        started: Duration,
+    ) -> Self {
+        let stage = entry.current_stage();
+        Self {
+            reference,
+            uid: entry.submission.uid,
+            upstream,
+            started,
+            effect: entry.is_effect(reference.stage),
+            pipeline_name: entry.pipeline_name.clone(),
+            workspace: entry.submission.workspace.clone(),
+            stage_name: stage.name.as_str().into(),
+            pool: stage.pool.clone(),
+            assembly: Assembly::default(),
+            invalid: false,
+        }
+    }
+}
--- a/crates/fernring-policy/src/dispatcher/finish.rs
+++ b/crates/fernring-policy/src/dispatcher/finish.rs
@@ -226,7 +226,7 @@
     /// Ends the wait of somebody who joined a request or was passed on; the request goes on.
     pub(super) fn waiter_window_ended(&mut self, _now: Now, waiter: WaiterId) {
         let joined = self.waiting.contains_key(&waiter);
-        let relayed = self.relays.contains_key(&waiter);
+        let relayed = self.relays.contains(&waiter);
         if !joined && !relayed {
             return;
         }
--- a/crates/fernring-policy/src/dispatcher/mod.rs
+++ b/crates/fernring-policy/src/dispatcher/mod.rs
@@ -40,12 +40,12 @@
         text::LogLine,
     },
     finish::KeptAnswers,
-    own::{Relay, TicketBook},
+    own::TicketBook,
     predict::Forecast,
     rand::{SeedableRng, rngs::SmallRng},
     slotmap::SlotMap,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
         time::Duration,
@@ -81,7 +81,7 @@
     /// Where a waiter of a live entry waits.
     waiting: HashMap<WaiterId, RequestId>,
     /// Submissions that were passed on without becoming an entry.
-    relays: HashMap<WaiterId, Relay>,
+    relays: HashSet<WaiterId>,
     kept: KeptAnswers,
     tickets: TicketBook,
     claim_view: ClaimView,
@@ -116,7 +116,7 @@
             attempts: HashMap::new(),
             next_attempt: 1,
             waiting: HashMap::new(),
-            relays: HashMap::new(),
+            relays: HashSet::new(),
             kept: KeptAnswers::default(),
             tickets: TicketBook::default(),
             claim_queue: ClaimQueue::default(),
@@ -148,8 +148,10 @@
             Event::ClaimsInDoubt => self.claims_in_doubt(now),
             Event::OwnerAnswered { waiter, answer } => self.owner_answered(now, waiter, answer),
             Event::Configured(catalog) => self.configure(now, catalog),
-            Event::Reported(report) => {
-                self.upstreams.report(now.monotonic, &report);
+            Event::Reported(reports) => {
+                for report in &reports {
+                    self.upstreams.report(now.monotonic, report);
+                }
                 self.pump_all(now);
             }
             Event::VmsLeaving(names) => self.upstreams.set_unlisted(&names),
@@ -224,16 +226,20 @@
     fn configure(&mut self, now: Now, catalog: Arc<Catalog>) {
         self.upstreams.follow(&catalog);
         self.catalog = catalog;
-        let order = match self.settings.mode {
-            Mode::Full => Order::FairDeadline,
-            Mode::Baseline => Order::Arrival,
-        };
+        let order = self.queue_order();
         for pool in self.upstreams.pool_names() {
             self.queues.entry(pool).or_insert_with(|| PoolQueue::new(order));
         }
         self.pump_all(now);
     }
 
+    fn queue_order(&self) -> Order {
+        match self.settings.mode {
+            Mode::Full => Order::FairDeadline,
+            Mode::Baseline => Order::Arrival,
+        }
+    }
+
     fn run_timers(&mut self, now: Now) {
         while let Some(kind) = self.timers.pop_due(now.monotonic) {
             match kind {
--- a/crates/fernring-policy/src/dispatcher/own.rs
+++ b/crates/fernring-policy/src/dispatcher/own.rs
@@ -44,10 +44,6 @@
     pub(crate) address: SocketAddr,
 }
 
-/// A submission that was passed on without becoming an entry.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Relay;
-
 /// Tickets minted by this incarnation.
 ///
 /// Invariant: serials in `1..next` were handed out once; those below the first block's start are
@@ -241,7 +237,7 @@
             return self.finish_waiter(waiter, answer);
         }
         self.counters.forwarded += 1;
-        self.relays.insert(waiter, Relay);
+        self.relays.insert(waiter);
         self.watch_waiter(now, waiter, window);
         self.forward(submission, owner);
     }
@@ -269,7 +265,7 @@
             output: None,
             retry_after_ms: Some(self.settings.retry_after_ms),
         });
-        if self.relays.remove(&waiter).is_some() {
+        if self.relays.remove(&waiter) {
             let answer = Answer::relayed(word.code, word.output, word.retry_after_ms, 0);
             return self.finish_waiter(waiter, answer);
         }
--- a/crates/fernring-policy/src/dispatcher/run.rs
+++ b/crates/fernring-policy/src/dispatcher/run.rs
@@ -7,9 +7,9 @@
         timers::TimerKind,
     },
     crate::{
-        assembly::Assembly,
         cost::{CostKey, Spent},
         event::{Action, AttemptEnd, Dispatch},
+        queue::PoolQueue,
         upstreams::Choice,
     },
     fernring_core::{
@@ -42,14 +42,10 @@
     }
 
     fn enqueue(&mut self, now: Now, request: RequestId) {
+        let order = self.queue_order();
         let entry = &mut self.ledger[request];
         let pool = entry.current_stage().pool.clone();
-        let order = match self.settings.full() {
-            true => crate::queue::Order::FairDeadline,
-            false => crate::queue::Order::Arrival,
-        };
-        let queue =
-            self.queues.entry(pool.clone()).or_insert_with(|| crate::queue::PoolQueue::new(order));
+        let queue = self.queues.entry(pool.clone()).or_insert_with(|| PoolQueue::new(order));
         let workspace = &entry.submission.workspace;
         let place = queue.push(request, workspace, entry.weight, entry.deadline);
         entry.phase = Phase::Queued(place);
@@ -57,12 +53,8 @@
     }
 
     pub(super) fn pump_all(&mut self, now: Now) {
-        let pools: Vec<String> = self
-            .queues
-            .iter()
-            .filter(|(_, queue)| !queue.is_empty())
-            .map(|q| q.0.clone())
-            .collect();
+        let waiting = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        let pools: Vec<String> = waiting.map(|(pool, _)| pool.clone()).collect();
         for pool in pools {
             self.pump(now, &pool);
         }
@@ -107,13 +99,37 @@
         now.monotonic + least > entry.deadline
     }
 
+    /// Sends one attempt of the stage that an entry has reached.
     fn send(&mut self, now: Now, request: RequestId, choice: Choice, kind: AttemptKind) {
-        let number = self.next_attempt;
-        self.next_attempt += 1;
         let Some(upstream) = self.upstreams.get(choice.upstream) else {
             return;
         };
-        let (address, upstream_name) = (upstream.spec.address, upstream.name.clone());
+        let address = upstream.spec.address;
+        let reference = self.begin_attempt(request, choice);
+        let entry = &self.ledger[request];
+        let attempt = Attempt::new(entry, reference, choice.upstream, now.monotonic);
+        let dispatch = Dispatch {
+            attempt: reference,
+            uid: attempt.uid,
+            address,
+            stage_name: entry.current_stage().name.clone(),
+            effect: attempt.effect,
+            input: entry.input.clone(),
+            prefix: entry.prefix,
+            remaining_ms: saturating_ms(entry.deadline.saturating_sub(now.monotonic)),
+        };
+        self.watch_straggler(now, &attempt, kind);
+        self.count_sent(kind, attempt.effect);
+        self.attempts.insert(reference.attempt, attempt);
+        self.upstreams.started(choice.upstream);
+        self.log_route(&dispatch, choice, kind);
+        self.out.push(Action::Dispatch(dispatch));
+    }
+
+    /// Enters a new attempt into the ledger.
+    fn begin_attempt(&mut self, request: RequestId, choice: Choice) -> AttemptRef {
+        let number = self.next_attempt;
+        self.next_attempt += 1;
         let entry = &mut self.ledger[request];
         let stage = entry.stage;
         let effect = entry.is_effect(stage);
@@ -131,51 +147,35 @@
             self.forecast.settle(&entry.pipeline, entry.pending_from, stage + 1, workspace);
             entry.pending_from = stage + 1;
         }
-        let declared = entry.current_stage().clone();
-        let remaining_ms = saturating_ms(entry.deadline.saturating_sub(now.monotonic));
-        let attempt = Attempt {
-            reference,
-            uid: entry.submission.uid,
-            upstream: choice.upstream,
-            started: now.monotonic,
-            effect,
-            pipeline_name: entry.pipeline_name.clone(),
-            workspace: entry.submission.workspace.clone(),
-            stage_name: declared.name.as_str().into(),
-            pool: declared.pool.clone(),
-            assembly: Assembly::default(),
-            invalid: false,
-        };
-        let dispatch = Dispatch {
-            attempt: reference,
-            uid: attempt.uid,
-            address,
-            stage_name: declared.name.clone(),
-            effect,
-            input: entry.input.clone(),
-            prefix: entry.prefix,
-            remaining_ms,
-        };
-        if self.settings.full() && self.settings.hedging && !effect && kind == AttemptKind::First {
-            let after_ms = self.forecast.straggler_ms(&entry.pipeline_name, &entry.pipeline, stage);
-            let at = now.monotonic + Duration::from_secs_f64(after_ms / 1_000.0);
-            self.timers.set(at, TimerKind::Hedge(reference));
+        reference
+    }
+
+    /// Sets the time at which a first attempt becomes a straggler.
+    fn watch_straggler(&mut self, now: Now, attempt: &Attempt, kind: AttemptKind) {
+        let hedges = self.settings.full() && self.settings.hedging;
+        if !hedges || attempt.effect || kind != AttemptKind::First {
+            return;
         }
-        self.attempts.insert(number, attempt);
-        self.upstreams.started(choice.upstream);
-        self.count_sent(kind, effect);
-        let runner_up = choice.runner_up.and_then(|id| self.upstreams.get(id));
+        let reference = attempt.reference;
+        let entry = &self.ledger[reference.request];
+        let (name, pipeline) = (&entry.pipeline_name, &entry.pipeline);
+        let after_ms = self.forecast.straggler_ms(name, pipeline, reference.stage);
+        let at = now.monotonic + Duration::from_secs_f64(after_ms / 1_000.0);
+        self.timers.set(at, TimerKind::Hedge(reference));
+    }
+
+    fn log_route(&mut self, dispatch: &Dispatch, choice: Choice, kind: AttemptKind) {
+        let name = |id| self.upstreams.get(id).map(|state| state.name.clone());
         let line = LogLine::event("route")
             .with("request", dispatch.uid)
-            .with("stage", &declared.name)
-            .with("attempt", number)
+            .with("stage", &dispatch.stage_name)
+            .with("attempt", dispatch.attempt.attempt)
             .with("attempt_kind", kind.name())
-            .with("upstream", upstream_name)
-            .with_some("runner_up", runner_up.map(|state| state.name.clone()))
+            .with_some("upstream", name(choice.upstream))
+            .with_some("runner_up", choice.runner_up.and_then(name))
             .with("why", choice.why.name())
-            .with("remaining_ms", remaining_ms);
+            .with("remaining_ms", dispatch.remaining_ms);
         self.log(line);
-        self.out.push(Action::Dispatch(dispatch));
     }
 
     fn count_sent(&mut self, kind: AttemptKind, effect: bool) {
--- a/crates/fernring-policy/src/event.rs
+++ b/crates/fernring-policy/src/event.rs
@@ -107,8 +107,8 @@
     },
     /// A new configuration is in force.
     Configured(Arc<Catalog>),
-    /// An upstream reported.
-    Reported(UpstreamReport),
+    /// Upstreams reported.
+    Reported(Vec<UpstreamReport>),
     /// The VM list shows these upstreams as leaving.
     VmsLeaving(Vec<String>),
     /// The node is to take no new requests.
--- a/crates/fernring-policy/src/membership.rs
+++ b/crates/fernring-policy/src/membership.rs
@@ -12,7 +12,7 @@
         sync::Arc,
         time::Duration,
     },
-    xxhash_rust::xxh3::xxh3_64_with_seed,
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 /// Nodes of other failure domains that a node exchanges heartbeats with.
@@ -39,6 +39,25 @@
     pub draining: bool,
     /// Demand of the workspaces that have a limit.
     pub demand: Vec<Demand>,
+    /// Reports of the upstreams that this node asks; see [`Membership::asks`].
+    pub reports: Vec<ReportDigest>,
+}
+
+/// An upstream's report, short enough to go with every heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportDigest {
+    /// Short hash of the upstream's name; see [`short_hash`].
+    pub upstream: u32,
+    /// Attempts that it has running or waiting.
+    pub load: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Hashes an upstream's name for a [`ReportDigest`]. Two names of one failure domain that collide
+/// only mislead routing until the next report.
+pub fn short_hash(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
 }
 
 /// A VM of the system, as the VM list or the settings suggest it.
@@ -132,6 +151,18 @@
         others as u32 + 1
     }
 
+    /// Tells whether this node is the one that asks an upstream of the failure domain for reports:
+    /// the first by rendezvous hashing among the live nodes, which pass the answers on with their
+    /// heartbeats. Without that each node's cost would grow with the domain's upstreams.
+    pub fn asks(&self, now: Duration, upstream: &str) -> bool {
+        let rank = |incarnation: Incarnation| {
+            xxh3_64_with_seed(upstream.as_bytes(), incarnation.0.as_u128() as u64)
+        };
+        let mine = rank(self.me);
+        let mut others = self.live(now).into_iter().filter(|heartbeat| !heartbeat.draining);
+        others.all(|heartbeat| rank(heartbeat.incarnation) < mine)
+    }
+
     /// Returns the demand that the live peers of the own failure domain report.
     pub fn peer_demand(&self, now: Duration) -> Vec<Demand> {
         self.live(now).into_iter().flat_map(|heartbeat| heartbeat.demand.clone()).collect()
--- a/crates/fernring-policy/src/placement.rs
+++ b/crates/fernring-policy/src/placement.rs
@@ -43,12 +43,15 @@
     }
 }
 
-/// The grant in force by log time.
+/// The incarnation in charge of a failure domain's orders, by the log as read so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Holder {
-    incarnation: Incarnation,
-    fence: u64,
-    until_ms: u64,
+pub struct Holder {
+    /// The incarnation.
+    pub incarnation: Incarnation,
+    /// The fencing number of its orders.
+    pub fence: u64,
+    /// Until when its grant holds, by log time, in milliseconds since the Unix epoch.
+    pub until_ms: u64,
 }
 
 /// What a node is to do about the orders of its failure domain.
@@ -116,9 +119,9 @@
         self.read_at = now;
     }
 
-    /// Returns the incarnation in charge and its fencing number, by the log as read so far.
-    pub fn holder(&self) -> Option<(Incarnation, u64)> {
-        self.holder.map(|holder| (holder.incarnation, holder.fence))
+    /// Returns who is in charge.
+    pub fn holder(&self) -> Option<Holder> {
+        self.holder
     }
 
     /// Decides the next step. `reported` holds the models that engines say they hold.
--- a/crates/fernring-policy/tests/testsuite/dispatcher.rs
+++ b/crates/fernring-policy/tests/testsuite/dispatcher.rs
@@ -367,7 +367,7 @@
     let mut bench = usual();
     for name in ["encode-0", "encode-1", "encode-2"] {
         let report = UpstreamReport { upstream: name.to_owned(), load: 0, leaving: true };
-        bench.handle(Event::Reported(report));
+        bench.handle(Event::Reported(vec![report]));
     }
     for _ in 0..4 {
         bench.submit("pure", None, 10_000);
@@ -376,7 +376,7 @@
     assert_eq!(dispatches.len(), 4);
     assert!(dispatches.iter().all(|dispatch| dispatch.address.port() == 4), "{dispatches:?}");
     let report = UpstreamReport { upstream: "encode-3".to_owned(), load: 0, leaving: true };
-    bench.handle(Event::Reported(report));
+    bench.handle(Event::Reported(vec![report]));
     let waiter = bench.submit("pure", None, 10_000);
     assert_eq!(bench.code(waiter), Some(ResultCode::NoUpstream));
 }
@@ -478,7 +478,8 @@
     bench.dispatches();
     for index in 0..POOL_SIZE {
         let upstream = format!("encode-{index}");
-        bench.handle(Event::Reported(UpstreamReport { upstream, load: 4, leaving: false }));
+        let report = UpstreamReport { upstream, load: 4, leaving: false };
+        bench.handle(Event::Reported(vec![report]));
     }
     bench.advance(300);
     assert!(bench.dispatches().is_empty());
--- a/crates/fernring-policy/tests/testsuite/membership.rs
+++ b/crates/fernring-policy/tests/testsuite/membership.rs
@@ -22,6 +22,7 @@
         in_flight: 0,
         draining: false,
         demand: Vec::new(),
+        reports: Vec::new(),
     }
 }
 
@@ -80,3 +81,27 @@
     assert_eq!(membership.ahead_of(7), None);
     assert_eq!(membership.highest_version(), 7);
 }
+
+#[test]
+fn each_upstream_is_asked_by_one_node_and_the_work_is_even() {
+    let node = |number: u16| {
+        let me = Incarnation(Uuid::from_u128(u128::from(number)));
+        let mut node = Membership::new(me, address(number), "a".into(), INTERVAL);
+        for other in (1..=20).filter(|other| *other != number) {
+            node.heard(Duration::ZERO, heartbeat(other, "a", 0));
+        }
+        node
+    };
+    let nodes: Vec<_> = (1..=20).map(node).collect();
+    let mut asked = [0; 20];
+    for upstream in 0..480 {
+        let name = format!("engines-{upstream}");
+        let asking: Vec<_> =
+            (0..20).filter(|index| nodes[*index].asks(Duration::ZERO, &name)).collect();
+        assert_eq!(asking.len(), 1, "{name} is asked by {asking:?}");
+        asked[asking[0]] += 1;
+    }
+    assert!(asked.iter().all(|count| (8..=45).contains(count)), "{asked:?}");
+    // Once the others are silent for long enough, a node asks for itself.
+    assert!((0..480).all(|u| nodes[0].asks(INTERVAL * 10, &format!("engines-{u}"))));
+}
--- a/crates/fernring-policy/tests/testsuite/placement.rs
+++ b/crates/fernring-policy/tests/testsuite/placement.rs
@@ -72,6 +72,10 @@
     Placement::new(incarnation(number), "a".into(), VALID)
 }
 
+fn in_charge(placement: &Placement) -> Option<(Incarnation, u64)> {
+    placement.holder().map(|holder| (holder.incarnation, holder.fence))
+}
+
 fn step(placement: &mut Placement, now: Duration) -> PlacementStep {
     placement.step(now, LOAD_AT_MS, &catalog(), &BTreeMap::new())
 }
@@ -84,7 +88,7 @@
     let records = [record(7, 1_000, 1), record(8, 1_001, 2)];
     for node in [&mut first, &mut second] {
         node.read(Duration::ZERO, 1_001, &records);
-        assert_eq!(node.holder(), Some((incarnation(1), 7)));
+        assert_eq!(in_charge(node), Some((incarnation(1), 7)));
     }
     let PlacementStep::Order(orders) = step(&mut first, Duration::ZERO) else {
         panic!("the holder orders");
@@ -128,7 +132,7 @@
     let later = Duration::from_millis(10_001);
     assert!(matches!(step(&mut second, later), PlacementStep::Append(_)));
     second.read(later, 11_001, &[record(9, 11_001, 2)]);
-    assert_eq!(second.holder(), Some((incarnation(2), 9)));
+    assert_eq!(in_charge(&second), Some((incarnation(2), 9)));
     assert_eq!(step(&mut second, later), PlacementStep::Idle, "an old order may be on its way");
     let settled = later + VALID;
     // By then its own grant is due for renewal; the renewal keeps it in charge.
@@ -145,7 +149,7 @@
     let mut reader = node(3);
     let records = [record(1, 1_000, 1), record(2, 11_000, 2), record(3, 11_001, 2)];
     reader.read(Duration::ZERO, 11_000, &records[..2]);
-    assert_eq!(reader.holder(), Some((incarnation(1), 1)), "it still holds at its last moment");
+    assert_eq!(in_charge(&reader), Some((incarnation(1), 1)), "it still holds at its last moment");
     reader.read(Duration::ZERO, 11_001, &records[2..]);
-    assert_eq!(reader.holder(), Some((incarnation(2), 3)));
+    assert_eq!(in_charge(&reader), Some((incarnation(2), 3)));
 }
--- a/crates/fernring-protocol/src/messages.rs
+++ b/crates/fernring-protocol/src/messages.rs
@@ -65,6 +65,12 @@
     /// Demand of the workspaces that have a limit.
     #[prost(message, repeated, tag = "7")]
     pub demand: Vec<DemandMessage>,
+    /// Short hashes of the names of upstreams that reported.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub report_upstreams: Vec<u32>,
+    /// Their loads, in the same order: twice the load, plus 1 for one that is leaving.
+    #[prost(uint32, repeated, tag = "9")]
+    pub report_loads: Vec<u32>,
 }
 
 /// The demand of one workspace.
--- a/crates/fernring-standins/examples/slopes.rs
+++ b/crates/fernring-standins/examples/slopes.rs
@@ -30,8 +30,10 @@
 enum Axis {
     /// Nodes of the failure domain
     Nodes,
-    /// Upstreams of the failure domain
+    /// Upstreams of the failure domain, with one node
     Upstreams,
+    /// Upstreams of the failure domain, with eight nodes that split the asking
+    SharedUpstreams,
     /// Workspaces in the configuration
     Workspaces,
     /// Configuration changes a second
@@ -131,6 +133,13 @@
                 row(&cluster, "upstreams", (upstreams / 3) as f64, seconds, nothing()).await?;
             }
         }
+        Axis::SharedUpstreams => {
+            for upstreams in [3, 90, 180, 360] {
+                let cluster = cluster(8, upstreams).await?;
+                tokio::time::sleep(Duration::from_secs(2)).await;
+                row(&cluster, "shared", (upstreams / 3) as f64, seconds, nothing()).await?;
+            }
+        }
         Axis::Workspaces => {
             for workspaces in [10, 1_000, 4_000, 14_000] {
                 let mut cluster = cluster(1, 3).await?;
@@ -209,7 +218,14 @@
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let args = Args::parse();
-    let all = [Axis::Nodes, Axis::Upstreams, Axis::Workspaces, Axis::Changes, Axis::Claims];
+    let all = [
+        Axis::Nodes,
+        Axis::Upstreams,
+        Axis::SharedUpstreams,
+        Axis::Workspaces,
+        Axis::Changes,
+        Axis::Claims,
+    ];
     for axis in all.into_iter().filter(|axis| args.axis.is_none_or(|only| only == *axis)) {
         measure(axis, args.seconds).await?;
     }
--- a/crates/fernring-standins/src/deployment.rs
+++ b/crates/fernring-standins/src/deployment.rs
@@ -282,3 +282,34 @@
         ],
     }
 }
+
+/// A small deployment for tests and measurements: a pure pipeline of four stages (`answer`) and
+/// one that ends in a side effect (`letter`), with `count` upstreams in each pool.
+pub fn letters(count: usize, plain: Behaviour, engine: Behaviour, window_ms: u64) -> Deployment {
+    let pool = |pool, behaviour: &Behaviour| PoolSpec { pool, count, behaviour: behaviour.clone() };
+    let plain_stage = |name, pool| stage(name, pool, 5, 1);
+    let generate = || stage("generate", "engines", 5, 10);
+    let answer = vec![
+        plain_stage("encode", "encoders"),
+        plain_stage("retrieve", "retrievers"),
+        plain_stage("rerank", "rerankers"),
+        generate(),
+    ];
+    let letter =
+        vec![plain_stage("retrieve", "retrievers"), generate(), effect("dispatch", "letters", 5)];
+    Deployment {
+        name: "letters",
+        pools: vec![
+            pool("encoders", &plain),
+            pool("retrievers", &plain),
+            pool("rerankers", &plain),
+            pool("engines", &engine),
+            pool("letters", &plain),
+        ],
+        pipelines: vec![
+            entry("answer", 1, pipeline(answer, window_ms)),
+            entry("letter", 1, pipeline(letter, window_ms)),
+        ],
+        workspaces: vec![customer("members", 1, 1)],
+    }
+}
--- a/crates/fernring-standins/tests/testsuite/builder.rs
+++ b/crates/fernring-standins/tests/testsuite/builder.rs
@@ -4,9 +4,7 @@
     fernring_standins::{
         caller::Call,
         cluster::{Cluster, ClusterSpec, NodeSpec, nodes_per_domain},
-        deployment::{
-            Deployment, PipelineSpec, PoolSpec, WorkspaceSpec, effect, pipeline, stage, workspace,
-        },
+        deployment::letters,
         upstream::{Behaviour, output_of},
     },
     uuid::Uuid,
@@ -18,8 +16,8 @@
 /// Upstreams in each pool, one in each failure domain.
 const PER_POOL: usize = 3;
 
-/// Builds a deployment with a pure pipeline of four stages (`answer`) and one that ends in a
-/// side effect (`letter`).
+/// Builds the deployment `letters`: a pure pipeline of four stages (`answer`) and one that ends
+/// in a side effect (`letter`).
 pub(crate) struct Builder {
     nodes: Vec<NodeSpec>,
     extra_settings: String,
@@ -48,50 +46,8 @@
     }
 
     pub(crate) async fn start(self) -> Cluster {
-        let pool = |pool, behaviour: Behaviour| PoolSpec { pool, count: PER_POOL, behaviour };
         let plain = Behaviour::default();
-        let deployment = Deployment {
-            name: "test",
-            pools: vec![
-                pool("encoders", plain.clone()),
-                pool("retrievers", plain.clone()),
-                pool("rerankers", plain.clone()),
-                pool("engines", self.engine.clone()),
-                pool("letters", plain),
-            ],
-            pipelines: vec![
-                PipelineSpec {
-                    name: "answer",
-                    traffic: 1,
-                    pipeline: pipeline(
-                        vec![
-                            stage("encode", "encoders", 5, 1),
-                            stage("retrieve", "retrievers", 5, 1),
-                            stage("rerank", "rerankers", 5, 1),
-                            stage("generate", "engines", 5, 10),
-                        ],
-                        LONG_WINDOW_MS,
-                    ),
-                },
-                PipelineSpec {
-                    name: "letter",
-                    traffic: 1,
-                    pipeline: pipeline(
-                        vec![
-                            stage("retrieve", "retrievers", 5, 1),
-                            stage("generate", "engines", 5, 10),
-                            effect("dispatch", "letters", 5),
-                        ],
-                        LONG_WINDOW_MS,
-                    ),
-                },
-            ],
-            workspaces: vec![WorkspaceSpec {
-                name: "members",
-                traffic: 1,
-                workspace: workspace(1),
-            }],
-        };
+        let deployment = letters(PER_POOL, plain, self.engine, LONG_WINDOW_MS);
         let spec = ClusterSpec {
             deployment,
             nodes: self.nodes,
--- a/crates/fernring/src/http/mod.rs
+++ b/crates/fernring/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod metrics;
 mod reply;
 mod routes;
+mod status;
 
 use {
     crate::node::Node,
@@ -66,7 +67,7 @@
                 routes::key,
                 routes::healthz,
                 routes::readyz,
-                routes::status,
+                status::status,
                 metrics::render,
             ],
         )
--- a/crates/fernring/src/node/order_loop.rs
+++ b/crates/fernring/src/node/order_loop.rs
@@ -1,12 +1,15 @@
 //! The order stream: taking charge of the failure domain's orders, and sending them.
 
 use {
-    super::state::{Node, lock},
+    super::{
+        report_loop,
+        state::{Node, lock},
+    },
     crate::upstream::OrderOutcome,
     fernring_core::{orders::ORDER_STREAM, text::LogLine},
     fernring_policy::placement::{GrantRecord, PlacementStep, TargetOrder},
     spdlog::{info, warn},
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
 
 /// How often the next step is looked for.
@@ -22,6 +25,11 @@
         };
         let records: Vec<_> = page.records.iter().map(GrantRecord::decode).collect();
         from = records.last().map_or(from.max(page.first_offset), |last| last.offset + 1);
+        if in_charge(&node) {
+            // The holder compares what engines hold with what they should, so it asks them itself.
+            let names = placed_upstreams(&node);
+            report_loop::ask(&node, names).await;
+        }
         let now = node.now();
         let step = {
             let catalog = lock(&node.fold).catalog().clone();
@@ -38,6 +46,23 @@
     }
 }
 
+fn in_charge(node: &Node) -> bool {
+    let holder = lock(&node.placement).holder();
+    holder.is_some_and(|holder| holder.incarnation == node.identity.incarnation)
+}
+
+/// Lists the failure domain's engines that events place models on.
+fn placed_upstreams(node: &Node) -> Vec<String> {
+    let catalog = lock(&node.fold).catalog().clone();
+    let placed = catalog.events.values().flat_map(|event| &event.placements);
+    let names: BTreeSet<&String> = placed.map(|placement| &placement.upstream).collect();
+    let domain = node.identity.failure_domain.as_ref();
+    let own = |name: &&String| {
+        catalog.upstreams.get(name.as_str()).is_some_and(|u| u.failure_domain == domain)
+    };
+    names.into_iter().filter(own).cloned().collect()
+}
+
 async fn act(node: &Arc<Node>, step: PlacementStep) {
     match step {
         PlacementStep::Idle => {}
--- a/crates/fernring/src/node/peer_loop.rs
+++ b/crates/fernring/src/node/peer_loop.rs
@@ -1,14 +1,20 @@
 //! Heartbeats, and questions of other nodes.
 
 use {
-    super::state::{Node, WaiterEvent, lock},
+    super::{
+        report_loop,
+        state::{Node, WaiterEvent, lock},
+    },
     crate::peer::{heartbeat_from, heartbeat_message, incarnation_bytes, key_from},
     fernring_core::{
         change::Snapshot,
         ids::{RequestKey, WaiterId},
         text::LogLine,
     },
-    fernring_policy::event::{KeyStatus, Submission},
+    fernring_policy::{
+        event::{KeyStatus, Submission},
+        membership::Heartbeat,
+    },
     fernring_protocol::{
         Frame, codec, decode, encode,
         messages::{
@@ -81,6 +87,9 @@
     match question {
         Body::Heartbeat(message) => {
             let heartbeat = heartbeat_from(message)?;
+            if heartbeat.failure_domain == node.identity.failure_domain {
+                report_loop::take_digests(node, &heartbeat.reports);
+            }
             lock(&node.membership).heard(node.now().monotonic, heartbeat);
             Some(Body::Heartbeat(heartbeat_message(&node.heartbeat())))
         }
@@ -183,7 +192,11 @@
 }
 
 async fn beat(node: &Arc<Node>, address: SocketAddr, patience: Duration) {
-    let question = Body::Heartbeat(heartbeat_message(&node.heartbeat()));
+    // Reports go with the question only: every node asks every other of its domain, so that the
+    // answer would bring them a second time.
+    let reports = lock(&node.reports).clone();
+    let heartbeat = Heartbeat { reports, ..node.heartbeat() };
+    let question = Body::Heartbeat(heartbeat_message(&heartbeat));
     let Ok(Body::Heartbeat(message)) = node.peer.ask(address, question, patience).await else {
         return;
     };
--- a/crates/fernring/src/node/report_loop.rs
+++ b/crates/fernring/src/node/report_loop.rs
@@ -4,7 +4,11 @@
     super::state::{Node, lock},
     fernring_core::text::LogLine,
     fernring_platform::{VmEntry, VmRole, VmState},
-    fernring_policy::{event::Event, membership::Hint, upstreams::UpstreamReport},
+    fernring_policy::{
+        event::Event,
+        membership::{Hint, ReportDigest, short_hash},
+        upstreams::UpstreamReport,
+    },
     futures_util::{StreamExt, stream},
     spdlog::{info, warn},
     std::{sync::Arc, time::Duration},
@@ -13,28 +17,63 @@
 /// Reports asked for at the same time.
 const REPORTS_AT_ONCE: usize = 32;
 
-/// Asks the upstreams of the own failure domain for reports for as long as the node runs.
+/// Asks this node's part of the failure domain's upstreams for reports for as long as the node
+/// runs. The other nodes get them with the heartbeats.
 pub(super) async fn poll_upstreams(node: Arc<Node>) {
     let every = Duration::from_millis(node.settings.peers.report_every_ms);
     loop {
         tokio::time::sleep(every).await;
-        let catalog = lock(&node.fold).catalog().clone();
-        let domain = node.identity.failure_domain.as_ref();
-        let own = catalog.upstreams.iter().filter(|(_, u)| u.failure_domain == domain);
-        let targets: Vec<_> = own.map(|(name, u)| (name.clone(), u.address)).collect();
-        let ask = |(name, address)| {
-            let node = &node;
-            async move { (name, node.upstream.report(address).await) }
+        let names = own_part(&node);
+        let reports = ask(&node, names).await;
+        let digest = |report: &UpstreamReport| ReportDigest {
+            upstream: short_hash(&report.upstream),
+            load: report.load,
+            leaving: report.leaving,
         };
-        let mut reports =
-            stream::iter(targets.into_iter().map(ask)).buffer_unordered(REPORTS_AT_ONCE);
-        while let Some((upstream, report)) = reports.next().await {
-            let Some(report) = report else { continue };
-            lock(&node.models).insert(upstream.clone(), report.models);
-            let (load, leaving) = (report.load, report.leaving);
-            node.handle(Event::Reported(UpstreamReport { upstream, load, leaving }));
-        }
+        *lock(&node.reports) = reports.iter().map(digest).collect();
+        node.handle(Event::Reported(reports));
+    }
+}
+
+/// Lists the upstreams that this node asks.
+fn own_part(node: &Node) -> Vec<String> {
+    let catalog = lock(&node.fold).catalog().clone();
+    let now = node.now().monotonic;
+    let membership = lock(&node.membership);
+    let domain = node.identity.failure_domain.as_ref();
+    let own = catalog.upstreams.iter().filter(|(_, u)| u.failure_domain == domain);
+    own.map(|(name, _)| name.clone()).filter(|name| membership.asks(now, name)).collect()
+}
+
+/// Asks upstreams for reports, and notes the models that they hold.
+pub(super) async fn ask(node: &Arc<Node>, names: Vec<String>) -> Vec<UpstreamReport> {
+    let catalog = lock(&node.fold).catalog().clone();
+    let known = names.into_iter().filter_map(|name| {
+        let address = catalog.upstreams.get(&name)?.address;
+        Some((name, address))
+    });
+    let questions = known.map(|(name, address)| async move {
+        let report = node.upstream.report(address).await?;
+        lock(&node.models).insert(name.clone(), report.models);
+        Some(UpstreamReport { upstream: name, load: report.load, leaving: report.leaving })
+    });
+    let questions: Vec<_> = questions.collect();
+    let answers = stream::iter(questions).buffer_unordered(REPORTS_AT_ONCE);
+    answers.filter_map(|report| async { report }).collect().await
+}
+
+/// Takes in reports that another node of the failure domain passes on.
+pub(super) fn take_digests(node: &Arc<Node>, digests: &[ReportDigest]) {
+    if digests.is_empty() {
+        return;
     }
+    let names = lock(&node.names).clone();
+    let report = |digest: &ReportDigest| {
+        let upstream = names.get(&digest.upstream)?.clone();
+        Some(UpstreamReport { upstream, load: digest.load, leaving: digest.leaving })
+    };
+    let reports: Vec<_> = digests.iter().filter_map(report).collect();
+    node.handle(Event::Reported(reports));
 }
 
 /// Reads the VM list for as long as the node runs.
--- a/crates/fernring/src/node/state.rs
+++ b/crates/fernring/src/node/state.rs
@@ -21,8 +21,8 @@
         dispatcher::{Dispatcher, Identity},
         event::{Action, Counters, Event, KeyStatus, Submission},
         fold::ConfigFold,
-        membership::{Heartbeat, Membership},
-        placement::Placement,
+        membership::{Heartbeat, Membership, ReportDigest, short_hash},
+        placement::{Holder, Placement},
     },
     spdlog::{debug, info},
     std::{
@@ -67,8 +67,12 @@
     pub(super) fold: Mutex<ConfigFold>,
     pub(super) membership: Mutex<Membership>,
     pub(super) placement: Mutex<Placement>,
-    /// Models by engine, as last reported.
+    /// Models by engine, as last reported to this node.
     pub(super) models: Mutex<BTreeMap<String, Vec<String>>>,
+    /// Names of the failure domain's upstreams by their short hash, for reports from others.
+    pub(super) names: Mutex<Arc<HashMap<u32, String>>>,
+    /// Reports of the upstreams that this node asks, for its heartbeats.
+    pub(super) reports: Mutex<Vec<ReportDigest>>,
     pub(super) waiters: Mutex<HashMap<WaiterId, mpsc::UnboundedSender<WaiterEvent>>>,
     pub(super) cancels: Mutex<HashMap<u64, oneshot::Sender<()>>>,
     pub(super) timer_changed: Notify,
@@ -114,8 +118,8 @@
     pub claims_known: usize,
     /// Costs by stage.
     pub costs: Vec<(CostKey, Cost)>,
-    /// Incarnation in charge of the failure domain's orders, and its fencing number.
-    pub order_holder: Option<(Incarnation, u64)>,
+    /// Who is in charge of the failure domain's orders.
+    pub order_holder: Option<Holder>,
 }
 
 /// What a node knows of an upstream.
@@ -184,6 +188,8 @@
             membership: Mutex::new(membership),
             placement: Mutex::new(Placement::new(incarnation, failure_domain, valid)),
             models: Mutex::default(),
+            names: Mutex::default(),
+            reports: Mutex::default(),
             waiters: Mutex::default(),
             cancels: Mutex::default(),
             timer_changed: Notify::new(),
@@ -381,6 +387,10 @@
             (fold.catalog().clone(), fold.version())
         };
         info!("{}", LogLine::event("configured").with("version", version));
+        let domain = self.identity.failure_domain.as_ref();
+        let own = catalog.upstreams.iter().filter(|(_, u)| u.failure_domain == domain);
+        let names = own.map(|(name, _)| (short_hash(name), name.clone())).collect();
+        *lock(&self.names) = Arc::new(names);
         self.handle(Event::Configured(catalog));
     }
 
@@ -396,6 +406,7 @@
             in_flight: dispatcher.counters().in_flight,
             draining: self.is_draining(),
             demand: dispatcher.demand(self.now()),
+            reports: Vec::new(),
         }
     }
 
--- a/crates/fernring/src/peer.rs
+++ b/crates/fernring/src/peer.rs
@@ -3,7 +3,11 @@
 use {
     async_trait::async_trait,
     fernring_core::ids::{Incarnation, RequestKey, ScopedKey},
-    fernring_policy::{event::Submission, membership::Heartbeat, shares::Demand},
+    fernring_policy::{
+        event::Submission,
+        membership::{Heartbeat, ReportDigest},
+        shares::Demand,
+    },
     fernring_protocol::{
         Frame, codec, decode, encode,
         messages::{DemandMessage, ForwardMessage, HeartbeatMessage, KeyRequest, frame::Body},
@@ -121,15 +125,28 @@
         in_flight: heartbeat.in_flight,
         draining: heartbeat.draining,
         demand: demand.collect(),
+        report_upstreams: heartbeat.reports.iter().map(|report| report.upstream).collect(),
+        report_loads: heartbeat.reports.iter().map(load_number).collect(),
     }
 }
 
+/// Packs a load and whether the upstream is leaving into one number.
+fn load_number(report: &ReportDigest) -> u32 {
+    report.load.min(u32::MAX / 2) * 2 + u32::from(report.leaving)
+}
+
 /// Converts a received heartbeat; `None` if it is malformed.
 pub fn heartbeat_from(message: HeartbeatMessage) -> Option<Heartbeat> {
     let demand = message.demand.into_iter().map(|demand| Demand {
         workspace: demand.workspace.into(),
         per_s: demand.milli_per_s as f64 / 1_000.0,
     });
+    let reports = message.report_upstreams.into_iter().zip(message.report_loads);
+    let reports = reports.map(|(upstream, number)| ReportDigest {
+        upstream,
+        load: number / 2,
+        leaving: number % 2 == 1,
+    });
     Some(Heartbeat {
         incarnation: incarnation_from(&message.incarnation)?,
         address: message.address.parse().ok()?,
@@ -138,6 +155,7 @@
         in_flight: message.in_flight,
         draining: message.draining,
         demand: demand.collect(),
+        reports: reports.collect(),
     })
 }
 
