--- a/crates/fernring/src/node/order_loop.rs
+++ b/crates/fernring/src/node/order_loop.rs
@@ -8,6 +8,7 @@
     crate::upstream::OrderOutcome,
     fernring_core::{orders::ORDER_STREAM, text::LogLine},
     fernring_policy::placement::{GrantRecord, PlacementStep, TargetOrder},
+    futures_util::StreamExt,
     spdlog::{info, warn},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
@@ -28,7 +29,7 @@
         if in_charge(&node) {
             // The holder compares what engines hold with what they should, so it asks them itself.
             let names = placed_upstreams(&node);
-            report_loop::ask(&node, names).await;
+            report_loop::ask(&node, names).for_each(|_| async {}).await;
         }
         let now = node.now();
         let step = {
--- a/crates/fernring/src/node/peer_loop.rs
+++ b/crates/fernring/src/node/peer_loop.rs
@@ -194,7 +194,7 @@
 async fn beat(node: &Arc<Node>, address: SocketAddr, patience: Duration) {
     // Reports go with the question only: every node asks every other of its domain, so that the
     // answer would bring them a second time.
-    let reports = lock(&node.reports).clone();
+    let reports = lock(&node.reports).values().copied().collect();
     let heartbeat = Heartbeat { reports, ..node.heartbeat() };
     let question = Body::Heartbeat(heartbeat_message(&heartbeat));
     let Ok(Body::Heartbeat(message)) = node.peer.ask(address, question, patience).await else {
--- a/crates/fernring/src/node/report_loop.rs
+++ b/crates/fernring/src/node/report_loop.rs
@@ -9,9 +9,9 @@
         membership::{Hint, ReportDigest, short_hash},
         upstreams::UpstreamReport,
     },
-    futures_util::{StreamExt, stream},
+    futures_util::{Stream, StreamExt, stream},
     spdlog::{info, warn},
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, pin::pin, sync::Arc, time::Duration},
 };
 
 /// Reports asked for at the same time.
@@ -24,14 +24,17 @@
     loop {
         tokio::time::sleep(every).await;
         let names = own_part(&node);
-        let reports = ask(&node, names).await;
-        let digest = |report: &UpstreamReport| ReportDigest {
-            upstream: short_hash(&report.upstream),
-            load: report.load,
-            leaving: report.leaving,
-        };
-        *lock(&node.reports) = reports.iter().map(digest).collect();
-        node.handle(Event::Reported(reports));
+        let asked: BTreeSet<u32> = names.iter().map(|name| short_hash(name)).collect();
+        lock(&node.reports).retain(|upstream, _| asked.contains(upstream));
+        let mut reports = pin!(ask(&node, names));
+        // Each report counts as soon as it is here: an upstream that does not answer must not
+        // delay the news that another one is leaving.
+        while let Some(report) = reports.next().await {
+            let upstream = short_hash(&report.upstream);
+            let digest = ReportDigest { upstream, load: report.load, leaving: report.leaving };
+            lock(&node.reports).insert(upstream, digest);
+            node.handle(Event::Reported(vec![report]));
+        }
     }
 }
 
@@ -45,21 +48,22 @@
     own.map(|(name, _)| name.clone()).filter(|name| membership.asks(now, name)).collect()
 }
 
-/// Asks upstreams for reports, and notes the models that they hold.
-pub(super) async fn ask(node: &Arc<Node>, names: Vec<String>) -> Vec<UpstreamReport> {
+/// Asks upstreams for reports, and notes the models that they hold. Reports come in the order in
+/// which they arrive.
+pub(super) fn ask(node: &Arc<Node>, names: Vec<String>) -> impl Stream<Item = UpstreamReport> {
     let catalog = lock(&node.fold).catalog().clone();
-    let known = names.into_iter().filter_map(|name| {
+    let questions = names.into_iter().filter_map(|name| {
         let address = catalog.upstreams.get(&name)?.address;
-        Some((name, address))
-    });
-    let questions = known.map(|(name, address)| async move {
-        let report = node.upstream.report(address).await?;
-        lock(&node.models).insert(name.clone(), report.models);
-        Some(UpstreamReport { upstream: name, load: report.load, leaving: report.leaving })
+        let node = node.clone();
+        Some(async move {
+            let report = node.upstream.report(address).await?;
+            lock(&node.models).insert(name.clone(), report.models);
+            Some(UpstreamReport { upstream: name, load: report.load, leaving: report.leaving })
+        })
     });
     let questions: Vec<_> = questions.collect();
     let answers = stream::iter(questions).buffer_unordered(REPORTS_AT_ONCE);
-    answers.filter_map(|report| async { report }).collect().await
+    answers.filter_map(|report| async { report })
 }
 
 /// Takes in reports that another node of the failure domain passes on.
--- a/crates/fernring/src/node/state.rs
+++ b/crates/fernring/src/node/state.rs
@@ -72,7 +72,7 @@
     /// Names of the failure domain's upstreams by their short hash, for reports from others.
     pub(super) names: Mutex<Arc<HashMap<u32, String>>>,
     /// Reports of the upstreams that this node asks, for its heartbeats.
-    pub(super) reports: Mutex<Vec<ReportDigest>>,
+    pub(super) reports: Mutex<BTreeMap<u32, ReportDigest>>,
     pub(super) waiters: Mutex<HashMap<WaiterId, mpsc::UnboundedSender<WaiterEvent>>>,
     pub(super) cancels: Mutex<HashMap<u64, oneshot::Sender<()>>>,
     pub(super) timer_changed: Notify,
