Believe no refusal after a part has come

The shell can't bring that about (no connection, no part), but the decision took the end's word over the part's. Change: an attempt that has sent a part ends as failed, whatever it says. A focused test holds it.

--- a/crates/fernring-policy/src/assembly.rs
+++ b/crates/fernring-policy/src/assembly.rs
@@ -60,6 +60,11 @@
         &self.ordered
     }
 
+    /// Tells whether no part has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.ordered.is_empty() && self.ahead.is_empty()
+    }
+
     /// Tells whether every part up to the last one is there.
     pub fn is_complete(&self) -> bool {
         self.last.is_some_and(|last| self.ordered.len() as u64 == u64::from(last) + 1)
--- a/crates/fernring-policy/src/dispatcher/run.rs
+++ b/crates/fernring-policy/src/dispatcher/run.rs
@@ -227,10 +227,16 @@
             AttemptEnd::Completed if !attempt.invalid => attempt.assembly.whole(),
             _ => None,
         };
-        // An answer that ended properly but has a part missing is a failure.
-        let end = match (end, &output) {
-            (AttemptEnd::Completed, None) => AttemptEnd::Failed,
-            (end, _) => end,
+        let end = match end {
+            // An answer that ended properly but has a part missing is a failure.
+            AttemptEnd::Completed if output.is_none() => AttemptEnd::Failed,
+            // Whoever has sent a part has run something, whatever it says in the end.
+            AttemptEnd::NotSent | AttemptEnd::Refused | AttemptEnd::Leaving
+                if !attempt.assembly.is_empty() =>
+            {
+                AttemptEnd::Failed
+            }
+            end => end,
         };
         self.note_health(now, &attempt, end);
         let entry = self.ledger.get_mut(reference.request);
--- a/crates/fernring-policy/tests/testsuite/dispatcher.rs
+++ b/crates/fernring-policy/tests/testsuite/dispatcher.rs
@@ -503,3 +503,23 @@
     });
     assert_eq!(entries, Some(10));
 }
+
+#[test]
+fn an_upstream_that_sent_a_part_can_not_say_that_it_ran_nothing() {
+    let mut bench = usual();
+    let waiter = bench.submit("pure", None, 500);
+    let encode = bench.dispatches().pop().unwrap();
+    let part = EchoedPart {
+        uid: encode.uid,
+        stage: encode.attempt.stage,
+        attempt: encode.attempt.attempt,
+        part: Part { sequence: 0, text: "y".into(), last: false },
+    };
+    bench.handle(Event::Parts { attempt: encode.attempt, parts: vec![part] });
+    bench.end(&encode, AttemptEnd::NotSent);
+    for retry in bench.dispatches() {
+        bench.end(&retry, AttemptEnd::NotSent);
+    }
+    bench.advance(500);
+    assert_eq!(bench.answer(waiter).unwrap().code().class(), Class::Late);
+}
