Count a hedge that lost at the last stage as a hedge

Cause: the tour showed 67 ms 'abandoned' though every request was answered: a loser whose request ended before its own end was counted as abandoned work. Change: an attempt is marked when its twin's result is taken, and its time counts as hedged.

--- a/crates/fernring-policy/src/dispatcher/entry.rs
+++ b/crates/fernring-policy/src/dispatcher/entry.rs
@@ -170,6 +170,8 @@
     pub(crate) assembly: Assembly,
     /// Whether a part contradicted the answer; then the attempt can't succeed.
     pub(crate) invalid: bool,
+    /// Whether its twin's result was used instead.
+    pub(crate) superseded: bool,
 }
 
 impl Attempt {
@@ -192,6 +194,7 @@
             pool: stage.pool.clone(),
             assembly: Assembly::default(),
             invalid: false,
+            superseded: false,
         }
     }
 }
--- a/crates/fernring-policy/src/dispatcher/parts.rs
+++ b/crates/fernring-policy/src/dispatcher/parts.rs
@@ -38,7 +38,12 @@
             let losers: Vec<_> =
                 entry.live.iter().copied().filter(|live| *live != reference).collect();
             entry.live = vec![reference];
-            self.out.extend(losers.into_iter().map(Action::Cancel));
+            for loser in losers {
+                if let Some(attempt) = self.attempts.get_mut(&loser.attempt) {
+                    attempt.superseded = true;
+                }
+                self.out.push(Action::Cancel(loser));
+            }
         }
         self.deliver_ordered(request);
     }
--- a/crates/fernring-policy/src/dispatcher/run.rs
+++ b/crates/fernring-policy/src/dispatcher/run.rs
@@ -280,8 +280,7 @@
 
     /// Accounts for an attempt that nobody waits for any more.
     fn ended_after_use(&mut self, attempt: &Attempt, end: AttemptEnd, busy_ms: f64) {
-        let entry_lives = self.ledger.contains_key(attempt.reference.request);
-        let spent = if entry_lives { Spent::Hedged } else { Spent::Abandoned };
+        let spent = if attempt.superseded { Spent::Hedged } else { Spent::Abandoned };
         self.costs.add(cost_key(attempt), spent, busy_ms);
         if attempt.effect {
             let line = LogLine::event("effect_outcome_after_answer")
@@ -313,6 +312,7 @@
             .with("busy_ms", busy_ms.round() as u64);
         self.log(line);
         self.forecast.record(&name, &pipeline, stage, busy_ms);
+        self.supersede_live(request);
         self.cancel_live(request);
         let entry = &mut self.ledger[request];
         if entry.is_last_stage() {
@@ -357,6 +357,15 @@
         self.end_with(now, request, ResultCode::StageFailed);
     }
 
+    /// Marks the attempts of an entry that are under way as having lost against their twin.
+    fn supersede_live(&mut self, request: RequestId) {
+        for reference in &self.ledger[request].live {
+            if let Some(attempt) = self.attempts.get_mut(&reference.attempt) {
+                attempt.superseded = true;
+            }
+        }
+    }
+
     /// Cancels the attempts of an entry that are under way, except side effects: those are left
     /// to end, so that their outcome is known.
     pub(super) fn cancel_live(&mut self, request: RequestId) {
--- a/crates/fernring-policy/tests/testsuite/dispatcher.rs
+++ b/crates/fernring-policy/tests/testsuite/dispatcher.rs
@@ -281,6 +281,24 @@
     bench.complete(&next[0]);
     assert_eq!(bench.code(waiter), Some(ResultCode::Ok));
     assert_eq!(bench.dispatcher.counters().parts_late, 0);
+    let costs: Vec<_> = bench.dispatcher.costs().rows().map(|(_, cost)| *cost).collect();
+    assert!(costs.iter().any(|cost| cost.hedged_ms > 0.0), "{costs:?}");
+    assert!(costs.iter().all(|cost| cost.abandoned_ms == 0.0), "{costs:?}");
+}
+
+#[test]
+fn a_hedge_that_loses_at_the_last_stage_is_counted_as_a_hedge() {
+    let mut bench = usual();
+    bench.submit("pure", None, 10_000);
+    let encode = bench.dispatches().pop().unwrap();
+    bench.complete(&encode);
+    let first = bench.dispatches().pop().unwrap();
+    bench.advance(300);
+    let hedge = bench.dispatches().pop().expect("a hedge");
+    bench.complete(&first);
+    bench.end(&hedge, AttemptEnd::Cancelled);
+    let costs: Vec<_> = bench.dispatcher.costs().rows().map(|(_, cost)| *cost).collect();
+    assert!(costs.iter().all(|cost| cost.abandoned_ms == 0.0), "{costs:?}");
 }
 
 #[test]
