Give each test's upstreams an address of their own

Cause: sigterm_finishes_requests_and_streams_in_flight failed once (13 runs at the letters' stand-ins, 5 letters). All of the five answers were whole. Most likely, not shown: another test kills an upstream and goes on sending; its port was given out again to this test's stand-in, which recorded that test's attempts. Ruled out: nothing else by a run; the failing assertion did not print the runs, and now does. Change: the upstreams of each cluster listen on a loopback address that no other cluster of the process uses, so a freed port can't be met again.

--- a/crates/fernring-standins/src/cluster.rs
+++ b/crates/fernring-standins/src/cluster.rs
@@ -23,12 +23,16 @@
         collections::BTreeMap,
         fs,
         net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::atomic::{AtomicU32, Ordering},
         time::{Duration, Instant},
     },
     tempfile::TempDir,
     uuid::Uuid,
 };
 
+/// Clusters started by this process.
+static CLUSTERS: AtomicU32 = AtomicU32::new(0);
+
 /// Pause between two looks at something that is waited for.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -143,6 +147,16 @@
     IpAddr::V4(Ipv4Addr::new(127, 0, index as u8 + 1, 1))
 }
 
+/// Returns a loopback address that no other cluster of this process uses for its upstreams. A
+/// port of an upstream that was killed may be given out again, and the nodes of one test must
+/// not reach the upstreams of another under it.
+fn fresh_upstream_ip() -> IpAddr {
+    let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let (high, low) = ((process / 250 % 250) as u8, (process % 250) as u8);
+    IpAddr::V4(Ipv4Addr::new(127, 64 + (number % 128) as u8, high, 1 + low))
+}
+
 fn parse_listening(process: &Process, name: &str) -> anyhow::Result<SocketAddr> {
     let line = process.wait_line("listening", |line| {
         line.starts_with("listening") && value_of(line, "name") == Some(name)
@@ -186,6 +200,7 @@
     }
 
     fn start_upstreams(&mut self) -> anyhow::Result<()> {
+        let upstream_ip = fresh_upstream_ip();
         let mut groups: BTreeMap<String, Vec<UpstreamSpec>> = BTreeMap::new();
         for spec in self.spec.deployment.upstreams() {
             let alone = self.spec.process_per_upstream;
@@ -198,7 +213,9 @@
                 let behaviour = serde_json::to_string(&spec.behaviour)?;
                 args.push(format!("{}={behaviour}", spec.name));
             }
-            let args: Vec<&str> = args.iter().map(String::as_str).collect();
+            let ip = format!("--ip={upstream_ip}");
+            let args = std::iter::once(&ip).chain(&args);
+            let args: Vec<&str> = args.map(String::as_str).collect();
             let process = Process::start(&group, "standin_upstream", &args)?;
             for spec in specs {
                 let address = parse_listening(&process, &spec.name)?;
--- a/crates/fernring-standins/tests/testsuite/drain.rs
+++ b/crates/fernring-standins/tests/testsuite/drain.rs
@@ -54,7 +54,8 @@
     }
     let status = cluster.nodes[0].process.wait().unwrap();
     assert!(status.success(), "{status}");
-    assert_eq!(cluster.pool_runs("letters").await.unwrap().len(), 5);
+    let runs = cluster.pool_runs("letters").await.unwrap();
+    assert_eq!(runs.len(), 5, "{runs:?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
