Use the pool's slots in forecasts and one listing of a domain's upstreams

Cause: the forecast had a Room that copied the upstreams' Slots field by field, and two loops picked out a failure domain's upstreams by themselves. Change: Slots is used as it is; Catalog::domain lists them, as Catalog::pool does. Behaviour is the same.

--- a/crates/fernring-core/src/catalog.rs
+++ b/crates/fernring-core/src/catalog.rs
@@ -203,6 +203,16 @@
         members.map(|(name, upstream)| (name.as_str(), upstream.as_ref()))
     }
 
+    /// Lists the upstreams of a failure domain with their names.
+    pub fn domain<'a>(
+        &'a self,
+        failure_domain: &'a str,
+    ) -> impl Iterator<Item = (&'a str, &'a Upstream)> {
+        let all = self.upstreams.iter();
+        let own = all.filter(move |(_, upstream)| upstream.failure_domain == failure_domain);
+        own.map(|(name, upstream)| (name.as_str(), upstream.as_ref()))
+    }
+
     fn check_workspace(
         &self,
         entry: &str,
--- a/crates/fernring-policy/src/dispatcher/admit.rs
+++ b/crates/fernring-policy/src/dispatcher/admit.rs
@@ -5,7 +5,7 @@
         Dispatcher,
         entry::{ClaimState, Entry, Phase, Waiter},
         own::KeyPath,
-        predict::{Requester, Room},
+        predict::Requester,
         timers::TimerKind,
     },
     crate::{
@@ -137,10 +137,7 @@
     }
 
     fn predict_ms(&self, now: Now, submission: &Submission, terms: &Terms) -> f64 {
-        let room = |pool: &str| {
-            let slots = self.upstreams.slots(now.monotonic, pool);
-            Room { free: slots.free, total: slots.total }
-        };
+        let room = |pool: &str| self.upstreams.slots(now.monotonic, pool);
         let name = submission.pipeline.as_str().into();
         let requester =
             Requester { workspace: &submission.workspace, weight: terms.workspace.weight };
--- a/crates/fernring-policy/src/dispatcher/predict.rs
+++ b/crates/fernring-policy/src/dispatcher/predict.rs
@@ -1,7 +1,7 @@
 //! When a request would finish.
 
 use {
-    crate::estimate::Estimate,
+    crate::{estimate::Estimate, upstreams::Slots},
     fernring_core::catalog::Pipeline,
     std::{
         collections::{BTreeMap, HashMap},
@@ -26,13 +26,6 @@
     stage: u16,
 }
 
-/// How much room a pool has, for a forecast.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Room {
-    pub(crate) free: u64,
-    pub(crate) total: u64,
-}
-
 /// Service times by stage and the work that is still to come to each pool.
 #[derive(Debug, Default)]
 pub(crate) struct Forecast {
@@ -141,7 +134,7 @@
         name: &Arc<str>,
         pipeline: &Pipeline,
         requester: Requester<'_>,
-        room: impl Fn(&str) -> Room,
+        room: impl Fn(&str) -> Slots,
     ) -> f64 {
         let mut elapsed_ms: f64 = 0.0;
         let mut spread_ms: f64 = 0.0;
@@ -184,9 +177,9 @@
         pool: &str,
         expected_ms: u64,
         requester: Requester<'_>,
-        room: &impl Fn(&str) -> Room,
+        room: &impl Fn(&str) -> Slots,
     ) -> f64 {
-        let Room { free, total } = room(pool);
+        let Slots { free, total } = room(pool);
         if total == 0 {
             return f64::INFINITY;
         }
--- a/crates/fernring/src/node/report_loop.rs
+++ b/crates/fernring/src/node/report_loop.rs
@@ -44,8 +44,8 @@
     let now = node.now().monotonic;
     let membership = lock(&node.membership);
     let domain = node.identity.failure_domain.as_ref();
-    let own = catalog.upstreams.iter().filter(|(_, u)| u.failure_domain == domain);
-    own.map(|(name, _)| name.clone()).filter(|name| membership.asks(now, name)).collect()
+    let own = catalog.domain(domain).map(|(name, _)| name);
+    own.filter(|name| membership.asks(now, name)).map(str::to_owned).collect()
 }
 
 /// Asks upstreams for reports, and notes the models that they hold. Reports come in the order in
--- a/crates/fernring/src/node/state.rs
+++ b/crates/fernring/src/node/state.rs
@@ -388,8 +388,8 @@
         };
         info!("{}", LogLine::event("configured").with("version", version));
         let domain = self.identity.failure_domain.as_ref();
-        let own = catalog.upstreams.iter().filter(|(_, u)| u.failure_domain == domain);
-        let names = own.map(|(name, _)| (short_hash(name), name.clone())).collect();
+        let own = catalog.domain(domain);
+        let names = own.map(|(name, _)| (short_hash(name), name.to_owned())).collect();
         *lock(&self.names) = Arc::new(names);
         self.handle(Event::Configured(catalog));
     }
