One node of each failure domain reads the store; the rest follow it by heartbeats

Cause: every node held two waiting reads at the store.

Change: the first node of each domain by rendezvous reads; the first of these readers often, the others with long waits. Heartbeats say what version is known and when it was last confirmed; who is behind asks whoever it heard, and gets what changed since its number. Removals that may be lapses are marked for followers.

Tests: freshness::*, directory::*passes_on*, members::one_live_node_of_each_domain*.

--- a/crates/fernring-gateway/src/directory.rs
+++ b/crates/fernring-gateway/src/directory.rs
@@ -14,6 +14,9 @@
 /// promises about two seconds; a little is added for the reading.
 pub const RETURN_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Removals that are remembered for peers: about one day's at the long-run size, some 300 KB.
+const REMOVALS_MAX: usize = 4_096;
+
 /// A record, or the removal of one, with its number in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
@@ -59,6 +62,14 @@
         self.record.state == UpstreamState::Ready
     }
 
+    fn change(&self) -> Change {
+        Change {
+            instance: self.record.instance.clone(),
+            offset: self.offset,
+            record: Some(self.record.clone()),
+        }
+    }
+
     /// Tells whether its record has lapsed, so that others go first.
     pub fn is_doubtful(&self) -> bool {
         self.removal_due.is_some()
@@ -76,6 +87,8 @@
     removed: HashMap<Arc<str>, u64>,
     /// Up to when removals may be lapses.
     lapses_until: Duration,
+    /// Number from which on every change is known here; what was removed before may not be.
+    floor: u64,
     /// Number that the next record gets.
     end: u64,
 }
@@ -114,6 +127,44 @@
         self.lapses_until = now + RETURN_GRACE;
     }
 
+    /// Returns the time for which removals may still be lapses.
+    pub fn lapses_for(&self, now: Duration) -> Duration {
+        self.lapses_until.saturating_sub(now)
+    }
+
+    /// Says that removals may be lapses for some time, as a peer has found.
+    pub fn lapses_known(&mut self, now: Duration, time: Duration) {
+        self.lapses_until = self.lapses_until.max(now + time);
+    }
+
+    /// Says that everything before a number was taken in.
+    pub fn advance(&mut self, end: u64) {
+        self.end = self.end.max(end);
+    }
+
+    /// Lists what changed since a number, removals included; `None` if that isn't known here.
+    pub fn changes_since(&self, since: u64) -> Option<Vec<Change>> {
+        if since < self.floor {
+            return None;
+        }
+        let present = self.upstreams.values().filter(|u| u.offset >= since && !u.is_doubtful());
+        let present = present.map(Upstream::change);
+        let removed = self.removed.iter().filter(|(_, offset)| **offset >= since);
+        let removed = removed.map(|(instance, offset)| Change {
+            instance: instance.clone(),
+            offset: *offset,
+            record: None,
+        });
+        Some(present.chain(removed).collect())
+    }
+
+    /// Lists all upstreams as changes, without those whose records have lapsed: who doesn't know
+    /// these yet learns of them when they are back.
+    pub fn all_changes(&self) -> Vec<Change> {
+        let present = self.upstreams.values().filter(|upstream| !upstream.is_doubtful());
+        present.map(Upstream::change).collect()
+    }
+
     /// Takes in a change.
     pub fn apply(&mut self, now: Duration, change: Change) -> Effect {
         self.end = self.end.max(change.offset + 1);
@@ -134,6 +185,7 @@
             effects.push(self.remove(now, &instance, end.saturating_sub(1)));
         }
         self.end = end;
+        self.floor = end;
         effects
     }
 
@@ -172,21 +224,35 @@
     }
 
     fn remove(&mut self, now: Duration, instance: &Arc<str>, offset: u64) -> Effect {
-        let Some(key) = self.by_instance.get(instance).copied() else {
-            return Effect::None;
-        };
-        let upstream = &mut self.upstreams[key];
-        if offset < upstream.offset {
+        let key = self.by_instance.get(instance).copied();
+        if key.is_some_and(|key| offset < self.upstreams[key].offset) {
             return Effect::None;
         }
         self.removed.insert(instance.clone(), offset);
-        if now < self.lapses_until && upstream.takes_work() {
-            upstream.removal_due.get_or_insert(self.lapses_until);
+        self.forget_old_removals();
+        let Some(key) = key else {
+            return Effect::None;
+        };
+        if now < self.lapses_until && self.upstreams[key].takes_work() {
+            self.upstreams[key].removal_due.get_or_insert(self.lapses_until);
             return Effect::Held(key);
         }
         self.drop_upstream(key)
     }
 
+    /// Forgets the older half of the removals when there are too many; who asks for changes from
+    /// before gets all records.
+    fn forget_old_removals(&mut self) {
+        if self.removed.len() <= REMOVALS_MAX {
+            return;
+        }
+        let mut offsets: Vec<_> = self.removed.values().copied().collect();
+        let (_, middle, _) = offsets.select_nth_unstable(REMOVALS_MAX / 2);
+        let middle = *middle;
+        self.removed.retain(|_, offset| *offset >= middle);
+        self.floor = self.floor.max(middle);
+    }
+
     fn drop_upstream(&mut self, key: UpstreamKey) -> Effect {
         let Some(upstream) = self.upstreams.remove(key) else {
             return Effect::None;
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`exchange`]; streams are passed on by [`relay`].
 //!
 //! Decisions stand in modules without I/O: [`attempts`], [`batching`], [`budget`], [`config`],
-//! [`directory`], [`events`], [`members`], [`selection`], [`stage_plan`]. A platform's formats and
+//! [`directory`], [`events`], [`freshness`], [`members`], [`selection`], [`stage_plan`]. A platform's formats and
 //! calls are behind the traits of [`wire`]. Everything runs on one thread.
 //!
 //! ```
@@ -26,6 +26,7 @@
 pub mod directory;
 pub mod events;
 pub mod exchange;
+pub mod freshness;
 pub mod ingress;
 pub mod log;
 mod measures;
--- a/crates/fernring-gateway/src/members.rs
+++ b/crates/fernring-gateway/src/members.rs
@@ -18,6 +18,20 @@
 /// Silence after which a peer is forgotten and no more connected to, unless it is suggested anew.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
+/// What the reader of the store is chosen by.
+const READER: &str = "reader of the store";
+
+/// A node's part in reading the store for others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReaderPart {
+    /// It reads for its failure domain, and is the first of those that do.
+    First,
+    /// It reads for its failure domain.
+    OfDomain,
+    /// It follows others.
+    None,
+}
+
 /// What a node says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
@@ -29,10 +43,6 @@
     pub failure_domain: Arc<str>,
     /// Whether it is shutting down.
     pub is_draining: bool,
-    /// Version of the configuration in force there.
-    pub config_version: u64,
-    /// Number up to which it has taken in the upstreams' records.
-    pub directory_end: u64,
 }
 
 #[derive(Debug)]
@@ -125,11 +135,29 @@
     /// Returns the owner of something among the live nodes that stay: this node (`me`) or a peer,
     /// the first by rendezvous hashing. Nodes that hear the same peers name the same owner.
     pub fn owner(&self, now: Duration, me: &Member, what: &str) -> SocketAddr {
-        let rank = |member: &Member| {
-            let seed = xxh3_64_with_seed(member.address.to_string().as_bytes(), 0);
-            (!member.is_draining, xxh3_64_with_seed(what.as_bytes(), seed))
-        };
         let candidates = self.live(now).chain(std::iter::once(me));
-        candidates.max_by_key(|member| rank(member)).map_or(me.address, |member| member.address)
+        first_by_rank(candidates, what).map_or(me.address, |member| member.address)
+    }
+
+    /// Returns this node's (`me`) part in reading the store for the others.
+    pub fn reader_part(&self, now: Duration, me: &Member) -> ReaderPart {
+        let first = first_by_rank(self.live(now).chain(std::iter::once(me)), READER);
+        let domain = self.live(now).filter(|other| other.failure_domain == me.failure_domain);
+        let of_domain = first_by_rank(domain.chain(std::iter::once(me)), READER);
+        let is_me = |member: Option<&Member>| member.is_some_and(|m| m.address == me.address);
+        match (is_me(of_domain), is_me(first)) {
+            (true, true) => ReaderPart::First,
+            (true, false) => ReaderPart::OfDomain,
+            (false, _) => ReaderPart::None,
+        }
     }
 }
+
+/// Returns the first of some nodes by rendezvous hashing, those that leave after all others.
+fn first_by_rank<'a>(nodes: impl Iterator<Item = &'a Member>, what: &str) -> Option<&'a Member> {
+    let rank = |member: &&Member| {
+        let seed = xxh3_64_with_seed(member.address.to_string().as_bytes(), 0);
+        (!member.is_draining, xxh3_64_with_seed(what.as_bytes(), seed))
+    };
+    nodes.max_by_key(rank)
+}
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -4,6 +4,7 @@
     crate::{
         config::ConfigState,
         directory::Change,
+        freshness::Freshness,
         ingress::{Ingress, Phase},
         log,
         measures::{self, Readings},
@@ -15,15 +16,16 @@
         serve::Serving,
         settings::{NodeSettings, Settings, load},
         stages::Stages,
-        store_loops::StoreLoops,
+        store_loops::{Followed, PeerRecords, StoreLoops},
         upstreams::Upstreams,
-        wire::{Store, Topic, Wire},
+        wire::{Store, Wire},
     },
     anyhow::Context,
     bytes::Bytes,
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{
-        ConfigBytes, DirectoryRecord, DirectoryRecords, GatewayBody, GatewayHeartbeat, Nothing,
+        ConfigBytes, DirectoryRecord, DirectoryRecords, DirectoryRequest, GatewayBody,
+        GatewayHeartbeat, Nothing,
     },
     http::{Request, Response, StatusCode},
     http_body_util::Full,
@@ -55,6 +57,11 @@
 /// How often a shutting-down node looks whether everything is done.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Configurations that are sent to peers within an interval, in bytes, and the interval: a quarter of the
+/// smallest link that is in use, 10 Mbit/s. Nodes that have got it pass it on in turn.
+const CONFIG_SENT_BYTES_MAX: usize = 64 << 10;
+const CONFIG_SENT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A gateway node.
 pub struct Node {
     settings: RefCell<Settings>,
@@ -68,6 +75,8 @@
     serving: Rc<Serving>,
     loops: Rc<StoreLoops>,
     render: Box<dyn Fn() -> String>,
+    /// Since when configurations were sent to peers, and how many bytes.
+    config_sent: Cell<(Duration, usize)>,
 }
 
 /// What a node is built on.
@@ -139,8 +148,6 @@
             address: settings.node.peer_address,
             failure_domain: failure_domain.clone(),
             is_draining: false,
-            config_version: 0,
-            directory_end: 0,
         };
         let config = Rc::new(RefCell::new(ConfigState::default()));
         let upstreams = Rc::new(Upstreams::new(failure_domain));
@@ -165,6 +172,7 @@
             in_flight: Cell::new(0),
         });
         let ingress = Rc::new(Ingress::new(serving.clone(), config.clone()));
+        let started_at = clock.now().monotonic;
         let loops = Rc::new(StoreLoops {
             clock,
             wire: wire.clone(),
@@ -173,7 +181,10 @@
             upstreams: upstreams.clone(),
             owner: owner.clone(),
             peers: peers.clone(),
-            config_read_at: Cell::default(),
+            config_freshness: RefCell::new(Freshness::new(rand::random())),
+            directory_freshness: RefCell::new(Freshness::new(rand::random())),
+            ask_at: Default::default(),
+            started_at,
             store_answers: Cell::new(true),
         });
         spawn_local(owner.clone().run());
@@ -191,6 +202,7 @@
             serving,
             loops,
             render,
+            config_sent: Cell::default(),
         });
         peers.set_handler(node.clone());
         node
@@ -215,8 +227,7 @@
         spawn_local(self.loops.clone().follow_config());
         spawn_local(self.loops.clone().follow_upstreams());
         spawn_local(self.loops.clone().join());
-        let asking = self.clone();
-        spawn_local(self.loops.clone().catch_up(move |peer, topic| asking.ask(peer, topic)));
+        spawn_local(self.loops.clone().expire());
         spawn_local(self.clone().watch_settings(settings_path));
         stop.await;
         self.shut_down().await;
@@ -320,11 +331,10 @@
     }
 
     fn render_metrics(&self) -> String {
-        let now = self.serving.now();
         let directory = self.upstreams.directory();
         measures::set(Readings {
             config_version: self.config.borrow().version(),
-            config_age: self.loops.config_read_at.get().map(|at| now.saturating_sub(at)),
+            config_age: self.loops.age(Followed::Config),
             nodes: self.peers.nodes(),
             upstreams: directory.iter().filter(|(_, upstream)| upstream.takes_work()).count(),
             in_flight: self.serving.in_flight.get(),
@@ -340,42 +350,80 @@
         has_config && self.ingress.phase() == Phase::Serving
     }
 
-    fn ask(&self, peer: SocketAddr, topic: Topic) {
-        let body = match topic {
-            Topic::Config => GatewayBody::ConfigRequest(Nothing {}),
-            Topic::Upstreams | Topic::Nodes => GatewayBody::DirectoryRequest(Nothing {}),
+    fn ask(&self, peer: SocketAddr, what: Followed) {
+        let since = self.upstreams.directory().end();
+        let body = match what {
+            Followed::Config => GatewayBody::ConfigRequest(Nothing {}),
+            Followed::Upstreams => GatewayBody::DirectoryRequest(DirectoryRequest { since }),
         };
         self.peers.send(peer, body);
     }
 
+    /// Passes the configuration on, unless too much of it was sent just now: whoever gets none
+    /// finds another that has it with the next heartbeats.
     fn send_config(&self, peer: SocketAddr) {
-        if let Some(held) = self.config.borrow().current() {
-            let config = ConfigBytes { record: held.bytes.clone() };
-            self.peers.send(peer, GatewayBody::Config(config));
+        let Some(held) = self.config.borrow().current() else {
+            return;
+        };
+        let now = self.serving.now();
+        let (since, sent) = self.config_sent.get();
+        let (since, sent) =
+            if now < since + CONFIG_SENT_INTERVAL { (since, sent) } else { (now, 0) };
+        if sent > 0 && sent + held.bytes.len() > CONFIG_SENT_BYTES_MAX {
+            return;
         }
+        self.config_sent.set((since, sent + held.bytes.len()));
+        let age_ms = self.age_ms(Followed::Config);
+        let config = ConfigBytes { record: held.bytes.clone(), age_ms };
+        self.peers.send(peer, GatewayBody::Config(config));
     }
 
-    fn send_directory(&self, peer: SocketAddr) {
+    fn send_directory(&self, peer: SocketAddr, since: u64) {
         let directory = self.upstreams.directory();
-        let records = directory.iter().map(|(_, u)| directory_record(&u.record, u.offset));
-        let records = DirectoryRecords { end: directory.end(), records: records.collect() };
+        let (changes, is_whole) = match directory.changes_since(since) {
+            Some(changes) => (changes, false),
+            None => (directory.all_changes(), true),
+        };
+        let records = DirectoryRecords {
+            end: directory.end(),
+            records: changes.iter().map(directory_record).collect(),
+            is_whole,
+            lapses_ms: directory.lapses_for(self.serving.now()).as_millis() as u32,
+            age_ms: self.age_ms(Followed::Upstreams),
+        };
         self.peers.send(peer, GatewayBody::Directory(records));
     }
 
     fn take_directory(&self, records: DirectoryRecords) {
-        let changes = records.records.into_iter().filter_map(change_from).collect();
-        self.loops.take_peer_upstreams(changes, records.end);
+        self.loops.take_peer_upstreams(PeerRecords {
+            end: records.end,
+            changes: records.records.into_iter().filter_map(change_from).collect(),
+            is_whole: records.is_whole,
+            lapses_for: Duration::from_millis(records.lapses_ms.into()),
+            age: records.age_ms.map(from_ms),
+        });
+    }
+
+    fn age_ms(&self, what: Followed) -> Option<u32> {
+        let age = self.loops.age(what)?;
+        Some(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
     }
 }
 
+fn from_ms(ms: u32) -> Duration {
+    Duration::from_millis(ms.into())
+}
+
 impl PeerHandler for Node {
     fn message(&self, sender: SocketAddr, body: GatewayBody) {
         match body {
             // Taken in by `Peers` itself.
             GatewayBody::Heartbeat(_) => {}
             GatewayBody::ConfigRequest(_) => self.send_config(sender),
-            GatewayBody::Config(config) => self.loops.take_config(config.record, "peer"),
-            GatewayBody::DirectoryRequest(_) => self.send_directory(sender),
+            GatewayBody::Config(config) => {
+                self.loops.take_peer_config(config.record, config.age_ms.map(from_ms));
+            }
+            GatewayBody::DirectoryRequest(request) => self.send_directory(sender, request.since),
             GatewayBody::Directory(records) => self.take_directory(records),
             GatewayBody::Work(work) => self.stages.work(sender, work),
             GatewayBody::WorkDone(done) => self.stages.done(sender, done),
@@ -392,11 +440,22 @@
         if *heartbeat.failure_domain == *self.settings.borrow().node.failure_domain {
             self.upstreams.peer_found_unreachable(self.serving.now(), &heartbeat.unreachable);
         }
+        let known = [
+            (Followed::Config, heartbeat.config_version, heartbeat.config_age_ms),
+            (Followed::Upstreams, heartbeat.directory_end, heartbeat.directory_age_ms),
+        ];
+        for (what, mark, age_ms) in known {
+            if self.loops.heard(what, mark, age_ms.map(from_ms)) {
+                self.ask(sender, what);
+            }
+        }
     }
 
     fn describe(&self, heartbeat: &mut GatewayHeartbeat) {
         heartbeat.config_version = self.config.borrow().version();
         heartbeat.directory_end = self.upstreams.directory().end();
+        heartbeat.config_age_ms = self.age_ms(Followed::Config);
+        heartbeat.directory_age_ms = self.age_ms(Followed::Upstreams);
         heartbeat.unreachable = self.upstreams.unreachable(self.serving.now());
         (heartbeat.load_upstreams, heartbeat.load_weights) =
             self.upstreams.own_loads().into_iter().unzip();
@@ -413,20 +472,29 @@
     std::fs::metadata(path).and_then(|data| data.modified()).ok()
 }
 
-fn directory_record(record: &UpstreamRecord, offset: u64) -> DirectoryRecord {
+fn directory_record(change: &Change) -> DirectoryRecord {
+    let instance = change.instance.to_string();
+    let Some(record) = &change.record else {
+        let offset = change.offset;
+        return DirectoryRecord { instance, offset, is_removed: true, ..Default::default() };
+    };
     DirectoryRecord {
-        instance: record.instance.to_string(),
-        offset,
+        instance,
+        offset: change.offset,
         service: record.service.to_string(),
         address: record.address.to_string(),
         failure_domain: record.failure_domain.to_string(),
         slots: record.slots,
         is_draining: record.state == UpstreamState::Draining,
+        is_removed: false,
     }
 }
 
 fn change_from(record: DirectoryRecord) -> Option<Change> {
     let instance: Arc<str> = record.instance.into();
+    if record.is_removed {
+        return Some(Change { instance, offset: record.offset, record: None });
+    }
     let state = match record.is_draining {
         true => UpstreamState::Draining,
         false => UpstreamState::Ready,
--- a/crates/fernring-gateway/src/peers.rs
+++ b/crates/fernring-gateway/src/peers.rs
@@ -4,7 +4,7 @@
     crate::{
         connections::{CONNECT_TIMEOUT, UNACKNOWLEDGED_MAX, connect},
         log,
-        members::{HEARTBEAT_INTERVAL, Member, Members},
+        members::{HEARTBEAT_INTERVAL, Member, Members, ReaderPart},
     },
     bytes::Bytes,
     fernring_core::{clock::Clock, text::LogLine},
@@ -113,18 +113,9 @@
         !own && self.members.borrow().is_silent(self.now(), failure_domain)
     }
 
-    /// Returns a live peer that has a newer configuration, if any has.
-    pub fn ahead_in_config(&self, version: u64) -> Option<SocketAddr> {
-        let members = self.members.borrow();
-        let newest = members.live(self.now()).max_by_key(|member| member.config_version)?;
-        (newest.config_version > version).then_some(newest.address)
-    }
-
-    /// Returns a live peer that has newer records of upstreams, if any has.
-    pub fn ahead_in_directory(&self, end: u64) -> Option<SocketAddr> {
-        let members = self.members.borrow();
-        let newest = members.live(self.now()).max_by_key(|member| member.directory_end)?;
-        (newest.directory_end > end).then_some(newest.address)
+    /// Returns this node's part in reading the store for the others.
+    pub fn reader_part(&self) -> ReaderPart {
+        self.members.borrow().reader_part(self.now(), &self.me.borrow())
     }
 
     /// Sends a message. A link that fails reports the peer as lost.
@@ -222,8 +213,6 @@
             address: sender,
             failure_domain: Arc::from(heartbeat.failure_domain.as_str()),
             is_draining: heartbeat.is_draining,
-            config_version: heartbeat.config_version,
-            directory_end: heartbeat.directory_end,
         };
         let is_new = self.members.borrow_mut().heard(self.now(), member);
         self.suggest(heartbeat.peers.iter().filter_map(|peer| peer.parse().ok()));
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -1,13 +1,15 @@
 //! Keeping up with the platform's store: the configuration, the upstreams, the nodes.
 //!
 //! Each topic is read whole once, then followed by one call at a time that waits for the next
-//! record.
+//! record: by one node of each failure domain, whose peers follow it (see [`crate::freshness`]).
 
 use {
     crate::{
         config::ConfigState,
         directory::{Change, Effect},
+        freshness::{DOUBT_AFTER, Freshness, read_wait},
         log, measures,
+        members::ReaderPart,
         owner::Owner,
         peers::Peers,
         upstreams::Upstreams,
@@ -18,29 +20,30 @@
     rand::RngExt,
     std::{
         cell::{Cell, RefCell},
-        net::SocketAddr,
-        ops::Range,
         rc::Rc,
         time::Duration,
     },
     tokio::time::sleep,
 };
 
-/// Wait of one read for a record, drawn anew for each. A longer one costs fewer calls; but a store that
-/// falls silent and returns is noticed only when a read ends, and then by whichever node's ends
-/// first: so they are short enough, and not in step.
-const READ_WAIT: Range<Duration> = Duration::from_secs(2)..Duration::from_secs(5);
 /// Pause after a failed call, at first; doubled up to [`PAUSE_MAX`].
 const PAUSE_FIRST: Duration = Duration::from_millis(250);
-/// Longest pause after a failed call. All nodes together ask a store that is out some ten times a
-/// second then, and learn of its return within one.
+/// Longest pause of a reader after a failed call: the return of a store that was out is known
+/// within a second.
 const PAUSE_MAX: Duration = Duration::from_millis(700);
+/// Longest pause of any other node, which asks only because it hears nothing new.
+const STAND_IN_PAUSE_MAX: Duration = Duration::from_secs(2);
+/// How often a node that doesn't read looks whether it has to.
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after the start in which a node doesn't know its peers yet, so that it takes nobody's part.
+const START_TIME: Duration = Duration::from_secs(1);
+/// Shortest time between two questions to peers for what they know and this node doesn't.
+const ASK_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause between two reads of the upstreams' records, so that the heartbeats of all of them don't
 /// cost a call each. Well below the time after which a leaving upstream may get no new work.
-const GATHER_PAUSE: Duration = Duration::from_millis(400);
-/// How often the upstreams whose records lapsed are looked through, and peers are asked for what
-/// the store doesn't tell.
-const CATCH_UP_INTERVAL: Duration = Duration::from_millis(200);
+const GATHER_PAUSE: Duration = Duration::from_millis(600);
+/// How often the upstreams whose records lapsed are looked through.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Tries to remove this node's own record when it shuts down.
 const REMOVE_TRIES: u32 = 2;
 
@@ -60,16 +63,55 @@
     pub owner: Rc<Owner>,
     /// The other nodes.
     pub peers: Rc<Peers>,
-    /// When the configuration was last read from the store.
-    pub config_read_at: Cell<Option<Duration>>,
+    /// How well the configuration is known.
+    pub config_freshness: RefCell<Freshness>,
+    /// How well the upstreams' records are known.
+    pub directory_freshness: RefCell<Freshness>,
+    /// When peers may be asked again, for the configuration and for the upstreams' records.
+    pub ask_at: [Cell<Duration>; 2],
+    /// When the node started.
+    pub started_at: Duration,
     /// Whether the last call on the upstreams' records was answered.
     pub store_answers: Cell<bool>,
 }
 
+/// The topics that nodes pass on to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Followed {
+    /// The configuration; it is marked by its version.
+    Config,
+    /// The upstreams' records, marked by the number up to which they are known.
+    Upstreams,
+}
+
+impl Followed {
+    fn topic(self) -> Topic {
+        match self {
+            Self::Config => Topic::Config,
+            Self::Upstreams => Topic::Upstreams,
+        }
+    }
+}
+
+/// Records of upstreams that a peer passes on.
+#[derive(Debug)]
+pub struct PeerRecords {
+    /// Number up to which they are known.
+    pub end: u64,
+    /// The records.
+    pub changes: Vec<Change>,
+    /// Whether these are all; if not, those since the number that was asked for.
+    pub is_whole: bool,
+    /// Time for which removals may still be lapses.
+    pub lapses_for: Duration,
+    /// Time since they were the newest for sure.
+    pub age: Option<Duration>,
+}
+
 impl StoreLoops {
     /// Follows the configuration.
     pub async fn follow_config(self: Rc<Self>) {
-        self.follow(Topic::Config, Duration::ZERO, |page, _| {
+        self.follow(Followed::Config, Duration::ZERO, |page, _| {
             for record in page.records {
                 if let Some(value) = record.value {
                     self.take_config(value, "store");
@@ -81,36 +123,50 @@
 
     /// Follows the upstreams' records.
     pub async fn follow_upstreams(self: Rc<Self>) {
-        self.follow(Topic::Upstreams, GATHER_PAUSE, |page, is_whole| {
+        self.follow(Followed::Upstreams, GATHER_PAUSE, |page, is_whole| {
             self.take_upstreams(page, is_whole);
         })
         .await;
     }
 
-    /// Reads a topic whole, then follows it.
-    async fn follow(&self, topic: Topic, gather: Duration, take: impl Fn(Page, bool)) {
+    /// Reads a topic whole, then follows it whenever this node has to.
+    async fn follow(&self, what: Followed, gather: Duration, take: impl Fn(Page, bool)) {
+        let topic = what.topic();
         let mut from = None;
         let mut pause = PAUSE_FIRST;
         let mut has_failed = false;
         loop {
-            // After a failure the question is whether the store is back, and that has no time.
-            let wait =
-                if has_failed { Duration::ZERO } else { rand::rng().random_range(READ_WAIT) };
+            let part = self.part();
+            if !self.freshness(what).borrow().shall_read(self.now(), part) {
+                (pause, has_failed) = (PAUSE_FIRST, false);
+                sleep(WATCH_INTERVAL).await;
+                continue;
+            }
+            from = from.map(|from| self.known_to(what, from));
             let answer = match from {
                 None => self.store.newest(topic).await,
-                Some(from) => self.store.read(topic, from, wait).await,
+                Some(from) => {
+                    let wait = self.read_wait(what, part, has_failed);
+                    tokio::select! {
+                        answer = self.store.read(topic, from, wait) => answer,
+                        () = self.silence(what, wait) => continue,
+                    }
+                }
             };
             has_failed = answer.is_err();
             match answer {
                 Ok(page) => {
-                    self.answered(topic);
                     pause = PAUSE_FIRST;
                     let is_whole = from.is_none();
                     let has_records = !page.records.is_empty();
                     // An end below what was read means that the store has lost its history.
                     let went_back = from.is_some_and(|from| page.end < from);
                     from = (!went_back).then_some(page.end);
+                    self.answered(what);
                     take(page, is_whole);
+                    if !went_back {
+                        self.freshness(what).borrow_mut().was_read(self.now(), part);
+                    }
                     if has_records && !gather.is_zero() {
                         sleep(gather).await;
                     }
@@ -122,20 +178,101 @@
                 Err(error) => {
                     self.did_not_answer(topic, &error);
                     sleep(pause).await;
-                    pause = (pause * 2).min(PAUSE_MAX);
+                    let is_reader = part != ReaderPart::None;
+                    let pause_max = if is_reader { PAUSE_MAX } else { STAND_IN_PAUSE_MAX };
+                    pause = (pause * 2).min(pause_max);
                 }
             }
         }
     }
 
-    fn answered(&self, topic: Topic) {
-        measures::store_called(topic.name(), "answered");
-        match topic {
-            Topic::Config => self.config_read_at.set(Some(self.now())),
-            Topic::Upstreams => self.upstreams.records_read(self.now()),
-            Topic::Nodes => {}
+    /// Returns the number to read on from: peers may have told more than this node has read.
+    fn known_to(&self, what: Followed, from: u64) -> u64 {
+        match what {
+            Followed::Config => from,
+            Followed::Upstreams => self.upstreams.directory().end().max(from),
+        }
+    }
+
+    /// Returns how long the next read waits for a record. After a failure the question is whether
+    /// the store is back, and after silence what it holds; these have no time.
+    fn read_wait(&self, what: Followed, part: ReaderPart, has_failed: bool) -> Duration {
+        match has_failed || self.freshness(what).borrow().is_in_doubt(self.now()) {
+            true => Duration::ZERO,
+            false => rand::rng().random_range(read_wait(part)),
+        }
+    }
+
+    /// Waits until a read that was to last for `wait` has lasted too long: nothing has confirmed
+    /// for a while what is known.
+    async fn silence(&self, what: Followed, wait: Duration) {
+        sleep(DOUBT_AFTER.min(wait)).await;
+        while wait.is_zero() || !self.freshness(what).borrow().is_in_doubt(self.now()) {
+            sleep(WATCH_INTERVAL).await;
+        }
+    }
+
+    /// Returns this node's part in reading the store for others.
+    fn part(&self) -> ReaderPart {
+        match self.now() >= self.started_at + START_TIME {
+            true => self.peers.reader_part(),
+            false => ReaderPart::None,
+        }
+    }
+
+    fn freshness(&self, what: Followed) -> &RefCell<Freshness> {
+        match what {
+            Followed::Config => &self.config_freshness,
+            Followed::Upstreams => &self.directory_freshness,
+        }
+    }
+
+    /// Returns the time since what is known was the newest for sure.
+    pub fn age(&self, what: Followed) -> Option<Duration> {
+        self.freshness(what).borrow().age(self.now())
+    }
+
+    /// Returns the mark of what is known.
+    fn mark(&self, what: Followed) -> u64 {
+        match what {
+            Followed::Config => self.config.borrow().version(),
+            Followed::Upstreams => self.upstreams.directory().end(),
+        }
+    }
+
+    /// Takes in what a peer says of its knowledge; tells whether it is to be asked for it.
+    pub fn heard(&self, what: Followed, mark: u64, age: Option<Duration>) -> bool {
+        let (now, own) = (self.now(), self.mark(what));
+        if mark == own
+            && let Some(age) = age
+        {
+            self.known_from_peer(what, age);
+        }
+        let ask_at = &self.ask_at[what as usize];
+        if mark <= own || now < ask_at.get() {
+            return false;
+        }
+        ask_at.set(now + ASK_INTERVAL);
+        true
+    }
+
+    fn known_from_peer(&self, what: Followed, age: Duration) {
+        let now = self.now();
+        self.freshness(what).borrow_mut().confirmed(now.saturating_sub(age));
+        if what == Followed::Upstreams && !self.freshness(what).borrow().is_stale(now) {
+            // Peers hear the store again; whether records may have lapsed, they say themselves.
+            self.store_answers.set(true);
+            self.upstreams.records_read(now.saturating_sub(age));
+        }
+    }
+
+    fn answered(&self, what: Followed) {
+        measures::store_called(what.topic().name(), "answered");
+        if what == Followed::Config {
+            return;
         }
-        if topic == Topic::Upstreams && !self.store_answers.replace(true) {
+        self.upstreams.records_read(self.now());
+        if !self.store_answers.replace(true) {
             self.upstreams.store_was_out(self.now());
             log::info(LogLine::event("store_regained"));
         }
@@ -174,6 +311,7 @@
             true => self.upstreams.replace(now, changes, page.end),
             false => self.upstreams.apply(now, changes),
         };
+        self.upstreams.advance(page.end);
         self.upstreams_changed(&effects);
     }
 
@@ -188,13 +326,30 @@
         }
     }
 
+    /// Takes in a configuration that a peer passes on, which was the newest `age` ago.
+    pub fn take_peer_config(&self, record: Bytes, age: Option<Duration>) {
+        self.take_config(record, "peer");
+        if let Some(age) = age {
+            self.known_from_peer(Followed::Config, age);
+        }
+    }
+
     /// Takes in records of upstreams that a peer passes on.
-    pub fn take_peer_upstreams(&self, changes: Vec<Change>, end: u64) {
-        if self.store_answers.get() || end <= self.upstreams.directory().end() {
+    pub fn take_peer_upstreams(&self, records: PeerRecords) {
+        if records.end <= self.upstreams.directory().end() {
             return;
         }
-        let effects = self.upstreams.replace(self.now(), changes, end);
+        let now = self.now();
+        self.upstreams.lapses_known(now, records.lapses_for);
+        let effects = match records.is_whole {
+            true => self.upstreams.replace(now, records.changes, records.end),
+            false => self.upstreams.apply(now, records.changes),
+        };
+        self.upstreams.advance(records.end);
         self.upstreams_changed(&effects);
+        if let Some(age) = records.age {
+            self.known_from_peer(Followed::Upstreams, age);
+        }
     }
 
     fn upstreams_changed(&self, effects: &[Effect]) {
@@ -214,25 +369,13 @@
         self.owner.upstreams_changed(effects);
     }
 
-    /// Asks peers for what the store doesn't tell, and lets lapsed upstreams go, for as long as
-    /// the process runs.
-    pub async fn catch_up(self: Rc<Self>, ask: impl Fn(SocketAddr, Topic)) {
+    /// Lets lapsed upstreams go, for as long as the process runs.
+    pub async fn expire(self: Rc<Self>) {
         loop {
-            sleep(CATCH_UP_INTERVAL).await;
+            sleep(EXPIRY_INTERVAL).await;
             let effects = self.upstreams.expire(self.now());
             self.upstreams_changed(&effects);
             self.upstreams.set_nodes(self.peers.nodes());
-            let version = self.config.borrow().version();
-            if let Some(peer) = self.peers.ahead_in_config(version) {
-                ask(peer, Topic::Config);
-            }
-            if self.store_answers.get() {
-                continue;
-            }
-            let end = self.upstreams.directory().end();
-            if let Some(peer) = self.peers.ahead_in_directory(end) {
-                ask(peer, Topic::Upstreams);
-            }
         }
     }
 
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -170,6 +170,16 @@
         self.settle(effects)
     }
 
+    /// Says that everything before a number was taken in.
+    pub fn advance(&self, end: u64) {
+        self.directory.borrow_mut().advance(end);
+    }
+
+    /// Says that removals may be lapses for some time, as a peer has found.
+    pub fn lapses_known(&self, now: Duration, time: Duration) {
+        self.directory.borrow_mut().lapses_known(now, time);
+    }
+
     /// Says that the store did not answer until now.
     pub fn store_was_out(&self, now: Duration) {
         self.directory.borrow_mut().store_was_out(now);
--- a/crates/fernring-gateway/tests/testsuite/directory.rs
+++ b/crates/fernring-gateway/tests/testsuite/directory.rs
@@ -98,3 +98,86 @@
     assert_eq!(left, ["b", "c"]);
     assert_eq!(directory.end(), 6);
 }
+
+/// Passes on to one directory what another knows and it doesn't.
+fn pass_on(from: &Directory, to: &mut Directory) {
+    let end = from.end();
+    match from.changes_since(to.end()) {
+        Some(changes) => changes.into_iter().for_each(|change| {
+            to.apply(NOW, change);
+        }),
+        None => {
+            to.replace(NOW, from.all_changes(), end);
+        }
+    }
+    to.advance(end);
+}
+
+fn instances(directory: &Directory) -> Vec<String> {
+    let names = directory.iter().map(|(_, upstream)| upstream.record.instance.to_string());
+    let mut names: Vec<_> = names.collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn a_peer_passes_on_what_changed_since_a_number_and_no_more() {
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    reader.replace(NOW, vec![ready("a", 1), ready("b", 2)], 3);
+    pass_on(&reader, &mut follower);
+    assert_eq!(instances(&follower), ["a", "b"]);
+    reader.apply(NOW, removed("a", 3));
+    reader.apply(NOW, ready("c", 4));
+    let changes = reader.changes_since(3).expect("known since the whole reading");
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    pass_on(&reader, &mut follower);
+    assert_eq!(instances(&follower), ["b", "c"]);
+    assert_eq!(follower.end(), 5);
+}
+
+#[test]
+fn a_peer_that_has_not_seen_a_removal_passes_on_all_records() {
+    let (mut late, mut follower) = (Directory::default(), Directory::default());
+    follower.apply(NOW, ready("a", 1));
+    follower.apply(NOW, ready("b", 2));
+    // The removal of `a` was record 3, before the late one started.
+    late.replace(NOW, vec![ready("b", 2)], 4);
+    assert_eq!(late.changes_since(follower.end()), None);
+    pass_on(&late, &mut follower);
+    assert_eq!(instances(&follower), ["b"]);
+}
+
+#[test]
+fn a_removal_that_may_be_a_lapse_is_one_for_followers_too() {
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    reader.replace(NOW, vec![ready("a", 1)], 2);
+    pass_on(&reader, &mut follower);
+    reader.store_was_out(NOW);
+    reader.apply(NOW, removed("a", 2));
+    follower.lapses_known(NOW, reader.lapses_for(NOW));
+    pass_on(&reader, &mut follower);
+    assert!(follower.iter().all(|(_, upstream)| upstream.is_doubtful()));
+    assert_eq!(instances(&follower), ["a"]);
+    assert_eq!(follower.expire(NOW + RETURN_GRACE).len(), 1);
+}
+
+#[test]
+fn removals_are_passed_on_by_those_who_never_knew_the_upstream() {
+    let (mut second, mut third) = (Directory::default(), Directory::default());
+    third.apply(NOW, ready("a", 1));
+    second.advance(2);
+    second.apply(NOW, removed("a", 2));
+    pass_on(&second, &mut third);
+    assert!(instances(&third).is_empty());
+}
+
+#[test]
+fn removals_are_not_kept_for_ever() {
+    let mut directory = Directory::default();
+    for number in 0..20_000u64 {
+        directory.apply(NOW, removed(&format!("i-{number}"), number));
+    }
+    assert_eq!(directory.changes_since(0), None);
+    let known = directory.changes_since(directory.end() - 1_000).expect("the newest are kept");
+    assert_eq!(known.len(), 1_000);
+}
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod directory;
 mod events;
+mod freshness;
 mod members;
 mod refusal;
 mod selection;
--- a/crates/fernring-gateway/tests/testsuite/members.rs
+++ b/crates/fernring-gateway/tests/testsuite/members.rs
@@ -1,7 +1,7 @@
 //! Live nodes and owners.
 
 use {
-    fernring_gateway::members::{Member, Members, SILENCE_MAX},
+    fernring_gateway::members::{Member, Members, ReaderPart, SILENCE_MAX},
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
 
@@ -15,8 +15,6 @@
         address: address(number),
         failure_domain: failure_domain.into(),
         is_draining: false,
-        config_version: 0,
-        directory_end: 0,
     }
 }
 
@@ -86,3 +84,38 @@
     members.expire(Duration::ZERO, Duration::from_secs(60));
     assert!(members.contacts().is_empty());
 }
+
+#[test]
+fn one_live_node_of_each_domain_reads_the_store_and_one_of_these_often() {
+    let domains = ["a", "a", "a", "b", "b", "b", "c"];
+    let all: Vec<_> =
+        domains.iter().enumerate().map(|(n, domain)| member(n as u16 + 1, domain)).collect();
+    let parts = |gone: &[SocketAddr]| {
+        let there: Vec<_> = all.iter().filter(|m| !gone.contains(&m.address)).collect();
+        let part = |me: &&Member| {
+            let mut members = Members::default();
+            for other in there.iter().filter(|other| other.address != me.address) {
+                members.heard(Duration::ZERO, (*other).clone());
+            }
+            (me.failure_domain.to_string(), members.reader_part(Duration::ZERO, me), me.address)
+        };
+        there.iter().map(part).collect::<Vec<_>>()
+    };
+    let readers = |gone: &[SocketAddr]| {
+        let reading = parts(gone).into_iter().filter(|(_, part, _)| *part != ReaderPart::None);
+        reading.collect::<Vec<_>>()
+    };
+    let calm = readers(&[]);
+    let read: Vec<_> = calm.iter().map(|(domain, ..)| domain.as_str()).collect();
+    assert_eq!(read, ["a", "b", "c"]);
+    let first = |readers: &[(String, ReaderPart, SocketAddr)]| {
+        let first: Vec<_> =
+            readers.iter().filter(|(_, part, _)| *part == ReaderPart::First).collect();
+        assert_eq!(first.len(), 1);
+        first[0].2
+    };
+    let lost = first(&calm);
+    let after = readers(&[lost]);
+    assert!(after.iter().all(|(_, _, address)| *address != lost));
+    assert_ne!(first(&after), lost);
+}
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -28,7 +28,7 @@
     Config(ConfigBytes),
     /// Asks for the upstreams' records.
     #[prost(message, tag = "5")]
-    DirectoryRequest(Nothing),
+    DirectoryRequest(DirectoryRequest),
     /// The upstreams' records.
     #[prost(message, tag = "6")]
     Directory(DirectoryRecords),
@@ -80,6 +80,21 @@
     /// Short hashes of the instances of upstreams that took no connection of late.
     #[prost(fixed32, repeated, tag = "9")]
     pub unreachable: Vec<u32>,
+    /// Time since the store, directly or through peers, has shown that the configuration is its newest, in
+    /// milliseconds.
+    #[prost(uint32, optional, tag = "10")]
+    pub config_age_ms: Option<u32>,
+    /// The same of the upstreams' records.
+    #[prost(uint32, optional, tag = "11")]
+    pub directory_age_ms: Option<u32>,
+}
+
+/// Asks for the upstreams' records.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct DirectoryRequest {
+    /// Number up to which they are known; 0 for all.
+    #[prost(uint64, tag = "1")]
+    pub since: u64,
 }
 
 /// The configuration in force.
@@ -88,6 +103,9 @@
     /// Its record in the store.
     #[prost(bytes = "bytes", tag = "1")]
     pub record: bytes::Bytes,
+    /// Time since the store has shown that it is the newest, in milliseconds.
+    #[prost(uint32, optional, tag = "2")]
+    pub age_ms: Option<u32>,
 }
 
 /// Records of upstreams.
@@ -99,6 +117,15 @@
     /// The records.
     #[prost(message, repeated, tag = "2")]
     pub records: Vec<DirectoryRecord>,
+    /// Whether these are all records; if not, those since the number that was asked for.
+    #[prost(bool, tag = "3")]
+    pub is_whole: bool,
+    /// Time for which removals may still be lapses, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub lapses_ms: u32,
+    /// Time since the store has shown that these are its newest, in milliseconds.
+    #[prost(uint32, optional, tag = "5")]
+    pub age_ms: Option<u32>,
 }
 
 /// The record of one upstream.
@@ -125,6 +152,9 @@
     /// Whether it is leaving.
     #[prost(bool, tag = "7")]
     pub is_draining: bool,
+    /// Whether it was removed; only instance and number are set then.
+    #[prost(bool, tag = "8")]
+    pub is_removed: bool,
 }
 
 /// Pieces of one stage of one request.
