Give pieces of an overdue stage call to another maker as well; makers in a module of their own

Change: after 2.2 times the usual time and 0.1 s the pieces wait for another maker too; the first result counts, the other is given up. Makers slow twice in a row are left out for 1.5 s. What is known of makers moved from owner.rs to makers.rs, without I/O.

--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -94,6 +94,11 @@
         self.begun.remove(&work);
     }
 
+    /// Drops a piece that was made meanwhile.
+    pub fn drop_piece(&mut self, work: u64, number: u32) {
+        self.tasks.retain(|task| task.work != work || task.piece.number != number);
+    }
+
     /// Takes out the pieces whose time would be over before a call could end.
     pub fn take_expired(&mut self, now: Duration, shape: &BatchShape) -> Vec<Task> {
         let earliest_end = now + shape.call_time;
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`exchange`]; streams are passed on by [`relay`].
 //!
 //! Decisions stand in modules without I/O: [`attempts`], [`batching`], [`budget`], [`config`],
-//! [`directory`], [`events`], [`freshness`], [`members`], [`selection`], [`stage_plan`]. A platform's formats and
+//! [`directory`], [`events`], [`freshness`], [`makers`], [`members`], [`selection`], [`stage_plan`]. A platform's formats and
 //! calls are behind the traits of [`wire`]. Everything runs on one thread.
 //!
 //! ```
@@ -29,6 +29,7 @@
 pub mod freshness;
 pub mod ingress;
 pub mod log;
+pub mod makers;
 mod measures;
 pub mod members;
 pub mod model;
--- a/crates/fernring-gateway/src/owner.rs
+++ b/crates/fernring-gateway/src/owner.rs
@@ -10,7 +10,9 @@
         config::ConfigState,
         connections::SendFailure,
         directory::Effect,
-        log, measures,
+        log,
+        makers::{Kept, Maker, MakerSet, overdue_after, usual_time},
+        measures,
         model::{BatchShape, Piece, PieceInput, PieceOutcome, Service, UpstreamKey},
         peers::Peers,
         upstreams::{Target, Upstreams, maker_address},
@@ -21,11 +23,11 @@
     http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header::CONTENT_TYPE},
     http_body_util::{BodyExt, Full},
     rand::seq::SliceRandom,
-    slotmap::SecondaryMap,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
+        pin::pin,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -43,8 +45,6 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
 /// How long results that are given up wait for others before they are told to their maker.
 const RELEASE_DELAY: Duration = Duration::from_millis(15);
-/// How long a refusal for want of room is remembered: about a call.
-const UNKNOWN_ROOM_TIME: Duration = Duration::from_millis(250);
 /// What a result takes beside its said size, which is approximate.
 const RESULT_SIZE_MARGIN: f64 = 1.08;
 /// Longest answer of a call that is read, in bytes: a handle or reason for each piece, with room.
@@ -115,40 +115,6 @@
     service: Arc<str>,
 }
 
-#[derive(Debug, Default)]
-struct Maker {
-    /// When the call under way will have ended, about; `None` without one.
-    busy_until: Option<Duration>,
-    /// The results that lie there, by handle.
-    kept: HashMap<Arc<str>, Kept>,
-    /// Bytes of results that are being made.
-    making: u64,
-    /// Bytes that something else takes, as a refusal for want of room has shown, and until when
-    /// that is believed.
-    unknown: Option<(u64, Duration)>,
-}
-
-/// A result that lies at its maker.
-#[derive(Debug)]
-struct Kept {
-    bytes: u64,
-    made_at: Duration,
-    /// The node that asked for it.
-    asker: SocketAddr,
-}
-
-impl Maker {
-    fn expire(&mut self, now: Duration, lifetime: Duration) {
-        self.kept.retain(|_, kept| now < kept.made_at + lifetime);
-        self.unknown = self.unknown.filter(|(_, until)| now < *until);
-    }
-
-    fn kept_bytes(&self) -> u64 {
-        let unknown = self.unknown.map_or(0, |(bytes, _)| bytes);
-        self.kept.values().map(|kept| kept.bytes).sum::<u64>() + self.making + unknown
-    }
-}
-
 /// The stage services that this node owns, or did.
 pub struct Owner {
     clock: Rc<dyn Clock>,
@@ -158,7 +124,7 @@
     peers: Rc<Peers>,
     queues: RefCell<BTreeMap<Arc<str>, BatchQueue>>,
     works: RefCell<HashMap<u64, OpenWork>>,
-    makers: RefCell<SecondaryMap<UpstreamKey, Maker>>,
+    makers: RefCell<MakerSet>,
     releases: RefCell<HashMap<UpstreamKey, Vec<Arc<str>>>>,
     next_work: Cell<u64>,
 }
@@ -219,8 +185,7 @@
     pub fn release_of(&self, asker: SocketAddr) {
         let mut releases = self.releases.borrow_mut();
         for (key, maker) in self.makers.borrow().iter() {
-            let theirs = maker.kept.iter().filter(|(_, kept)| kept.asker == asker);
-            let handles: Vec<_> = theirs.map(|(handle, _)| handle.clone()).collect();
+            let handles: Vec<_> = maker.asked_by(asker).cloned().collect();
             if !handles.is_empty() {
                 releases.entry(key).or_default().extend(handles);
             }
@@ -270,7 +235,7 @@
     fn forget(&self, key: UpstreamKey, handles: &[Arc<str>]) {
         if let Some(maker) = self.makers.borrow_mut().get_mut(key) {
             for handle in handles {
-                maker.kept.remove(handle);
+                maker.forget(handle);
             }
         }
     }
@@ -318,9 +283,10 @@
         for (target, room) in self.free_makers(service_name, &shape) {
             let now = self.now();
             let tasks = match self.queues.borrow_mut().get_mut(service_name) {
-                Some(queue) => queue.take(now, &shape, room, &target.failure_domain, |domain| {
-                    self.makers_in(service_name, domain)
-                }),
+                Some(queue) => {
+                    let makers_in = |domain: &str| self.makers_in(service_name, domain);
+                    queue.take(now, &shape, room, &target.failure_domain, makers_in)
+                }
                 None => return,
             };
             if !tasks.is_empty() {
@@ -374,22 +340,11 @@
             self.upstreams.candidates(now, service, |domain| self.peers.is_silent(domain));
         // Others that are merely busy come free soon, so one that is avoided waits for them.
         let any_sound = candidates.iter().any(|candidate| !candidate.is_avoided);
-        let mut makers = self.makers.borrow_mut();
-        let mut free = Vec::new();
-        for candidate in candidates {
-            let maker = makers.get_mut(candidate.key).map(|maker| {
-                maker.expire(now, shape.result_lifetime);
-                &*maker
-            });
-            let is_busy = maker.as_ref().is_some_and(|maker| maker.busy_until.is_some());
-            if is_busy || (candidate.is_avoided && any_sound) {
-                continue;
-            }
-            let kept = maker.map_or(0, Maker::kept_bytes);
-            if let Some(target) = self.upstreams.target(candidate.key) {
-                free.push((target, shape.result_room_bytes.saturating_sub(kept)));
-            }
-        }
+        let usable = candidates.iter().filter(|candidate| !candidate.is_avoided || !any_sound);
+        let usable: Vec<_> = usable.map(|candidate| candidate.key).collect();
+        let free = self.makers.borrow_mut().free(now, &usable, shape);
+        let target = |(key, room): (UpstreamKey, u64)| Some((self.upstreams.target(key)?, room));
+        let mut free: Vec<_> = free.into_iter().filter_map(target).collect();
         free.shuffle(&mut rand::rng());
         free
     }
@@ -401,7 +356,7 @@
         let there = directory.of_service(service).filter(|(_, upstream)| {
             upstream.takes_work() && *upstream.record.failure_domain == *failure_domain
         });
-        let free_at = |key| makers.get(key).and_then(|maker| maker.busy_until).unwrap_or_default();
+        let free_at = |key| makers.get(key).and_then(Maker::busy_until).unwrap_or_default();
         let times: Vec<_> = there.map(|(key, _)| free_at(key)).collect();
         let free_at = *times.iter().min()?;
         Some(Makers { count: times.len(), free_at })
@@ -415,29 +370,63 @@
         tasks: Vec<Task>,
     ) {
         let bytes: u64 = tasks.iter().map(|task| task.result_bytes).sum();
-        if let Some(entry) = self.makers.borrow_mut().entry(target.key) {
-            let maker = entry.or_default();
-            let call = shape.call_time + shape.piece_time * tasks.len() as u32;
-            maker.busy_until = Some(self.now() + call);
-            maker.making += bytes;
+        let started = self.now();
+        let usual = usual_time(&shape, tasks.len());
+        if let Some(maker) = self.makers.borrow_mut().of(target.key) {
+            maker.call_began(started + usual, bytes);
         }
         let owner = self.clone();
         let connections_max = service.connections_max;
         let service = service.name.clone();
-        let started = self.now();
         let waiting = self.queues.borrow().get(&service).map_or(0, BatchQueue::len);
         spawn_local(async move {
-            let end = owner.call(&target, connections_max, &shape, &tasks).await;
+            let call = owner.call(&target, connections_max, &shape, &tasks);
+            let (end, was_overdue) = owner.watched(call, &service, &target, &shape, &tasks).await;
             owner.log_call(&service, &target, &tasks, started, waiting);
+            let now = owner.now();
             if let Some(maker) = owner.makers.borrow_mut().get_mut(target.key) {
-                maker.busy_until = None;
-                maker.making -= bytes;
+                maker.call_ended(bytes);
+                if end.is_ok() {
+                    maker.took(now, now.saturating_sub(started), usual);
+                }
             }
-            owner.call_ended(&service, &target, tasks, end);
+            owner.call_ended(&service, &target, tasks, end, was_overdue);
             owner.pump(&service);
         });
     }
 
+    /// Waits for a call's end; once it is overdue, its pieces are given to another maker as well.
+    /// Tells whether that was so.
+    async fn watched<T>(
+        self: &Rc<Self>,
+        call: impl Future<Output = T>,
+        service: &Arc<str>,
+        target: &Target,
+        shape: &BatchShape,
+        tasks: &[Task],
+    ) -> (T, bool) {
+        let mut call = pin!(call);
+        let patience = overdue_after(shape, tasks.len());
+        if let Ok(end) = timeout(patience, &mut call).await {
+            return (end, false);
+        }
+        let line = LogLine::event("stage_call_overdue").with("service", service);
+        let line = line.with("upstream", &target.instance).with("pieces", tasks.len());
+        log::info(line.with("after_ms", patience.as_millis()));
+        for task in tasks.iter().filter(|task| has_further_call(task)) {
+            self.put_back(service, Task { calls: task.calls + 1, ..task.clone() });
+        }
+        self.pump(service);
+        (call.await, true)
+    }
+
+    /// Tells whether a piece's result is there, or not needed any more.
+    fn is_made(&self, task: &Task) -> bool {
+        let works = self.works.borrow();
+        let work = works.get(&task.work);
+        work.is_none_or(|work| work.handles[task.piece.number as usize].is_some())
+    }
+
     fn log_call(
         &self,
         service: &Arc<str>,
@@ -473,7 +462,7 @@
         let pieces: Vec<_> = tasks.iter().map(piece).collect();
         let call = self.wire.encode_batch(&pieces);
         let request = self.request(target, call.path, call.body);
-        let expected = shape.call_time + shape.piece_time * tasks.len() as u32;
+        let expected = usual_time(shape, tasks.len());
         let exchange = async {
             let answer = self.upstreams.send(target, connections_max, request).await?;
             let fields = self.wire.decode_answer(answer.head.status, &answer.head.headers);
@@ -518,8 +507,11 @@
         target: &Target,
         tasks: Vec<Task>,
         end: Result<Vec<PieceOutcome>, CallFailure>,
+        was_overdue: bool,
     ) {
         let now = self.now();
+        // Of these, another copy waits or is in a call already.
+        let goes_on = |task: &Task| was_overdue && has_further_call(task);
         let outcomes = match end {
             Ok(outcomes) => {
                 self.upstreams.succeeded(target.key);
@@ -539,14 +531,17 @@
                     .with("pieces", tasks.len())
                     .with("error", &failure);
                 log::warn(line);
-                for task in tasks {
+                for task in tasks.into_iter().filter(|task| !goes_on(task)) {
                     self.retry(service, task, !matches!(failure, CallFailure::NotSent(_)));
                 }
                 return;
             }
         };
         for (task, outcome) in tasks.into_iter().zip(outcomes) {
-            self.piece_ended(service, target, task, outcome);
+            let is_repeated = matches!(outcome, PieceOutcome::NoRoom | PieceOutcome::Failed);
+            if !(is_repeated && goes_on(&task)) {
+                self.piece_ended(service, target, task, outcome);
+            }
         }
     }
 
@@ -566,7 +561,7 @@
     fn piece_made(&self, service: &Arc<str>, target: &Target, task: &Task, handle: Arc<str>) {
         if let Some(maker) = self.makers.borrow_mut().get_mut(target.key) {
             let kept = Kept { bytes: task.result_bytes, made_at: self.now(), asker: task.asker };
-            maker.kept.insert(handle.clone(), kept);
+            maker.keep(handle.clone(), kept);
         }
         let mut works = self.works.borrow_mut();
         let Some(work) = works.get_mut(&task.work) else {
@@ -574,7 +569,17 @@
             self.release(service, [handle]);
             return;
         };
-        work.handles[task.piece.number as usize] = Some(handle);
+        let place = &mut work.handles[task.piece.number as usize];
+        if place.is_some() {
+            // Another maker was given the piece as well and was faster.
+            drop(works);
+            self.release(service, [handle]);
+            return;
+        }
+        *place = Some(handle);
+        if let Some(queue) = self.queues.borrow_mut().get_mut(service) {
+            queue.drop_piece(task.work, task.piece.number);
+        }
         if work.handles.iter().any(Option::is_none) {
             return;
         }
@@ -591,21 +596,24 @@
     /// or results are larger than they were said to be.
     fn had_no_room(&self, service: &Arc<str>, target: &Target, task: &Task) {
         let room = self.service(service).map_or(0, |(_, shape)| shape.result_room_bytes);
-        if let Some(maker) = self.makers.borrow_mut().get_mut(target.key) {
-            let known = maker.kept_bytes();
-            if maker.unknown.is_none() {
-                let line = LogLine::event("maker_full").with("upstream", &target.instance);
-                let line = line.with("service", service).with("kept_bytes", known);
-                log::info(line.with("result_bytes", task.result_bytes));
-            }
-            let unknown = room.saturating_sub(known);
-            maker.unknown.get_or_insert((unknown, self.now() + UNKNOWN_ROOM_TIME));
+        let mut makers = self.makers.borrow_mut();
+        let Some(maker) = makers.get_mut(target.key) else {
+            return;
+        };
+        let known = maker.kept_bytes();
+        if maker.had_no_room(self.now(), room) {
+            let line = LogLine::event("maker_full").with("upstream", &target.instance);
+            let line = line.with("service", service).with("kept_bytes", known);
+            log::info(line.with("result_bytes", task.result_bytes));
         }
     }
 
     /// Puts a piece back whose call failed, or fails its work. `was_sent` says whether the
     /// upstream may have worked on it.
     fn retry(&self, service: &Arc<str>, mut task: Task, was_sent: bool) {
+        if self.is_made(&task) {
+            return;
+        }
         task.calls += u32::from(was_sent);
         match task.calls < CALLS_MAX {
             true => self.put_back(service, task),
@@ -614,7 +622,7 @@
     }
 
     fn put_back(&self, service: &Arc<str>, task: Task) {
-        if self.works.borrow().contains_key(&task.work) {
+        if !self.is_made(&task) {
             self.queues.borrow_mut().entry(service.clone()).or_default().push(task);
         }
     }
@@ -637,6 +645,11 @@
     }
 }
 
+/// Tells whether a piece may go into a further call.
+fn has_further_call(task: &Task) -> bool {
+    task.calls + 1 < CALLS_MAX
+}
+
 /// Tells a work's end to who asked for it; if nobody waits any more, nothing is to be told.
 fn reply(reply: Reply, end: WorkEnd) {
     drop(reply.send(end));
--- a/crates/fernring-gateway/tests/testsuite/batching.rs
+++ b/crates/fernring-gateway/tests/testsuite/batching.rs
@@ -123,3 +123,27 @@
     assert_eq!(take(&mut queue, 10_000), [3]);
     assert!(queue.is_empty());
 }
+
+#[test]
+fn a_maker_takes_what_is_read_near_it_before_what_is_read_elsewhere() {
+    let read_in =
+        |work, domain: &str, due_ms| Task { near: Some(domain.into()), ..task(work, due_ms) };
+    let one = BatchShape { pieces_max: 1, ..shape() };
+    let mut queue_at_hand = queue([read_in(1, "b", 900), read_in(2, "a", 1_100)]);
+    assert_eq!(queue_at_hand.take(NOW, &one, 10_000, "a", no_makers)[0].work, 2);
+    let mut urgent = queue([read_in(1, "b", 900), read_in(2, "a", 3_000)]);
+    assert_eq!(urgent.take(NOW, &one, 10_000, "a", no_makers)[0].work, 1, "unless that is urgent");
+}
+
+#[test]
+fn a_piece_that_was_made_elsewhere_is_not_made_again() {
+    let piece = |number| {
+        let mut task = task(1, 900);
+        task.piece.number = number;
+        task
+    };
+    let mut queue = queue([piece(0), piece(1)]);
+    queue.drop_piece(1, 0);
+    let left = queue.take(NOW, &shape(), 10_000, "a", no_makers);
+    assert_eq!(left.iter().map(|task| task.piece.number).collect::<Vec<_>>(), [1]);
+}
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod events;
 mod freshness;
+mod makers;
 mod members;
 mod refusal;
 mod selection;
