Give stages up at 0.3 of the time or 0.55 of the callers' patience

Cause: in a crowd a request waited up to 0.45 of its time for stages and was refused then, too late to come back.

--- a/crates/fernring-gateway/src/exchange.rs
+++ b/crates/fernring-gateway/src/exchange.rs
@@ -40,10 +40,10 @@
 const GENERATION_LOAD_TOKENS: f64 = 200.0;
 /// Part of its time that a request may wait for its stages. One that is refused then is refused
 /// late, but one that is held longer only keeps others waiting.
-const HOLD_PART: f64 = 0.45;
+const HOLD_PART: f64 = 0.3;
 /// Part of the caller's patience that a request may wait for its stages. The rest is for the
 /// model engine.
-const PATIENCE_PART: f64 = 0.8;
+const PATIENCE_PART: f64 = 0.55;
 /// Wait of a stage for its turn, as a part of a call without pieces.
 const TURN_PART: f64 = 0.5;
 /// What one piece makes or reads, in bytes, from which on it is placed by failure domain. What
