--- a/crates/fernring-gateway/src/exchange.rs
+++ b/crates/fernring-gateway/src/exchange.rs
@@ -163,10 +163,20 @@
     /// Model engine that the results are made for.
     home: Option<Target>,
     resume_after: Option<u64>,
+    /// When bytes of the answer came first and last, and the longest pause between.
+    passed_on: Option<PassedOn>,
     is_ended: bool,
     _in_flight: InFlight,
 }
 
+/// What of a stream was passed on, and when.
+#[derive(Debug, Clone, Copy)]
+struct PassedOn {
+    first_at: Duration,
+    last_at: Duration,
+    longest_pause: Duration,
+}
+
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.release_all();
@@ -199,6 +209,7 @@
             tried: Vec::new(),
             inputs: Vec::new(),
             home: None,
+            passed_on: None,
             is_ended: false,
             serving,
             request,
@@ -241,6 +252,15 @@
             opened.load.reduce_to(GENERATION_LOAD_TOKENS);
         }
         self.release_all();
+        let now = self.serving.now();
+        let passed_on = self.passed_on.get_or_insert(PassedOn {
+            first_at: now,
+            last_at: now,
+            longest_pause: Duration::ZERO,
+        });
+        let pause = now.saturating_sub(passed_on.last_at);
+        passed_on.longest_pause = passed_on.longest_pause.max(pause);
+        passed_on.last_at = now;
     }
 
     /// Sends a stream once more that broke off, with the results of its stages made anew: those of
@@ -467,6 +487,8 @@
     pub fn finished(&mut self, end: Ended<'_>) {
         self.is_ended = true;
         let took = self.serving.now().saturating_sub(self.arrived_at);
+        let first_ms =
+            self.passed_on.map(|p| p.first_at.saturating_sub(self.arrived_at).as_millis());
         measures::request_ended(&self.route.name, end.name(), took);
         let line = LogLine::event("request_ended")
             .with("request", &self.request.id)
@@ -478,6 +500,8 @@
             .with("config", self.serving.config.borrow().version())
             .with("took_ms", took.as_millis())
             .with("left_ms", self.time_left().as_millis())
+            .with_some("first_ms", first_ms)
+            .with_some("pause_ms", self.passed_on.map(|p| p.longest_pause.as_millis()))
             .with_some("detail", end.detail());
         match end {
             Ended::Answered { .. } | Ended::CallerLeft => log::info(line),
