Higher ranks go two calls ahead, pieces read in the maker's domain one

Cause: requests of the lowest rank take most of the pieces; in a crowd they went before those that miss nothing but a call's time. And a crowded queue sent large results across domains that another maker there would have made a call later. Tests: batching::a_maker_takes_what_is_read_near_it_before_what_is_read_elsewhere.

--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -13,11 +13,14 @@
 /// Most calls that a piece is put into before its stage fails.
 pub const CALLS_MAX: u32 = 3;
 
-/// Head start of each rank over the next: about one call. Measured against 100 and 1,000 ms.
-const RANK_STEP: Duration = Duration::from_millis(300);
+/// Head start of each rank over the next: about two calls. Measured against 300 and 2,000 ms.
+const RANK_STEP: Duration = Duration::from_millis(700);
 /// Calls' worth of waiting pieces from which on every maker takes whatever waits. Lateness costs
 /// most of a request's worth, what crosses between domains a few hundredths.
 const CROWDED_CALLS: usize = 3;
+/// Head start of pieces whose results are read in the maker's own domain: about one call, which is what
+/// another maker would have to be waited for.
+const FAR_STEP: Duration = Duration::from_millis(300);
 /// Ranks that count; all below are alike.
 const RANKS_MAX: u32 = 8;
 
@@ -121,8 +124,11 @@
         let full_call = shape.call_time + shape.piece_time * shape.pieces_max as u32;
         let misses = |task: &Task| task.due_at < now + full_call;
         let begun = &self.begun;
-        let order =
-            |task: &Task| (!begun.contains(&task.work), misses(task), urgency(task), task.work);
+        let far = |task: &Task| task.near.as_ref().is_some_and(|near| **near != *failure_domain);
+        let order = |task: &Task| {
+            let turn = urgency(task) + if far(task) { FAR_STEP } else { Duration::ZERO };
+            (!begun.contains(&task.work), misses(task), turn, task.work)
+        };
         self.tasks.sort_by_cached_key(order);
         let is_crowded = self.tasks.len() > CROWDED_CALLS * shape.pieces_max;
         // Pieces that will be read in each domain, among those looked at so far.
