Never join a failure to a stream, nor a stream to a failure

Cause: a stream that broke off was sent on to another upstream, and whatever that answered was passed on as the rest. When it answered with a failure of its own, the failure's body followed the events and the whole looked complete. The other way round, a failure whose body broke off went on with the events of a stream under the failure's head. Ruled out: the splitter (bytes of a cut event were dropped as they should). Change: only a success goes on elsewhere, and only with a success; a failure counts as a failed send.

--- a/crates/fernring-gateway/src/relay.rs
+++ b/crates/fernring-gateway/src/relay.rs
@@ -40,6 +40,8 @@
     splitter: EventSplitter,
     /// Number of the last whole event that was passed on.
     last_event: Option<u64>,
+    /// Whether it may go on at another upstream. A failure may not: its head has been passed on.
+    is_resumable: bool,
     is_done: bool,
 }
 
@@ -47,7 +49,9 @@
     /// Starts to pass on a stream whose head has come.
     pub fn new(exchange: Exchange, opened: Opened) -> Self {
         let last_event = exchange.resume_after();
-        Self { exchange, opened, splitter: EventSplitter::default(), last_event, is_done: false }
+        let is_resumable = exchange.repeat() == Repeat::Resume && opened.status().is_success();
+        let splitter = EventSplitter::default();
+        Self { exchange, opened, splitter, last_event, is_resumable, is_done: false }
     }
 
     /// Waits for the next bytes to pass on; `None` at the end.
@@ -80,12 +84,11 @@
         if left.is_zero() {
             return Err(RelayError::TimedOut);
         }
-        let resumable = self.exchange.repeat() == Repeat::Resume;
-        let patience = if resumable { left.min(SILENCE_MAX) } else { left };
+        let patience = if self.is_resumable { left.min(SILENCE_MAX) } else { left };
         match timeout(patience, next_bytes(&mut self.opened.body)).await {
             Ok(Some(Ok(bytes))) => {
                 self.exchange.got_bytes(&mut self.opened);
-                Ok(Some(self.take(bytes, resumable)?))
+                Ok(Some(self.take(bytes)?))
             }
             Ok(None) => Ok(None),
             Ok(Some(Err(error))) => self.resume(error).await,
@@ -94,8 +97,8 @@
         }
     }
 
-    fn take(&mut self, bytes: Bytes, resumable: bool) -> Result<Bytes, RelayError> {
-        if !resumable {
+    fn take(&mut self, bytes: Bytes) -> Result<Bytes, RelayError> {
+        if !self.is_resumable {
             return Ok(bytes);
         }
         let whole = self.splitter.push(&bytes);
@@ -113,15 +116,19 @@
         // Closed before another upstream is asked, so that two never work on it.
         self.opened.body.close();
         self.exchange.send_ended(&self.opened, SendEnd::Unknown);
-        if self.exchange.repeat() != Repeat::Resume {
+        if !self.is_resumable {
             return Err(RelayError::Broken(reason));
         }
-        match self.exchange.reopen(self.last_event).await {
-            Ok(opened) => {
-                self.opened = opened;
-                Ok(Some(Bytes::new()))
+        loop {
+            match self.exchange.reopen(self.last_event).await {
+                Ok(opened) if opened.status().is_success() => {
+                    self.opened = opened;
+                    return Ok(Some(Bytes::new()));
+                }
+                // A failure's body is no event: it must not reach the caller.
+                Ok(failed) => self.exchange.send_ended(&failed, SendEnd::Unknown),
+                Err(_) => return Err(RelayError::Broken(reason)),
             }
-            Err(_) => Err(RelayError::Broken(reason)),
         }
     }
 }
