A proof of its own for requests that were never sent; read_body without nested matches

Found on the last reading: the refusal before a configuration made its NotRun through an empty account of sends, and read_body nested a match in a match.

--- a/crates/fernring-gateway/src/attempts.rs
+++ b/crates/fernring-gateway/src/attempts.rs
@@ -9,6 +9,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NotRun(());
 
+impl NotRun {
+    /// Returns the proof for a request that is refused before any account of sends exists for it.
+    pub(crate) fn never_sent() -> Self {
+        Self(())
+    }
+}
+
 /// How one send to an upstream ended without an answer to pass on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendEnd {
--- a/crates/fernring-gateway/src/serve.rs
+++ b/crates/fernring-gateway/src/serve.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        attempts::SendEnd,
+        attempts::{NotRun, SendEnd},
         config::{ConfigState, HeldConfig},
         exchange::{CallerRequest, Ended, InFlight},
         ingress::RequestGuard,
@@ -247,16 +247,8 @@
 }
 
 fn not_ready() -> Refusal {
-    let nothing_sent = crate::attempts::Attempts::new(crate::model::Repeat::Never, 1).not_run();
-    match nothing_sent {
-        Some(not_run) => Refusal::not_run(
-            not_run,
-            ResultCode::NotReady,
-            RETRY_AFTER_NOT_READY,
-            "no configuration",
-        ),
-        None => unreachable!("a request that was never sent has not run"),
-    }
+    let (code, after) = (ResultCode::NotReady, RETRY_AFTER_NOT_READY);
+    Refusal::not_run(NotRun::never_sent(), code, after, "no configuration")
 }
 
 fn check_host(head: &request::Parts) -> Result<(), Refusal> {
@@ -289,33 +281,31 @@
     Ok(found)
 }
 
-async fn read_body(body: Incoming, bytes_max: usize, time_max: Duration) -> Result<Bytes, Refusal> {
+async fn read_body(
+    mut body: Incoming,
+    bytes_max: usize,
+    time_max: Duration,
+) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let declared = body.size_hint().lower();
-    let mut body = body;
-    let is_too_long = declared > bytes_max as u64;
-    let read = timeout(time_max, Limited::new(&mut body, bytes_max).collect());
-    let error = match is_too_long {
-        true => None,
-        false => match read.await {
-            Err(_) => return Err(Refusal::slow_body()),
-            Ok(Ok(whole)) => return Ok(whole.to_bytes()),
-            Ok(Err(error)) => Some(error),
-        },
-    };
-    match error {
-        Some(error) if !error.is::<LengthLimitError>() => {
-            Err(Refusal::incorrect(ResultCode::BadRequest, error.to_string()))
-        }
-        _ => {
-            discard(body).await;
-            Err(Refusal::incorrect(ResultCode::BodyTooLarge, format!("over {bytes_max} bytes")))
-        }
+    if body.size_hint().lower() > bytes_max as u64 {
+        return Err(too_long(body, bytes_max).await);
+    }
+    let read = timeout(time_max, Limited::new(&mut body, bytes_max).collect()).await;
+    match read {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_long(body, bytes_max).await),
+        Ok(Err(error)) => Err(Refusal::incorrect(ResultCode::BadRequest, error.to_string())),
+        Err(_) => Err(Refusal::slow_body()),
     }
 }
 
+async fn too_long(body: Incoming, bytes_max: usize) -> Refusal {
+    discard(body).await;
+    Refusal::incorrect(ResultCode::BodyTooLarge, format!("over {bytes_max} bytes"))
+}
+
 /// Reads on for a while, since closing a connection with unread bytes resets it and the answer
 /// would be lost.
 async fn discard(mut body: Incoming) {
