A soak of the gateway with real processes, and tests of the store's calls over HTTP

Ruled out as a fault: plain requests without an answer at a node that stops as planned were not passed on (they crossed its close), so they are counted only if an upstream ran them.

--- /dev/null
+++ b/crates/fernring-standins/examples/soak/faults.rs
@@ -0,0 +1,205 @@
+//! Faults from outside, drawn at random: signals to nodes, upstreams that leave or crash, outages of the store,
+//! and changes of the configuration.
+
+use {
+    crate::{
+        ledger::Ledger,
+        nodes::Nodes,
+        upstreams::{Upstream, Upstreams},
+    },
+    clap::ValueEnum,
+    fernring_standins::{
+        message::read_message,
+        store::{Mode, StandinStore},
+    },
+    nix::sys::signal::Signal,
+    rand::{RngExt, rngs::StdRng, seq::IndexedRandom},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::AsyncWriteExt,
+        net::TcpStream,
+        time::{sleep, timeout},
+    },
+};
+
+/// Time in which a configuration has to be in force: the users' two seconds and a little.
+const IN_FORCE_MAX: Duration = Duration::from_millis(2_600);
+/// How long a leaving upstream goes on serving.
+const LEAVING_TIME: Duration = Duration::from_secs(3);
+/// Time before the end in which nothing new is done, so that everything can settle.
+const QUIET_END: Duration = Duration::from_secs(3);
+
+/// A kind of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub(crate) enum Kind {
+    /// SIGKILL of a node.
+    Kill,
+    /// SIGTERM of a node.
+    Stop,
+    /// A node stands still.
+    Freeze,
+    /// An upstream leaves as planned.
+    Leave,
+    /// An upstream is gone.
+    Crash,
+    /// The store refuses.
+    StoreBusy,
+    /// The store doesn't answer.
+    StoreSilent,
+    /// A new configuration.
+    Config,
+}
+
+const ALL: [Kind; 8] = [
+    Kind::Kill,
+    Kind::Stop,
+    Kind::Freeze,
+    Kind::Leave,
+    Kind::Crash,
+    Kind::StoreBusy,
+    Kind::StoreSilent,
+    Kind::Config,
+];
+
+/// What faults are done to.
+#[derive(Clone)]
+pub(crate) struct World {
+    /// The store.
+    pub(crate) store: Arc<StandinStore>,
+    /// The upstreams.
+    pub(crate) upstreams: Arc<Upstreams>,
+    /// The nodes.
+    pub(crate) nodes: Arc<Nodes>,
+    /// What is seen.
+    pub(crate) ledger: Arc<Ledger>,
+}
+
+/// Does faults until `end`, one after the other and some at once.
+///
+/// # Errors
+/// If a node can't be signalled or started.
+pub(crate) async fn run(
+    world: World,
+    mut random: StdRng,
+    only: Option<Kind>,
+    end: tokio::time::Instant,
+) -> anyhow::Result<()> {
+    let mut version = 1;
+    let mut running = tokio::task::JoinSet::new();
+    while tokio::time::Instant::now() + QUIET_END < end {
+        sleep(Duration::from_millis(random.random_range(200..1_500))).await;
+        let kind = only.or_else(|| ALL.choose(&mut random).copied()).unwrap_or(Kind::Config);
+        world.ledger.fault(&format!("{kind:?}"));
+        version += u64::from(kind == Kind::Config);
+        let time = Duration::from_millis(random.random_range(500..2_500));
+        running.spawn(world.clone().fault(kind, random.random(), time, version));
+    }
+    while let Some(done) = running.join_next().await {
+        done??;
+    }
+    Ok(())
+}
+
+impl World {
+    async fn fault(
+        self,
+        kind: Kind,
+        draw: u64,
+        time: Duration,
+        version: u64,
+    ) -> anyhow::Result<()> {
+        match kind {
+            Kind::Kill | Kind::Stop | Kind::Freeze => {
+                let node = draw as usize % self.nodes.count();
+                if !self.nodes.take(node) {
+                    return Ok(());
+                }
+                let done = self.fault_of_node(kind, node, time).await;
+                self.nodes.give_back(node);
+                done
+            }
+            Kind::Leave => self.replace(draw as usize, true).await,
+            Kind::Crash => self.replace(draw as usize, false).await,
+            Kind::StoreBusy => self.outage(Mode::Busy, time).await,
+            Kind::StoreSilent => self.outage(Mode::Silent, time).await,
+            Kind::Config => self.configure(version).await,
+        }
+    }
+
+    async fn fault_of_node(&self, kind: Kind, node: usize, time: Duration) -> anyhow::Result<()> {
+        if kind == Kind::Stop {
+            return self.nodes.stop(node).await;
+        }
+        self.nodes.disturb(node, time);
+        if kind == Kind::Kill {
+            self.nodes.signal(node, Signal::SIGKILL)?;
+            return self.nodes.restart(node).await;
+        }
+        self.nodes.signal(node, Signal::SIGSTOP)?;
+        sleep(time).await;
+        self.nodes.signal(node, Signal::SIGCONT)
+    }
+
+    /// Has another upstream take the place of one, which leaves as planned or is gone at once.
+    async fn replace(&self, draw: usize, is_planned: bool) -> anyhow::Result<()> {
+        let Some(upstream) = self.upstreams.take_any(draw) else {
+            return Ok(());
+        };
+        self.upstreams.add(upstream.service).await?;
+        let list = |state| {
+            let Upstream { instance, service, address, .. } = &*upstream;
+            self.store.list(instance, service, *address, state);
+            self.ledger.leaves(instance);
+        };
+        if is_planned {
+            list(Some("draining"));
+        } else {
+            upstream.crash();
+        }
+        sleep(LEAVING_TIME).await;
+        list(None);
+        sleep(LEAVING_TIME).await;
+        upstream.crash();
+        Ok(())
+    }
+
+    async fn outage(&self, mode: Mode, time: Duration) -> anyhow::Result<()> {
+        // Nobody can learn of anything meanwhile.
+        (0..self.nodes.count()).for_each(|node| self.nodes.disturb(node, time));
+        self.store.set_mode(mode);
+        sleep(time).await;
+        self.store.set_mode(Mode::Up);
+        Ok(())
+    }
+
+    /// Puts a configuration in force and asks all nodes for its new route.
+    async fn configure(&self, version: u64) -> anyhow::Result<()> {
+        self.store.configure(version);
+        let sent_at = Instant::now();
+        sleep(IN_FORCE_MAX).await;
+        for node in 0..self.nodes.count() {
+            let status = self.status_of(node, &format!("/v{version}/x")).await;
+            if status == Some(404) && !self.nodes.was_disturbed(node, sent_at) {
+                let late = sent_at.elapsed();
+                self.ledger
+                    .broken(format!("node {node} lacks configuration {version} {late:?} after"));
+            }
+        }
+        Ok(())
+    }
+
+    async fn status_of(&self, node: usize, path: &str) -> Option<u16> {
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer secret\r\n\r\n"
+        );
+        let asking = async {
+            let mut stream = TcpStream::connect(self.nodes.callers(node)).await.ok()?;
+            stream.write_all(request.as_bytes()).await.ok()?;
+            read_message(&mut stream).await
+        };
+        Some(timeout(Duration::from_secs(1), asking).await.ok()??.status())
+    }
+}
--- /dev/null
+++ b/crates/fernring-standins/examples/soak/ledger.rs
@@ -0,0 +1,213 @@
+//! What callers and upstreams saw, and the promises that it has to agree with.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+/// Time after a leaving upstream's record was taken in which requests may still reach it: the users' two
+/// seconds, and a little for a busy machine.
+const LEAVING_SLACK: Duration = Duration::from_millis(2_500);
+
+/// What a request may do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) enum Kind {
+    /// Any number of runs.
+    Safe,
+    /// One run.
+    Once,
+    /// A stream that runs once.
+    Stream,
+    /// A stream that goes on elsewhere.
+    Resume,
+    /// Such a stream after two stages.
+    Staged,
+}
+
+impl Kind {
+    /// Every kind.
+    pub(crate) const ALL: [Self; 5] =
+        [Self::Safe, Self::Once, Self::Stream, Self::Resume, Self::Staged];
+
+    /// Returns the name, which is also the path.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Once => "once",
+            Self::Stream => "stream",
+            Self::Resume => "resume",
+            Self::Staged => "staged",
+        }
+    }
+
+    /// Tells whether a request of the kind runs at most once.
+    pub(crate) fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::Stream)
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum End {
+    /// With a whole answer.
+    Served,
+    /// With a statement that it has not run.
+    NotRun(u16),
+    /// With another failure.
+    Failed(u16),
+    /// Without a whole answer.
+    Broken,
+    /// No connection was to be had.
+    NotConnected,
+}
+
+#[derive(Debug)]
+struct Asked {
+    kind: Kind,
+    end: Option<End>,
+    runs: Vec<String>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    asked: HashMap<String, Asked>,
+    /// When an upstream's record said that it leaves.
+    leaving: HashMap<String, Instant>,
+    broken: Vec<String>,
+    faults: BTreeMap<String, u32>,
+    /// Results that a stage has made, by request and stage.
+    results: HashMap<(String, u32), HashMap<String, u32>>,
+}
+
+/// The record of a run of the soak.
+#[derive(Debug, Default)]
+pub(crate) struct Ledger(Mutex<Inner>);
+
+/// What the ledger says in the end.
+#[derive(Debug)]
+pub(crate) struct Report {
+    /// Numbers by kind and end, and of faults.
+    pub(crate) summary: String,
+    /// Promises that were broken.
+    pub(crate) broken: Vec<String>,
+    served: usize,
+    asked: usize,
+}
+
+impl Report {
+    /// Returns the part of the requests that got a whole answer.
+    pub(crate) fn served_part(&self) -> f64 {
+        self.served as f64 / self.asked.max(1) as f64
+    }
+}
+
+impl Ledger {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in that a caller sends a request.
+    pub(crate) fn asked(&self, id: &str, kind: Kind) {
+        self.lock().asked.insert(id.to_owned(), Asked { kind, end: None, runs: Vec::new() });
+    }
+
+    /// Takes in how it ended for the caller.
+    pub(crate) fn ended(&self, id: &str, end: End) {
+        if let Some(asked) = self.lock().asked.get_mut(id) {
+            asked.end = Some(end);
+        }
+    }
+
+    /// Takes in that a promise was broken.
+    pub(crate) fn broken(&self, promise: String) {
+        self.lock().broken.push(promise);
+    }
+
+    /// Takes in a fault.
+    pub(crate) fn fault(&self, what: &str) {
+        *self.lock().faults.entry(what.to_owned()).or_default() += 1;
+    }
+
+    /// Takes in that an upstream's record says that it leaves.
+    pub(crate) fn leaves(&self, instance: &str) {
+        self.lock().leaving.insert(instance.to_owned(), Instant::now());
+    }
+
+    /// Takes in that an upstream runs a request.
+    pub(crate) fn runs(&self, id: &str, path: &str, instance: &str) {
+        let mut inner = self.lock();
+        let left = inner.leaving.get(instance).map(Instant::elapsed);
+        if left.is_some_and(|left| left > LEAVING_SLACK) {
+            inner.broken.push(format!("{instance} left {left:?} ago and runs {id}"));
+        }
+        let Some(asked) = inner.asked.get_mut(id) else {
+            inner.broken.push(format!("{instance} runs {id}, which nobody asked for"));
+            return;
+        };
+        asked.runs.push(instance.to_owned());
+        let expected = format!("/{}/x", asked.kind.name());
+        if path != expected {
+            inner.broken.push(format!("{instance} runs {id} on {path}, not {expected}"));
+        }
+    }
+
+    /// Tells whether a request has run.
+    pub(crate) fn has_run(&self, id: &str) -> bool {
+        self.lock().asked.get(id).is_some_and(|asked| !asked.runs.is_empty())
+    }
+
+    /// Takes in the result of a piece.
+    pub(crate) fn made(&self, id: &str, stage: u32, piece: u32, handle: &str) {
+        let mut inner = self.lock();
+        if inner.asked.get(id).is_none_or(|asked| asked.kind != Kind::Staged) {
+            inner
+                .broken
+                .push(format!("piece {piece} of stage {stage} of {id}: nobody asked for it"));
+        }
+        let results = inner.results.entry((id.to_owned(), stage)).or_default();
+        results.insert(handle.to_owned(), piece);
+    }
+
+    /// Checks that handles are exactly one result for each of `count` pieces of a request's stage.
+    pub(crate) fn check_inputs(&self, id: &str, stage: u32, handles: &[String], count: u32) {
+        let mut inner = self.lock();
+        let results = inner.results.get(&(id.to_owned(), stage));
+        let mut pieces: Vec<_> =
+            handles.iter().map(|handle| results.and_then(|made| made.get(handle))).collect();
+        pieces.sort();
+        let expected: Vec<_> = (0..count).collect();
+        if pieces != expected.iter().map(Some).collect::<Vec<_>>() {
+            inner.broken.push(format!("{id} was given {handles:?} of stage {stage}"));
+        }
+    }
+
+    /// Checks what was seen.
+    pub(crate) fn check(&self) -> Report {
+        let inner = self.lock();
+        let mut broken = inner.broken.clone();
+        let mut numbers: BTreeMap<(Kind, String), usize> = BTreeMap::new();
+        for (id, asked) in &inner.asked {
+            if asked.kind.runs_once() && asked.runs.len() > 1 {
+                broken.push(format!("{id} ({}) ran at {:?}", asked.kind.name(), asked.runs));
+            }
+            if let Some(End::NotRun(status)) = asked.end
+                && !asked.runs.is_empty()
+            {
+                broken.push(format!("{id} was answered {status} and ran at {:?}", asked.runs));
+            }
+            let end = asked.end.as_ref().map_or("open".to_owned(), |end| format!("{end:?}"));
+            *numbers.entry((asked.kind, end)).or_default() += 1;
+        }
+        let served = inner.asked.values().filter(|asked| asked.end == Some(End::Served)).count();
+        let mut summary = String::new();
+        for ((kind, end), number) in numbers {
+            summary.push_str(&format!("{:8} {end:14} {number}\n", kind.name()));
+        }
+        for (fault, number) in &inner.faults {
+            summary.push_str(&format!("fault    {fault:14} {number}\n"));
+        }
+        summary.push_str(&format!("asked {} served {served}", inner.asked.len()));
+        Report { summary, broken, served, asked: inner.asked.len() }
+    }
+}
--- /dev/null
+++ b/crates/fernring-standins/examples/soak/upstreams.rs
@@ -0,0 +1,288 @@
+//! Upstreams that speak the platform's protocol: an application with plain answers and streams, and the
+//! makers of two stages. Each fails part of its answers.
+
+use {
+    crate::ledger::Ledger,
+    fernring_standins::{
+        message::{Message, read_message},
+        store::StandinStore,
+    },
+    rand::RngExt,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        ops::Range,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::AsyncWriteExt,
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        time::sleep,
+    },
+};
+
+/// Events of a stream.
+pub(crate) const EVENTS: u64 = 12;
+/// Pause between them.
+const EVENT_PAUSE: Duration = Duration::from_millis(15);
+/// Time that a plain answer takes.
+const WORK: Range<Duration> = Duration::from_millis(5)..Duration::from_millis(60);
+/// The services, each with its upstreams.
+const SERVICES: [(&str, usize); 3] = [("app", 4), ("first", 3), ("second", 3)];
+/// Parts of the answers that are refused, lost, cut in the middle, or failures.
+const REFUSED_PART: f64 = 0.02;
+const LOST_PART: f64 = 0.01;
+const CUT_PART: f64 = 0.02;
+const FAILED_PART: f64 = 0.01;
+
+/// Returns the whole body of a plain answer.
+pub(crate) fn plain_body(id: &str) -> String {
+    format!("{id}:{}", "x".repeat(2_000))
+}
+
+/// Returns the data of an event.
+pub(crate) fn event_data(id: &str, number: u64) -> String {
+    format!("{id}.{number}")
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    /// This run of it.
+    pub(crate) instance: String,
+    /// Its service.
+    pub(crate) service: &'static str,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// Set when it is gone: connections end at once.
+    gone: watch::Sender<bool>,
+    ledger: Arc<Ledger>,
+    made: AtomicU64,
+}
+
+/// All upstreams.
+#[derive(Debug)]
+pub(crate) struct Upstreams {
+    live: Mutex<Vec<Arc<Upstream>>>,
+    next: AtomicU64,
+    store: Arc<StandinStore>,
+    ledger: Arc<Ledger>,
+}
+
+impl Upstreams {
+    /// Starts the upstreams of all services and lists them in the store.
+    pub(crate) async fn start(
+        store: Arc<StandinStore>,
+        ledger: Arc<Ledger>,
+    ) -> anyhow::Result<Arc<Self>> {
+        let upstreams =
+            Arc::new(Self { live: Mutex::default(), next: AtomicU64::new(1), store, ledger });
+        for (service, count) in SERVICES {
+            for _ in 0..count {
+                upstreams.add(service).await?;
+            }
+        }
+        Ok(upstreams)
+    }
+
+    /// Starts one more upstream.
+    pub(crate) async fn add(&self, service: &'static str) -> anyhow::Result<()> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let upstream = Arc::new(Upstream {
+            instance: format!("i-{number}"),
+            service,
+            address: listener.local_addr()?,
+            gone: watch::Sender::new(false),
+            ledger: self.ledger.clone(),
+            made: AtomicU64::new(0),
+        });
+        self.store.list(&upstream.instance, service, upstream.address, Some("ready"));
+        self.lock().push(upstream.clone());
+        tokio::spawn(upstream.listen(listener));
+        Ok(())
+    }
+
+    /// Takes any upstream out of those that may be chosen again.
+    pub(crate) fn take_any(&self, draw: usize) -> Option<Arc<Upstream>> {
+        let mut live = self.lock();
+        let index = draw % live.len().max(1);
+        (index < live.len()).then(|| live.swap_remove(index))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Arc<Upstream>>> {
+        self.live.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Upstream {
+    /// Ends it at once, with all its connections.
+    pub(crate) fn crash(&self) {
+        self.gone.send_replace(true);
+    }
+
+    async fn listen(self: Arc<Self>, listener: TcpListener) {
+        let mut gone = self.gone.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    tokio::spawn(self.clone().serve(stream));
+                }
+                _ = gone.wait_for(|gone| *gone) => return,
+            }
+        }
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let mut gone = self.gone.subscribe();
+        let serving = async {
+            while let Some(request) = read_message(&mut stream).await {
+                if !self.reply(&request, &mut stream).await {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            () = serving => {}
+            _ = gone.wait_for(|gone| *gone) => {}
+        }
+    }
+
+    /// Answers a request; tells whether the connection is kept.
+    async fn reply(&self, request: &Message, stream: &mut TcpStream) -> bool {
+        if request.path() == "/fernring/stage-free" {
+            return write(stream, "200 OK", "", "").await;
+        }
+        let id = request.header("request-id").unwrap_or_default().to_owned();
+        if request.header("expect-instance") != Some(&self.instance) {
+            return write(stream, "421 Misdirected", &format!("Request-Id: {id}\r\n"), "").await;
+        }
+        let fate = rand::rng().random::<f64>();
+        if fate < REFUSED_PART {
+            let headers = format!("Request-Id: {id}\r\nNot-Run: 1\r\n");
+            return write(stream, "503 Full", &headers, "").await;
+        }
+        let fate = fate - REFUSED_PART;
+        if request.path() == "/fernring/stage-run" {
+            return self.reply_pieces(request, fate, stream).await;
+        }
+        let count = |stage: usize| {
+            let counts = request.header("pieces").unwrap_or_default().split(',').nth(stage);
+            counts.and_then(|count| count.parse().ok()).unwrap_or(0)
+        };
+        if count(1) > 0 {
+            let inputs = request.header("inputs").unwrap_or_default().split(',');
+            let inputs: Vec<_> = inputs.map(|handle| handle.trim().to_owned()).collect();
+            self.ledger.check_inputs(&id, 1, &inputs, count(1));
+        }
+        self.ledger.runs(&id, request.path(), &self.instance);
+        if fate < LOST_PART {
+            return false;
+        }
+        let headers = format!("Request-Id: {id}\r\nServer-Stamp: {}\r\n", self.instance);
+        if fate < LOST_PART + FAILED_PART {
+            return write(stream, "500 Failed", &headers, "failed").await;
+        }
+        let is_cut = fate < LOST_PART + FAILED_PART + CUT_PART;
+        match request.path().split('/').nth(1) {
+            Some("stream" | "resume" | "staged") => {
+                let after = request.header("last-event-id").and_then(|last| last.parse().ok());
+                stream_events(stream, &headers, &id, after.unwrap_or(0), is_cut).await
+            }
+            _ => {
+                let work = rand::rng().random_range(WORK);
+                sleep(work).await;
+                let body = plain_body(&id);
+                if is_cut {
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\n{headers}Content-Length: {}\r\n\r\n",
+                        body.len()
+                    );
+                    // Whether the other side still reads doesn't matter.
+                    let _ = stream
+                        .write_all(&[head.as_bytes(), &body.as_bytes()[..100]].concat())
+                        .await;
+                    return false;
+                }
+                write(stream, "200 OK", &headers, &body).await
+            }
+        }
+    }
+
+    async fn reply_pieces(&self, request: &Message, fate: f64, stream: &mut TcpStream) -> bool {
+        let call: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let items = call["items"].as_array().cloned().unwrap_or_default();
+        sleep(Duration::from_millis(30 + 2 * items.len() as u64)).await;
+        let results: Vec<Value> = items.iter().map(|item| self.make(item)).collect();
+        if fate < LOST_PART + FAILED_PART + CUT_PART {
+            return false;
+        }
+        write(stream, "200 OK", "", &json!({"items": results}).to_string()).await
+    }
+
+    fn make(&self, item: &Value) -> Value {
+        let id = item["id"].as_str().unwrap_or_default();
+        let number = |name: &str| item[name].as_u64().unwrap_or(0) as u32;
+        let (stage, piece) = (number("stage"), number("piece"));
+        let handle = format!(
+            "{}/{id}-{stage}-{piece}-{}",
+            self.address,
+            self.made.fetch_add(1, Ordering::Relaxed)
+        );
+        match (stage, item["key"].as_str()) {
+            (0, Some(key)) if key == id => {}
+            (1, None) => {
+                let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
+                let inputs: Vec<_> =
+                    inputs.iter().filter_map(|input| Some(input.as_str()?.to_owned())).collect();
+                // Callers ask for two pieces of the first stage.
+                self.ledger.check_inputs(id, 0, &inputs, 2);
+            }
+            (_, key) => {
+                self.ledger.broken(format!("{id}: stage {stage} was given the key {key:?}"));
+            }
+        }
+        self.ledger.made(id, stage, piece, &handle);
+        json!({"handle": handle})
+    }
+}
+
+async fn write(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
+    let answer =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+    stream.write_all(answer.as_bytes()).await.is_ok()
+}
+
+async fn stream_events(
+    stream: &mut TcpStream,
+    headers: &str,
+    id: &str,
+    after: u64,
+    is_cut: bool,
+) -> bool {
+    let head = format!("HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
+    if stream.write_all(head.as_bytes()).await.is_err() {
+        return false;
+    }
+    for number in after + 1..=EVENTS {
+        let event = format!("id: {number}\ndata: {}\n\n", event_data(id, number));
+        if is_cut && number > EVENTS / 2 {
+            // The head of an event, and no more of it.
+            let part = format!("{:x}\r\n{}", event.len(), &event[..event.len() / 2]);
+            let _ = stream.write_all(part.as_bytes()).await;
+            return false;
+        }
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if stream.write_all(chunk.as_bytes()).await.is_err() {
+            return false;
+        }
+        sleep(EVENT_PAUSE).await;
+    }
+    stream.write_all(b"0\r\n\r\n").await.is_ok()
+}
--- a/crates/fernring-standins/src/process.rs
+++ b/crates/fernring-standins/src/process.rs
@@ -158,6 +158,15 @@
         Killer { pid: self.pid() }
     }
 
+    /// Tells whether the program has ended.
+    ///
+    /// # Errors
+    /// If that can't be learnt.
+    pub fn has_ended(&mut self) -> anyhow::Result<bool> {
+        let status = self.child.try_wait();
+        Ok(status.with_context(|| format!("could not look at {}", self.name))?.is_some())
+    }
+
     /// Waits for the program to end.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/fernring-standins/src/store.rs
@@ -0,0 +1,251 @@
+//! A stand-in for the platform's store, as the gateway uses it: keyed topics over HTTP by the published
+//! protocol, with outages and lost history by command.
+
+use {
+    crate::message::{Message, read_message},
+    base64::{Engine, prelude::BASE64_STANDARD},
+    serde_json::{Value, json},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        io::AsyncWriteExt,
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+};
+
+/// Bytes before the records of a page: the end, and the first number that is kept.
+const ENDS_BYTES: usize = 16;
+
+/// What the store does with calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    Up,
+    /// It refuses.
+    Busy,
+    /// It doesn't answer.
+    Silent,
+}
+
+/// A topic: its records from `first` on.
+#[derive(Debug, Default)]
+struct Topic {
+    first: u64,
+    records: Vec<Record>,
+    /// Newest records of the keys that were written before `first`, with their numbers.
+    kept: BTreeMap<String, (u64, Vec<u8>)>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn newest(&self) -> BTreeMap<String, (u64, Vec<u8>)> {
+        let mut newest = self.kept.clone();
+        for (offset, record) in (self.first..).zip(&self.records) {
+            newest.insert(record.key.clone(), (offset, record.value.clone()));
+        }
+        newest
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    key: String,
+    value: Vec<u8>,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct StandinStore {
+    /// Where it listens.
+    pub address: SocketAddr,
+    topics: Mutex<HashMap<String, Topic>>,
+    mode: watch::Sender<Mode>,
+    appended: watch::Sender<u64>,
+}
+
+impl StandinStore {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    /// If it can't listen.
+    pub async fn start() -> anyhow::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let store = Arc::new(Self {
+            address: listener.local_addr()?,
+            topics: Mutex::default(),
+            mode: watch::Sender::new(Mode::Up),
+            appended: watch::Sender::new(0),
+        });
+        let serving = store.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(stream));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Sets what it does with calls.
+    pub fn set_mode(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Writes a configuration; version `n` has the routes `/v2/` to `/vn/` besides the others.
+    pub fn configure(&self, version: u64) {
+        let route = |name: &str, kind: &str, more: &str| {
+            format!(
+                r#"{{"name":"{name}","host":"h.example","pathPrefix":"/{name}/","kind":"{kind}","timeoutMs":4000,"targetLatencyMs":1000,"service":"app","attempts":2{more}}}"#
+            )
+        };
+        let resumable = r#","resumable":true"#;
+        let staged = r#","resumable":true,"sessionAffinity":true,"stages":[{"service":"first","after":[],"bytes":100},{"service":"second","after":[0],"bytes":100}]"#;
+        let mut routes = vec![
+            route("safe", "safe", ""),
+            route("once", "unsafe", ""),
+            route("stream", "streaming", ""),
+            route("resume", "streaming", resumable),
+            route("staged", "streaming", staged),
+        ];
+        routes.extend((2..=version).map(|added| route(&format!("v{added}"), "safe", "")));
+        let batch = r#""pieces":{"slots":1,"queue":2,"batch":8,"callMs":30,"itemMs":2,"headroomMb":10,"handleS":4,"linkMbps":1000}"#;
+        let config = format!(
+            r#"{{"version":{version},"routes":[{}],"services":[{{"name":"app","connectionLimit":200}},{{"name":"first","connectionLimit":200,{batch}}},{{"name":"second","connectionLimit":200,{batch}}}],"limits":{{"headerBytes":8192,"bodyBytes":10000,"headerTimeoutMs":1000,"idleTimeoutMs":5000}},"tenants":[{{"name":"w","apiKeys":["secret"]}}]}}"#,
+            routes.join(",")
+        );
+        self.put("keyed.op", "config", config.into_bytes());
+    }
+
+    /// Writes an upstream's record; without a state it is removed.
+    pub fn list(&self, instance: &str, service: &str, address: SocketAddr, state: Option<&str>) {
+        let record = state.map(|state| {
+            json!({"service": service, "address": address.to_string(), "zone": "a", "version": 1,
+                "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1})
+        });
+        let value = record.map_or_else(Vec::new, |record| record.to_string().into_bytes());
+        self.put("keyed.servers", instance, value);
+    }
+
+    /// Forgets the history of a topic: the newest record of each key is kept, and the records from
+    /// before have no number any more.
+    pub fn forget_history(&self, topic: &str) {
+        if let Some(topic) = self.lock().get_mut(topic) {
+            let newest = topic.newest();
+            topic.first = topic.end();
+            topic.kept = newest;
+            topic.records.clear();
+        }
+    }
+
+    fn put(&self, topic: &str, key: &str, value: Vec<u8>) -> u64 {
+        let mut topics = self.lock();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        topic.records.push(Record { key: key.to_owned(), value });
+        let offset = topic.end() - 1;
+        drop(topics);
+        self.appended.send_modify(|count| *count += 1);
+        offset
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Topic>> {
+        self.topics.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        while let Some(call) = read_message(&mut stream).await {
+            let mode = *self.mode.borrow();
+            let answer = match mode {
+                Mode::Up => self.answer(&call).await,
+                Mode::Busy => (503, Vec::new()),
+                Mode::Silent => return self.until_up().await,
+            };
+            // An outage that began meanwhile takes the answer with it.
+            if *self.mode.borrow() == Mode::Silent {
+                return self.until_up().await;
+            }
+            let (status, body) = answer;
+            let head = format!("HTTP/1.1 {status} S\r\nContent-Length: {}\r\n\r\n", body.len());
+            if stream.write_all(&[head.into_bytes(), body].concat()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Keeps a connection without an answer until the outage is over; then it ends.
+    async fn until_up(&self) {
+        let mut mode = self.mode.subscribe();
+        // The sender lives as long as the store.
+        let _ = mode.wait_for(|mode| *mode != Mode::Silent).await;
+    }
+
+    async fn answer(&self, call: &Message) -> (u16, Vec<u8>) {
+        let (path, query) = call.path().split_once('?').unwrap_or((call.path(), ""));
+        let query: HashMap<_, _> =
+            query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let topic = query.get("topic").copied().unwrap_or_default();
+        let number =
+            |name| query.get(name).and_then(|value| value.parse::<u64>().ok()).unwrap_or(0);
+        match path {
+            "/fernring/log-newest" => (200, self.newest(topic)),
+            "/fernring/log-read" => self.read(topic, number("from"), number("waitMs")).await,
+            "/fernring/log-append" => (200, self.append(topic, &call.body)),
+            _ => (404, Vec::new()),
+        }
+    }
+
+    fn newest(&self, topic: &str) -> Vec<u8> {
+        let topics = self.lock();
+        let (newest, end) = topics.get(topic).map(|t| (t.newest(), t.end())).unwrap_or_default();
+        let items = newest.into_iter().filter(|(_, (_, value))| !value.is_empty());
+        let item = |(key, (offset, value)): (String, (u64, Vec<u8>))| json!({"key": key, "value": BASE64_STANDARD.encode(&value), "offset": offset});
+        let items: Vec<Value> = items.map(item).collect();
+        json!({"items": items, "hasMore": false, "end": end}).to_string().into_bytes()
+    }
+
+    async fn read(&self, topic: &str, from: u64, wait_ms: u64) -> (u16, Vec<u8>) {
+        let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        let mut appended = self.appended.subscribe();
+        loop {
+            let Some(page) = self.page(topic, from) else {
+                return (410, Vec::new());
+            };
+            let has_records = page.len() > ENDS_BYTES;
+            if has_records || tokio::time::timeout_at(end, appended.changed()).await.is_err() {
+                return (200, page);
+            }
+        }
+    }
+
+    /// Returns the records from a number on; `None` if they are not kept any more.
+    fn page(&self, topic: &str, from: u64) -> Option<Vec<u8>> {
+        let mut topics = self.lock();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        let skip = from.checked_sub(topic.first)?;
+        let mut page = Vec::new();
+        page.extend(topic.end().to_be_bytes());
+        page.extend(topic.first.to_be_bytes());
+        for record in topic.records.get(skip as usize..).unwrap_or_default() {
+            let length = 1 + record.key.len() + record.value.len();
+            page.extend((length as u32).to_be_bytes());
+            page.push(record.key.len() as u8);
+            page.extend(record.key.as_bytes());
+            page.extend(&record.value);
+        }
+        Some(page)
+    }
+
+    fn append(&self, topic: &str, body: &[u8]) -> Vec<u8> {
+        let key_length = usize::from(body.get(4).copied().unwrap_or(0));
+        let content = body.get(5..).unwrap_or_default();
+        let (key, value) = content.split_at(key_length.min(content.len()));
+        let offset = self.put(topic, &String::from_utf8_lossy(key), value.to_vec());
+        json!({"offset": offset, "end": offset + 1}).to_string().into_bytes()
+    }
+}
