The usual engine of a shared part counts as having it; a lone node reads the store with long waits

Cause: where a request had a home engine and that was too busy, the first engine in the order of its shared part was weighed as if it had to read the whole prompt. Tests: selection::the_usual_engine_of_a_shared_part_has_it_also_where_another_was_to_be_home.

--- a/crates/fernring-gateway/src/freshness.rs
+++ b/crates/fernring-gateway/src/freshness.rs
@@ -95,6 +95,7 @@
     match part {
         // Who stands in for the readers confirms what others know, as the first reader does.
         ReaderPart::First | ReaderPart::None => FIRST_READ_WAIT,
-        ReaderPart::OfDomain => READ_WAIT,
+        // Nobody but this node depends on what a lone one hears.
+        ReaderPart::OfDomain | ReaderPart::Alone => READ_WAIT,
     }
 }
--- a/crates/fernring-gateway/src/members.rs
+++ b/crates/fernring-gateway/src/members.rs
@@ -28,6 +28,8 @@
     First,
     /// It reads for its failure domain.
     OfDomain,
+    /// It hears no other node.
+    Alone,
     /// It follows others.
     None,
 }
@@ -146,6 +148,7 @@
         let of_domain = first_by_rank(domain.chain(std::iter::once(me)), READER);
         let is_me = |member: Option<&Member>| member.is_some_and(|m| m.address == me.address);
         match (is_me(of_domain), is_me(first)) {
+            (true, true) if self.live(now).next().is_none() => ReaderPart::Alone,
             (true, true) => ReaderPart::First,
             (true, false) => ReaderPart::OfDomain,
             (false, _) => ReaderPart::None,
--- a/crates/fernring-gateway/src/selection.rs
+++ b/crates/fernring-gateway/src/selection.rs
@@ -44,17 +44,21 @@
 /// as long as the first event won't be late there. So requests that share parts meet where these
 /// are cached, and a part that many ask for spreads over as many engines as it takes.
 ///
-/// A `home` goes first for as long as the same holds for it.
+/// A `home` goes first for as long as the same holds for it. The shared parts are taken to be read there and at
+/// the first of the order.
 pub fn choose_model(candidates: &[Candidate], need: PromptNeed) -> Option<UpstreamKey> {
     let mut pool = sound(candidates);
     let rank = |c: &Candidate| xxh3_64_with_seed(&c.identity.to_le_bytes(), need.prefix);
-    pool.sort_by_key(|c| (need.home != Some(c.key), std::cmp::Reverse(rank(c))));
-    let backlog = |(index, c): (usize, &Candidate)| {
-        c.load + if index == 0 { need.own_tokens } else { need.all_tokens }
+    pool.sort_by_key(|c| std::cmp::Reverse(rank(c)));
+    let usual = pool.first()?.key;
+    pool.sort_by_key(|c| need.home != Some(c.key));
+    let backlog = |c: &Candidate| {
+        let has_shared = c.key == usual || need.home == Some(c.key);
+        c.load + if has_shared { need.own_tokens } else { need.all_tokens }
     };
-    let in_time = pool.iter().enumerate().find(|item| backlog(*item) <= need.patience_tokens);
-    let least = || pool.iter().enumerate().min_by(|a, b| backlog(*a).total_cmp(&backlog(*b)));
-    in_time.or_else(least).map(|(_, c)| c.key)
+    let in_time = pool.iter().find(|c| backlog(c) <= need.patience_tokens);
+    let least = || pool.iter().min_by(|a, b| backlog(a).total_cmp(&backlog(b)));
+    in_time.or_else(least).map(|c| c.key)
 }
 
 /// Leaves out those that are to be avoided, unless nothing else is there.
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -197,17 +197,21 @@
     /// Returns how long the next read waits for a record. After a failure the question is whether
     /// the store is back, and after silence what it holds; these have no time.
     fn read_wait(&self, what: Followed, part: ReaderPart, has_failed: bool) -> Duration {
-        match has_failed || self.freshness(what).borrow().is_in_doubt(self.now()) {
+        let is_in_doubt = self.freshness(what).borrow().is_in_doubt(self.now());
+        match has_failed || (is_in_doubt && part != ReaderPart::Alone) {
             true => Duration::ZERO,
             false => rand::rng().random_range(read_wait(part)),
         }
     }
 
     /// Waits until a read that was to last for `wait` has lasted too long: nothing has confirmed
-    /// for a while what is known.
+    /// for a while what is known, though others could. The read of a lone node ends by itself.
     async fn silence(&self, what: Followed, wait: Duration) {
         sleep(DOUBT_AFTER.min(wait)).await;
-        while wait.is_zero() || !self.freshness(what).borrow().is_in_doubt(self.now()) {
+        while wait.is_zero()
+            || self.part() == ReaderPart::Alone
+            || !self.freshness(what).borrow().is_in_doubt(self.now())
+        {
             sleep(WATCH_INTERVAL).await;
         }
     }
--- a/crates/fernring-gateway/tests/testsuite/selection.rs
+++ b/crates/fernring-gateway/tests/testsuite/selection.rs
@@ -102,3 +102,17 @@
     equal[2].is_near = true;
     assert_eq!(choose(&equal, 1), Some(equal[2].key));
 }
+
+#[test]
+fn the_usual_engine_of_a_shared_part_has_it_also_where_another_was_to_be_home() {
+    let mut all = candidates(4);
+    let usual = choose_model(&all, need(7)).unwrap();
+    let home = all.iter().position(|c| c.key != usual).unwrap();
+    // Nobody is in time, and the home least of all.
+    for candidate in &mut all {
+        candidate.load = 30_000.0;
+    }
+    all[home].load = 90_000.0;
+    let wanted = PromptNeed { home: Some(all[home].key), ..need(7) };
+    assert_eq!(choose_model(&all, wanted), Some(usual));
+}
