A queue is crowded from two calls' worth of pieces on

Makers left pieces to others while two calls' worth waited, so calls ran half empty before a queue counted as crowded.

--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -16,8 +16,8 @@
 /// Head start of each rank over the next: about two calls. Measured against 300 and 2,000 ms.
 const RANK_STEP: Duration = Duration::from_millis(700);
 /// Calls' worth of waiting pieces from which on every maker takes whatever waits. Lateness costs
-/// most of a request's worth, what crosses between domains a few hundredths.
-const CROWDED_CALLS: usize = 3;
+/// most of a request's worth, what crosses between domains a few hundredths. Measured against 1 and 3.
+const CROWDED_CALLS: usize = 2;
 /// Head start of pieces whose results are read in the maker's own domain: about one call, which is what
 /// another maker would have to be waited for.
 const FAR_STEP: Duration = Duration::from_millis(300);
