After a failure none of an upstream's idle connections is trusted

Cause: an upstream or the store that goes silent, or drops idle connections without a sign, costs one request for each connection that is kept to it, and a request that may run once can't be sent again then.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -115,6 +115,13 @@
         shared.open -= before - shared.idle.len();
     }
 
+    /// Closes all idle connections: one has failed, and the others may have gone silent or be closed at the
+    /// other end without a sign, which only the next request on them would find out.
+    pub fn forget_idle(&self) {
+        let idle = std::mem::take(&mut self.shared.borrow_mut().idle);
+        self.shared.borrow_mut().open -= idle.len();
+    }
+
     /// Sends a request and waits for the head of its answer. At most `open_max` connections are
     /// opened.
     ///
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -314,8 +314,12 @@
         pool.send(request, share as usize).await
     }
 
-    /// Takes in that an upstream failed; tells how long it is avoided now.
+    /// Takes in that an upstream failed, so that none of its idle connections is trusted any more; tells how
+    /// long it is avoided now.
     pub fn failed(&self, now: Duration, key: UpstreamKey) -> Duration {
+        if let Some(pool) = self.pools.borrow().get(key) {
+            pool.forget_idle();
+        }
         let mut health = self.health.borrow_mut();
         let Some(entry) = health.entry(key) else {
             return Duration::ZERO;
