One copy of a call's usual time; a maker's defaults are derived

Found on reading the change again: batching worked out the usual time of a call twice more beside makers::usual_time, and Maker's Default said by hand what the derive says.

--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -1,7 +1,10 @@
 //! Which pieces go into the next call to an upstream of a stage service.
 
 use {
-    crate::model::{BatchShape, Piece},
+    crate::{
+        makers::usual_time,
+        model::{BatchShape, Piece},
+    },
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
@@ -59,8 +62,8 @@
 impl Makers {
     /// Estimates when the last of `pieces` is made that they work on in order.
     fn done_at(&self, now: Duration, pieces: usize, shape: &BatchShape) -> Duration {
-        let full_call = shape.call_time + shape.piece_time * shape.pieces_max as u32;
-        let usual_call = shape.call_time + shape.piece_time * (shape.pieces_max as u32 / 2);
+        let full_call = usual_time(shape, shape.pieces_max);
+        let usual_call = usual_time(shape, shape.pieces_max / 2);
         let calls_before = pieces.saturating_sub(1) / (shape.pieces_max * self.count.max(1));
         self.free_at.max(now) + full_call * calls_before as u32 + usual_call
     }
@@ -121,7 +124,7 @@
         failure_domain: &str,
         makers_in: impl Fn(&str) -> Option<Makers>,
     ) -> Vec<Task> {
-        let full_call = shape.call_time + shape.piece_time * shape.pieces_max as u32;
+        let full_call = usual_time(shape, shape.pieces_max);
         let misses = |task: &Task| task.due_at < now + full_call;
         let begun = &self.begun;
         let far = |task: &Task| task.near.as_ref().is_some_and(|near| **near != *failure_domain);
--- a/crates/fernring-gateway/src/makers.rs
+++ b/crates/fernring-gateway/src/makers.rs
@@ -33,7 +33,7 @@
 }
 
 /// One maker.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Maker {
     /// When the call under way will have ended, about; `None` without one.
     busy_until: Option<Duration>,
@@ -50,19 +50,6 @@
     slow_at: Duration,
 }
 
-impl Default for Maker {
-    fn default() -> Self {
-        Self {
-            busy_until: None,
-            kept: HashMap::new(),
-            making: 0,
-            unknown: None,
-            slow_calls: 0,
-            slow_at: Duration::ZERO,
-        }
-    }
-}
-
 impl Maker {
     /// Returns when the call under way will have ended, about; `None` without one.
     pub fn busy_until(&self) -> Option<Duration> {
