--- /dev/null
+++ b/crates/fernring-gateway/src/backlogs.rs
@@ -0,0 +1,144 @@
+//! What a node knows of the backlogs of all stage services: what their owners say in heartbeats, and
+//! what the nodes have promised to requests that haven't come to a stage yet. No I/O.
+
+use {
+    crate::backlog::{Backlog, PiecesByRank, RANKS},
+    fernring_protocol::gateway::StageLoad,
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Age from which on what an owner said is of no use: more than two heartbeats were lost, and it may
+/// be the owner no longer.
+const SAID_AGE_MAX: Duration = Duration::from_millis(700);
+
+/// Short hash of a service's name, for heartbeats. Two that collide only mislead forecasts.
+fn short_hash(service: &str) -> u32 {
+    xxh3_64(service.as_bytes()) as u32
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    said_at: Duration,
+    /// Of the services that it owns.
+    backlogs: HashMap<u32, Backlog>,
+    /// What it promised.
+    promised: HashMap<u32, PiecesByRank>,
+}
+
+/// The backlogs as one node knows them.
+#[derive(Debug, Default)]
+pub struct Backlogs {
+    peers: RefCell<HashMap<SocketAddr, Peer>>,
+    promised: RefCell<BTreeMap<Arc<str>, PiecesByRank>>,
+}
+
+/// Pieces of a stage that were promised to a request and haven't been asked for yet; given back
+/// when dropped.
+#[derive(Debug)]
+pub struct Promise {
+    backlogs: Rc<Backlogs>,
+    service: Arc<str>,
+    rank: usize,
+    pieces: u32,
+}
+
+impl Drop for Promise {
+    fn drop(&mut self) {
+        if let Some(promised) = self.backlogs.promised.borrow_mut().get_mut(&self.service) {
+            promised[self.rank] -= self.pieces;
+        }
+    }
+}
+
+impl Backlogs {
+    /// Promises pieces of a stage to a request of a rank.
+    pub fn promise(self: &Rc<Self>, service: &Arc<str>, rank: usize, pieces: u32) -> Promise {
+        let mut all = self.promised.borrow_mut();
+        all.entry(service.clone()).or_default()[rank] += pieces;
+        drop(all);
+        Promise { backlogs: self.clone(), service: service.clone(), rank, pieces }
+    }
+
+    /// Returns what is ahead at a service: what its owner has, or said last, and what all nodes have
+    /// promised. `own` is set if this node owns it.
+    pub fn of(&self, now: Duration, service: &str, own: Option<Backlog>) -> Option<Backlog> {
+        let hash = short_hash(service);
+        let peers = self.peers.borrow();
+        let fresh = peers.values().filter(|peer| now <= peer.said_at + SAID_AGE_MAX);
+        let said = || {
+            let newest = fresh.clone().filter(|peer| peer.backlogs.contains_key(&hash));
+            let newest = newest.max_by_key(|peer| peer.said_at)?;
+            Some(newest.backlogs[&hash].after(now.saturating_sub(newest.said_at)))
+        };
+        let mut backlog = own.or_else(said)?;
+        for promised in fresh.filter_map(|peer| peer.promised.get(&hash)) {
+            backlog.add(promised);
+        }
+        if let Some(promised) = self.promised.borrow().get(service) {
+            backlog.add(promised);
+        }
+        Some(backlog)
+    }
+
+    /// Returns what is to be said in heartbeats: the backlogs of own services and what was promised.
+    pub fn described(&self, own: Vec<(Arc<str>, Backlog)>) -> Vec<StageLoad> {
+        let mut loads: BTreeMap<Arc<str>, StageLoad> = BTreeMap::new();
+        for (service, backlog) in own {
+            let load = loads.entry(service).or_default();
+            load.is_owner = true;
+            load.rate_per_s = backlog.rate_per_s as f32;
+            load.arrivals_per_s = backlog.arrivals_per_s as f32;
+            load.waiting = backlog.waiting.to_vec();
+            load.late = backlog.late;
+        }
+        for (service, promised) in &*self.promised.borrow() {
+            if promised.iter().any(|pieces| *pieces > 0) {
+                loads.entry(service.clone()).or_default().promised = promised.to_vec();
+            }
+        }
+        let hashed = |(service, load): (Arc<str>, StageLoad)| StageLoad {
+            service: short_hash(&service),
+            ..load
+        };
+        loads.into_iter().map(hashed).collect()
+    }
+
+    /// Takes in what a peer says.
+    pub fn heard(&self, now: Duration, peer: SocketAddr, loads: &[StageLoad]) {
+        let owned = loads.iter().filter(|load| load.is_owner);
+        let said = Peer {
+            said_at: now,
+            backlogs: owned.map(|load| (load.service, backlog_of(load))).collect(),
+            promised: loads.iter().map(|load| (load.service, by_rank(&load.promised))).collect(),
+        };
+        self.peers.borrow_mut().insert(peer, said);
+    }
+
+    /// Forgets what a lost peer said.
+    pub fn lost(&self, peer: SocketAddr) {
+        self.peers.borrow_mut().remove(&peer);
+    }
+}
+
+fn backlog_of(load: &StageLoad) -> Backlog {
+    Backlog {
+        rate_per_s: load.rate_per_s.into(),
+        arrivals_per_s: load.arrivals_per_s.into(),
+        waiting: by_rank(&load.waiting),
+        late: load.late,
+    }
+}
+
+fn by_rank(pieces: &[u32]) -> PiecesByRank {
+    let mut ranks = [0; RANKS];
+    ranks.iter_mut().zip(pieces).for_each(|(rank, pieces)| *rank = *pieces);
+    ranks
+}
--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
+        backlog::{Backlog, PiecesByRank, RANKS, rank},
         makers::usual_time,
         model::{BatchShape, Piece},
+        settings::DecideSettings,
     },
     std::{
         collections::{HashMap, HashSet},
@@ -16,16 +18,17 @@
 /// Most calls that a piece is put into before its stage fails.
 pub const CALLS_MAX: u32 = 3;
 
-/// Head start of each rank over the next: about two calls. Measured against 300 and 2,000 ms.
-const RANK_STEP: Duration = Duration::from_millis(700);
+/// Head start of each rank over the next, in full calls: more than a wait that can be made good by
+/// another maker, less than one that a whole rank would starve in. Measured against 1 and 7.
+const RANK_CALLS: f64 = 2.0;
 /// Calls' worth of waiting pieces from which on every maker takes whatever waits. Lateness costs
 /// most of a request's worth, what crosses between domains a few hundredths. Measured against 1 and 3.
 const CROWDED_CALLS: usize = 2;
-/// Head start of pieces whose results are read in the maker's own domain: about one call, which is what
-/// another maker would have to be waited for.
-const FAR_STEP: Duration = Duration::from_millis(300);
-/// Ranks that count; all below are alike.
-const RANKS_MAX: u32 = 8;
+/// Head start of pieces whose results are read in the maker's own domain, in full calls: what another maker
+/// would have to be waited for.
+const FAR_CALLS: f64 = 1.0;
+/// A work isn't split over calls if that leaves no more than one of so many places empty.
+const LEFT_PLACES: usize = 5;
 
 /// A piece that waits for its call.
 #[derive(Debug, Clone, PartialEq)]
@@ -69,6 +72,40 @@
     }
 }
 
+/// What ended the filling of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bound {
+    /// Nothing waits any more.
+    Empty,
+    /// The call holds as many pieces as it may.
+    Places,
+    /// The maker has no room for the results of what waits.
+    Room,
+    /// What waits is left to makers in the failure domain that reads its results.
+    Domain,
+}
+
+impl Bound {
+    /// Returns the name used in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Places => "places",
+            Self::Room => "room",
+            Self::Domain => "domain",
+        }
+    }
+}
+
+/// The pieces of one call.
+#[derive(Debug)]
+pub struct Batch {
+    /// The pieces.
+    pub tasks: Vec<Task>,
+    /// Why there are no more: the first that kept one out, or that all places are taken.
+    pub bound: Bound,
+}
+
 /// The pieces that wait for one service.
 #[derive(Debug, Default)]
 pub struct BatchQueue {
@@ -94,6 +131,19 @@
         self.tasks.len()
     }
 
+    /// Counts the pieces that wait: those that can be in time, by rank, and the others.
+    pub fn counts(&self, now: Duration, shape: &BatchShape) -> (PiecesByRank, u32) {
+        let mut in_time = [0; RANKS];
+        let mut late = 0;
+        for task in &self.tasks {
+            match misses(task, now, shape) {
+                true => late += 1,
+                false => in_time[rank(task.priority)] += 1,
+            }
+        }
+        (in_time, late)
+    }
+
     /// Drops the pieces of a work that nobody waits for any more.
     pub fn cancel(&mut self, work: u64) {
         self.tasks.retain(|task| task.work != work);
@@ -106,9 +156,28 @@
     }
 
     /// Takes out the pieces whose time would be over before a call could end.
-    pub fn take_expired(&mut self, now: Duration, shape: &BatchShape) -> Vec<Task> {
-        let earliest_end = now + shape.call_time;
-        let expired = |task: &mut Task| task.deadline_at <= earliest_end;
+    ///
+    /// Those that can't be in time any more have their turn once `backlog` is done; where that would be too late
+    /// they are taken out now, not when their time is over.
+    pub fn take_expired(
+        &mut self,
+        now: Duration,
+        shape: &BatchShape,
+        backlog: &Backlog,
+        rules: &DecideSettings,
+    ) -> Vec<Task> {
+        let begun = &self.begun;
+        let in_time = backlog.waiting.iter().sum::<u32>();
+        let mut late = 0;
+        self.tasks.sort_by_cached_key(|task| (urgency(task, shape, rules), task.work));
+        let expired = |task: &mut Task| {
+            if !rules.give_up || begun.contains(&task.work) || !misses(task, now, shape) {
+                return task.deadline_at <= now + shape.call_time;
+            }
+            late += 1;
+            let wait = backlog.time_for_late(in_time + late);
+            wait.is_none_or(|wait| task.deadline_at <= now + wait + shape.call_time)
+        };
         self.tasks.extract_if(.., expired).collect()
     }
 
@@ -122,22 +191,30 @@
         shape: &BatchShape,
         room_bytes: u64,
         failure_domain: &str,
+        rules: &DecideSettings,
         makers_in: impl Fn(&str) -> Option<Makers>,
-    ) -> Vec<Task> {
+    ) -> Batch {
         let full_call = usual_time(shape, shape.pieces_max);
-        let misses = |task: &Task| task.due_at < now + full_call;
         let begun = &self.begun;
         let far = |task: &Task| task.near.as_ref().is_some_and(|near| **near != *failure_domain);
         let order = |task: &Task| {
-            let turn = urgency(task) + if far(task) { FAR_STEP } else { Duration::ZERO };
-            (!begun.contains(&task.work), misses(task), turn, task.work)
+            let behind = if far(task) { full_call.mul_f64(FAR_CALLS) } else { Duration::ZERO };
+            let turn = urgency(task, shape, rules) + behind;
+            (!begun.contains(&task.work), misses(task, now, shape), turn, task.work)
         };
         self.tasks.sort_by_cached_key(order);
         let is_crowded = self.tasks.len() > CROWDED_CALLS * shape.pieces_max;
         // Pieces that will be read in each domain, among those looked at so far.
         let mut ahead: HashMap<Arc<str>, usize> = HashMap::new();
+        let mut sizes: HashMap<u64, usize> = HashMap::new();
+        for task in &self.tasks {
+            *sizes.entry(task.work).or_default() += 1;
+        }
+        // The work that was looked at last, and whether it is left whole for another call.
+        let mut looked_at = (None, false);
         let mut room_bytes = room_bytes;
         let mut taken = 0;
+        let mut bound = Bound::Empty;
         let fits = |task: &mut Task| {
             let left_to_others = task.near.as_ref().is_some_and(|near| {
                 let ahead = ahead.entry(near.clone()).or_default();
@@ -148,24 +225,49 @@
                     && makers_in(near)
                         .is_some_and(|there| there.done_at(now, *ahead, shape) <= task.due_at)
             });
-            let fits =
-                taken < shape.pieces_max && task.result_bytes <= room_bytes && !left_to_others;
-            if fits {
-                taken += 1;
-                room_bytes -= task.result_bytes;
+            if looked_at.0 != Some(task.work) {
+                let pieces = sizes[&task.work];
+                let by_room = (room_bytes / task.result_bytes.max(1)) as usize;
+                let left = by_room.min(shape.pieces_max - taken);
+                let splits = rules.whole_works
+                    && pieces > left
+                    && left * LEFT_PLACES <= taken + left
+                    && !begun.contains(&task.work);
+                looked_at = (Some(task.work), splits);
+            }
+            let kept_out = match () {
+                () if taken == shape.pieces_max => Bound::Places,
+                () if left_to_others => Bound::Domain,
+                () if looked_at.1 && task.result_bytes > room_bytes => Bound::Room,
+                () if looked_at.1 => Bound::Places,
+                () if task.result_bytes > room_bytes => Bound::Room,
+                () => {
+                    taken += 1;
+                    room_bytes -= task.result_bytes;
+                    return true;
+                }
+            };
+            if bound == Bound::Empty || kept_out == Bound::Places {
+                bound = kept_out;
             }
-            fits
+            false
         };
         let taken: Vec<_> = self.tasks.extract_if(.., fits).collect();
         self.begun.extend(taken.iter().map(|task| task.work));
         let open: HashSet<_> = self.tasks.iter().map(|task| task.work).collect();
         self.begun.retain(|work| open.contains(work));
-        taken
+        Batch { tasks: taken, bound }
     }
 }
 
+/// Tells whether a piece can't be in time any more.
+fn misses(task: &Task, now: Duration, shape: &BatchShape) -> bool {
+    task.due_at < now + usual_time(shape, shape.pieces_max)
+}
+
 /// The order among pieces that are in time, or among those that are not: by due time, with a head
 /// start for requests of higher rank.
-fn urgency(task: &Task) -> Duration {
-    task.due_at + RANK_STEP * task.priority.min(RANKS_MAX)
+fn urgency(task: &Task, shape: &BatchShape, rules: &DecideSettings) -> Duration {
+    let step = usual_time(shape, shape.pieces_max).mul_f64(RANK_CALLS);
+    task.due_at + if rules.ranks { step * rank(task.priority) as u32 } else { Duration::ZERO }
 }
--- /dev/null
+++ b/crates/fernring-gateway/src/exchange/admitting.rs
@@ -0,0 +1,75 @@
+//! Whether a request is taken on: gathers what [`crate::admission`] decides by, and carries it out.
+
+use {
+    super::Exchange,
+    crate::{
+        admission::{Need, StageNeed, Verdict, decide},
+        backlog::rank,
+        log,
+        makers::usual_time,
+        refusal::Refusal,
+    },
+    fernring_core::{code::ResultCode, text::LogLine},
+    std::time::Duration,
+};
+
+impl Exchange {
+    /// Decides at arrival whether the request is taken on, and promises its stages what they need.
+    pub(super) fn admit(&mut self) -> Result<(), Refusal> {
+        let stages = self.route.stages.len();
+        let is_plain = (0..stages).all(|stage| self.plan.count(stage) == 0);
+        if is_plain || !self.serving.rules.get().admission {
+            return Ok(());
+        }
+        let need = self.need();
+        let verdict = decide(&need);
+        let (name, forecast) = match verdict {
+            Verdict::InTime(time) => ("in_time", Some(time)),
+            Verdict::Late(time) => ("late", Some(time)),
+            Verdict::Refused(_) => ("refused", None),
+        };
+        let line = LogLine::event("admission")
+            .with("request", &self.request.id)
+            .with("pipeline", &self.route.name)
+            .with("verdict", name)
+            .with_some("forecast_ms", forecast.map(|time| time.as_millis()))
+            .with("objective_ms", need.objective_left.as_millis());
+        log::info(line);
+        self.forecast = forecast;
+        if let Verdict::Refused(after) = verdict {
+            let refusal = self.give_up(ResultCode::ExpiredInQueue, "overload");
+            return Err(refusal.back_after(self.come_back(after)));
+        }
+        let backlogs = self.serving.stages.backlogs();
+        for stage in 0..stages {
+            let (pieces, spec) = (self.plan.count(stage), self.plan.spec(stage));
+            let promise = backlogs.promise(&spec.service, need.rank, pieces);
+            self.promises.insert(stage, promise);
+        }
+        Ok(())
+    }
+
+    fn need(&self) -> Need {
+        let held = self.serving.config.borrow().current();
+        let now = self.serving.now();
+        let stage_need = |stage: usize| {
+            let spec = self.plan.spec(stage);
+            let pieces = self.plan.count(stage);
+            let backlog = self.serving.stages.backlog(&spec.service);
+            let service = held.as_ref().and_then(|held| held.config.services.get(&spec.service));
+            let shape = service.and_then(|service| service.batch);
+            let ahead = backlog.map_or(0, |backlog| backlog.waiting.iter().sum());
+            let call_time = shape.map_or(Duration::ZERO, |shape| {
+                usual_time(&shape, shape.pieces_max.min((pieces + ahead) as usize))
+            });
+            StageNeed { after: spec.after.clone(), pieces, backlog, call_time }
+        };
+        Need {
+            rank: rank(self.priority()),
+            stages: (0..self.route.stages.len()).map(stage_need).collect(),
+            reading_time: self.reading_time(),
+            objective_left: self.objective_at.saturating_sub(now),
+            time_left: self.hold_until.saturating_sub(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernring-gateway/src/exchange/mod.rs
@@ -0,0 +1,358 @@
+//! One request on its way: its account, and its end. [`admitting`] takes it on, [`staging`] has its stages
+//! made, [`sending`] sends it.
+
+mod admitting;
+mod sending;
+mod staging;
+
+use {
+    crate::{
+        attempts::Attempts,
+        backlog::rank,
+        backlogs::Promise,
+        come_back::come_back,
+        connections::AnswerBody,
+        log, measures,
+        model::{Repeat, RequestFields, Route, UpstreamKey, Workspace},
+        refusal::Refusal,
+        relay::RelayError,
+        serve::Serving,
+        stage_plan::StagePlan,
+        upstreams::{LoadGuard, Target},
+    },
+    bytes::Bytes,
+    fernring_core::{code::ResultCode, text::LogLine},
+    http::{HeaderMap, Method, StatusCode, Uri, response::Parts},
+    rand::RngExt,
+    std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration},
+};
+
+/// Load of a request that is being generated, in tokens to read.
+const GENERATION_LOAD_TOKENS: f64 = 200.0;
+
+/// What the caller sent, to be sent on.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers without those that concern one connection only.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Its own fields.
+    pub fields: RequestFields,
+    /// Its identity.
+    pub id: Arc<str>,
+}
+
+/// An answer whose head is good.
+#[derive(Debug)]
+pub struct Opened {
+    /// Its head.
+    pub head: Parts,
+    /// Its body.
+    pub body: AnswerBody,
+    /// The upstream's run.
+    pub instance: Arc<str>,
+    key: UpstreamKey,
+    load: LoadGuard,
+    /// What a model engine reads before its first event, until that has come.
+    reads: Option<Reads>,
+}
+
+/// A prompt that is being read.
+#[derive(Debug, Clone, Copy)]
+struct Reads {
+    tokens: f64,
+    sent_at: Duration,
+}
+
+/// Counts a request as in flight until it is dropped.
+#[derive(Debug)]
+pub struct InFlight(Rc<Serving>);
+
+impl InFlight {
+    /// Counts a request.
+    pub fn new(serving: Rc<Serving>) -> Self {
+        serving.count_in_flight(1);
+        Self(serving)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.count_in_flight(-1);
+    }
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy)]
+pub enum Ended<'a> {
+    /// With an upstream's whole answer, of this status.
+    Answered {
+        /// The status.
+        status: StatusCode,
+    },
+    /// With an answer of the gateway's own.
+    Refused(&'a Refusal),
+    /// In the middle of a stream.
+    Broken(&'a RelayError),
+    /// Its caller did not wait for the end.
+    CallerLeft,
+}
+
+impl Ended<'_> {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Answered { .. } => "answered",
+            Self::Refused(refusal) => refusal.code.name(),
+            Self::Broken(_) => "broken",
+            Self::CallerLeft => "caller_left",
+        }
+    }
+
+    fn code(&self) -> ResultCode {
+        match self {
+            Self::Answered { .. } | Self::CallerLeft => ResultCode::Ok,
+            Self::Refused(refusal) => refusal.code,
+            Self::Broken(_) => ResultCode::AnswerTruncated,
+        }
+    }
+
+    fn detail(&self) -> Option<String> {
+        match self {
+            Self::Answered { status } => Some(format!("status {}", status.as_u16())),
+            Self::Refused(refusal) => Some(refusal.detail.clone()),
+            Self::Broken(error) => Some(error.to_string()),
+            Self::CallerLeft => None,
+        }
+    }
+}
+
+/// One request on its way.
+pub struct Exchange {
+    serving: Rc<Serving>,
+    request: CallerRequest,
+    route: Arc<Route>,
+    workspace: Option<Arc<Workspace>>,
+    service: Arc<str>,
+    arrived_at: Duration,
+    objective_at: Duration,
+    /// When the caller leaves if nothing has come.
+    hold_until: Duration,
+    end_at: Duration,
+    attempts: Attempts,
+    tried: Vec<UpstreamKey>,
+    plan: StagePlan,
+    /// When the first event should come, after the arrival; `None` if that was not forecast.
+    forecast: Option<Duration>,
+    /// The stages that haven't begun and were promised, by index.
+    promises: HashMap<usize, Promise>,
+    inputs: Vec<Arc<str>>,
+    /// Model engine that the results are made for.
+    home: Option<Target>,
+    resume_after: Option<u64>,
+    /// When bytes of the answer came first and last, and the longest pause between.
+    passed_on: Option<PassedOn>,
+    is_ended: bool,
+    _in_flight: InFlight,
+}
+
+/// What of a stream was passed on, and when.
+#[derive(Debug, Clone, Copy)]
+struct PassedOn {
+    first_at: Duration,
+    last_at: Duration,
+    longest_pause: Duration,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.release_all();
+        if !self.is_ended {
+            self.finished(Ended::CallerLeft);
+        }
+    }
+}
+
+impl Exchange {
+    /// Starts the account of a request that arrived at `arrived_at`.
+    pub fn new(
+        serving: Rc<Serving>,
+        request: CallerRequest,
+        route: Arc<Route>,
+        workspace: Option<Arc<Workspace>>,
+        arrived_at: Duration,
+    ) -> Self {
+        let waits = route.wait(request.fields.remaining);
+        let service = draw_service(&route);
+        Self {
+            attempts: Attempts::new(route.repeat, route.attempts_max),
+            plan: StagePlan::new(&route.stages, &request.fields.piece_counts),
+            resume_after: request.fields.last_event,
+            objective_at: arrived_at + route.objective,
+            hold_until: arrived_at + waits.min(route.patience),
+            end_at: arrived_at + waits,
+            _in_flight: InFlight::new(serving.clone()),
+            tried: Vec::new(),
+            forecast: None,
+            promises: HashMap::new(),
+            inputs: Vec::new(),
+            home: None,
+            passed_on: None,
+            is_ended: false,
+            serving,
+            request,
+            route,
+            workspace,
+            service,
+            arrived_at,
+        }
+    }
+
+    /// Returns the request's identity.
+    pub fn request_id(&self) -> &str {
+        &self.request.id
+    }
+
+    /// Returns what may be repeated.
+    pub fn repeat(&self) -> Repeat {
+        self.route.repeat
+    }
+
+    /// Returns the time left.
+    pub fn time_left(&self) -> Duration {
+        self.end_at.saturating_sub(self.serving.now())
+    }
+
+    /// Returns the number of the event that the stream goes on after.
+    pub fn resume_after(&self) -> Option<u64> {
+        self.resume_after
+    }
+
+    /// Returns the number of an event, from one of its lines.
+    pub fn event_number(&self, line: &[u8]) -> Option<u64> {
+        self.serving.wire.event_number(line)
+    }
+
+    /// Takes in that bytes of the answer came: the prompt is read, and the results of the stages
+    /// were fetched.
+    pub fn got_bytes(&mut self, opened: &mut Opened) {
+        if self.route.prefix_affinity {
+            opened.load.reduce_to(GENERATION_LOAD_TOKENS);
+        }
+        self.release_all();
+        let now = self.serving.now();
+        if let Some(reads) = opened.reads.take() {
+            let took = now.saturating_sub(reads.sent_at);
+            self.serving.learned.read(&self.service, reads.tokens, took);
+        }
+        let passed_on = self.passed_on.get_or_insert(PassedOn {
+            first_at: now,
+            last_at: now,
+            longest_pause: Duration::ZERO,
+        });
+        let pause = now.saturating_sub(passed_on.last_at);
+        passed_on.longest_pause = passed_on.longest_pause.max(pause);
+        passed_on.last_at = now;
+    }
+
+    /// Sends a stream once more that broke off, with the results of its stages made anew: those of
+    /// the first time were given up when the first event came.
+    ///
+    /// # Errors
+    /// If no upstream goes on with it.
+    pub async fn reopen(&mut self, last_event: Option<u64>) -> Result<Opened, Refusal> {
+        self.resume_after = last_event;
+        if !self.may_send() {
+            return Err(self.give_up(ResultCode::StageFailed, "no further send is allowed"));
+        }
+        if self.plan.is_released() {
+            self.plan = StagePlan::new(&self.route.stages, &self.request.fields.piece_counts);
+            self.hold_until = self.end_at;
+            self.make_admitted().await?;
+        }
+        self.open().await
+    }
+
+    /// Returns when the caller should come back, given when what waits now should be done.
+    fn come_back(&self, drained_after: Option<Duration>) -> Duration {
+        let draw = rand::rng().random_range(0.0..1.0);
+        come_back(drained_after, self.time_left(), rank(self.priority()), draw)
+    }
+
+    /// Returns the final answer for a request that is given up: a promise that it has not run if
+    /// that is so.
+    pub fn give_up(&self, code: ResultCode, detail: &str) -> Refusal {
+        match self.attempts.not_run() {
+            Some(not_run) => Refusal::not_run(not_run, code, self.come_back(None), detail),
+            None if code == ResultCode::WindowEnded => Refusal::may_have_run(code, detail),
+            None => Refusal::may_have_run(ResultCode::StageFailed, detail),
+        }
+    }
+
+    /// Takes in the request's end: writes its line and counts it.
+    pub fn finished(&mut self, end: Ended<'_>) {
+        self.is_ended = true;
+        let took = self.serving.now().saturating_sub(self.arrived_at);
+        let first_ms =
+            self.passed_on.map(|p| p.first_at.saturating_sub(self.arrived_at).as_millis());
+        measures::request_ended(&self.route.name, end.name(), took);
+        let line = LogLine::event("request_ended")
+            .with("request", &self.request.id)
+            .with("pipeline", &self.route.name)
+            .with_some("workspace", self.workspace.as_ref().map(|workspace| &workspace.name))
+            .with("outcome", end.name())
+            .with("code", end.code().number())
+            .with("sends", self.tried.len())
+            .with("config", self.serving.config.borrow().version())
+            .with("took_ms", took.as_millis())
+            .with_some("forecast_ms", self.forecast.map(|time| time.as_millis()))
+            .with("left_ms", self.time_left().as_millis())
+            .with_some("first_ms", first_ms)
+            .with_some("pause_ms", self.passed_on.map(|p| p.longest_pause.as_millis()))
+            .with_some("detail", end.detail());
+        match end {
+            Ended::Answered { .. } | Ended::CallerLeft => log::info(line),
+            Ended::Refused(_) | Ended::Broken(_) => log::warn(line),
+        }
+    }
+
+    fn release_all(&mut self) {
+        for (stage, handles) in self.plan.take_all() {
+            self.serving.stages.release(&self.plan.spec(stage).service, handles);
+        }
+    }
+}
+
+impl Opened {
+    /// Returns the upstream.
+    pub fn key(&self) -> UpstreamKey {
+        self.key
+    }
+
+    /// Tells whether the upstream answered with a failure of its own.
+    pub fn is_failure(&self) -> bool {
+        self.head.status.is_server_error()
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> StatusCode {
+        self.head.status
+    }
+}
+
+/// Draws one of the services that a route splits its requests over.
+fn draw_service(route: &Route) -> Arc<str> {
+    let total: u32 = route.split.iter().map(|part| part.weight).sum();
+    let mut draw = rand::rng().random_range(0..total.max(1));
+    for part in &route.split {
+        if draw < part.weight {
+            return part.service.clone();
+        }
+        draw -= part.weight;
+    }
+    route.split.first().map_or_else(|| Arc::from(""), |part| part.service.clone())
+}
--- /dev/null
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -0,0 +1,269 @@
+//! Sending a request to an upstream: the choice, the send, and what its failure means.
+
+use {
+    super::{Exchange, GENERATION_LOAD_TOKENS, Opened, Reads},
+    crate::{
+        attempts::SendEnd,
+        connections::SendFailure,
+        log, measures,
+        model::{UpstreamFields, UpstreamKey},
+        refusal::Refusal,
+        selection::{Candidate, PromptNeed, choose, choose_model},
+        upstreams::Target,
+    },
+    bytes::Bytes,
+    fernring_core::{code::ResultCode, text::LogLine},
+    http::Request,
+    http_body_util::Full,
+    std::time::Duration,
+    tokio::time::timeout,
+};
+
+/// Most upstreams that one request is offered to, those included that take no connection. A
+/// refused connection costs a millisecond, and a third of a pool may be gone at once.
+const OFFERS_MAX: u32 = 12;
+/// Part of the time left to the objective that may go into reading prompts. The rest is for what
+/// this node doesn't know of: requests of other nodes since their last heartbeat.
+const READ_PART: f64 = 0.7;
+/// The time that the reading speed is said for in log lines.
+const ONE_MS: Duration = Duration::from_millis(1);
+
+/// An upstream that was chosen.
+pub(super) struct Chosen {
+    pub(super) target: Target,
+    /// Tokens that it should have to read, for a model engine.
+    tokens: Option<f64>,
+}
+
+impl Exchange {
+    /// Sends the request until the head of a good answer comes.
+    ///
+    /// # Errors
+    /// If none came and it may not be sent again.
+    pub async fn open(&mut self) -> Result<Opened, Refusal> {
+        self.serving.retries.count_requests(self.serving.now(), &self.service, 1);
+        let mut reason = "no upstream is there".to_owned();
+        for _ in 0..OFFERS_MAX {
+            let left = self.time_left();
+            if left.is_zero() {
+                return Err(self.give_up(ResultCode::WindowEnded, &reason));
+            }
+            if !self.attempts.may_send() {
+                break;
+            }
+            let Some(Chosen { target, tokens }) = self.choose() else {
+                break;
+            };
+            if self.attempts.next_is_extra() && !self.take_budget() {
+                reason.push_str("; the retry budget is spent");
+                break;
+            }
+            self.tried.push(target.key);
+            let sent_at = self.serving.now();
+            match self.send(&target, left).await {
+                Ok(mut opened) => {
+                    opened.reads = tokens.map(|tokens| Reads { tokens, sent_at });
+                    measures::send_ended(&self.service, "answered");
+                    return Ok(opened);
+                }
+                Err((end, why)) => {
+                    self.log_send(&target, end, &why);
+                    self.attempts.ended(end);
+                    self.judge(&target, end);
+                    reason = why;
+                }
+            }
+        }
+        if self.time_left().is_zero() {
+            return Err(self.give_up(ResultCode::WindowEnded, &reason));
+        }
+        Err(self.give_up(ResultCode::NoUpstream, &reason))
+    }
+
+    /// Takes in that a send brought a head but no whole answer.
+    pub fn send_ended(&mut self, opened: &Opened, end: SendEnd) {
+        self.attempts.ended(end);
+        self.serving.upstreams.failed(self.serving.now(), opened.key);
+    }
+
+    /// Takes in that an upstream answered, though with a failure of its own.
+    pub fn answered_with_failure(&mut self) {
+        self.attempts.ended(SendEnd::Unknown);
+    }
+
+    /// Takes in that an upstream gave a whole answer.
+    pub fn succeeded(&self, key: UpstreamKey) {
+        self.serving.upstreams.succeeded(key);
+    }
+
+    /// Tells whether another upstream may be asked.
+    pub fn may_send(&self) -> bool {
+        self.attempts.may_send() && !self.time_left().is_zero()
+    }
+
+    fn take_budget(&self) -> bool {
+        self.serving.retries.take(self.serving.now(), &self.service, 1)
+    }
+
+    pub(super) fn choose(&self) -> Option<Chosen> {
+        let upstreams = &self.serving.upstreams;
+        let is_silent = |domain: &str| self.serving.peers.is_silent(domain);
+        let untried = |candidate: &Candidate| !self.tried.contains(&candidate.key);
+        let candidates = upstreams.candidates(self.serving.now(), &self.service, is_silent);
+        let candidates: Vec<_> = candidates.into_iter().filter(untried).collect();
+        let (key, tokens) = match self.prompt_need() {
+            Some(need) => {
+                let choice = choose_model(&candidates, need)?;
+                (choice.key, Some(choice.tokens))
+            }
+            None => (choose(&candidates, rand::random())?, None),
+        };
+        let target = upstreams.target(key)?;
+        self.log_choice(&target, &candidates);
+        Some(Chosen { target, tokens })
+    }
+
+    fn log_choice(&self, target: &Target, candidates: &[Candidate]) {
+        let chosen = candidates.iter().find(|candidate| candidate.key == target.key);
+        let is_home = self.home.as_ref().is_some_and(|home| home.key == target.key);
+        let age = self.serving.upstreams.record_age(self.serving.now());
+        let line = LogLine::event("routed")
+            .with("request", &self.request.id)
+            .with("pipeline", &self.route.name)
+            .with_some("workspace", self.workspace.as_ref().map(|workspace| &workspace.name))
+            .with("service", &self.service)
+            .with("upstream", &target.instance)
+            .with("record", target.offset)
+            .with("records_age_ms", age.as_millis())
+            .with("send", self.tried.len() + 1)
+            .with("of", candidates.len())
+            .with("load", chosen.map_or(0.0, |candidate| candidate.load.round()))
+            .with("is_avoided", chosen.is_some_and(|candidate| candidate.is_avoided))
+            .with("is_home", is_home)
+            .with(
+                "reads_per_ms",
+                self.serving.learned.reading(&self.service).tokens_in(ONE_MS).round(),
+            )
+            .with("config", self.serving.config.borrow().version())
+            .with("left_ms", self.time_left().as_millis());
+        log::info(line);
+    }
+
+    /// What the request needs of a model engine; `None` if it goes to a plain service.
+    fn prompt_need(&self) -> Option<PromptNeed> {
+        if !self.route.prefix_affinity || !self.serving.rules.get().prefixes {
+            return None;
+        }
+        let parts = &self.request.fields.prompt;
+        let shared = parts.len().checked_sub(2).and_then(|index| parts.get(index));
+        let own = parts.last()?;
+        let time_left = self.objective_at.saturating_sub(self.serving.now());
+        let speed = self.serving.learned.reading(&self.service);
+        Some(PromptNeed {
+            prefix: shared.unwrap_or(own).id,
+            own_tokens: f64::from(own.tokens),
+            all_tokens: self.prompt_tokens(),
+            patience_tokens: speed.tokens_in(time_left.mul_f64(READ_PART)),
+            home: self.home.as_ref().map(|home| home.key),
+        })
+    }
+
+    pub(super) fn prompt_tokens(&self) -> f64 {
+        f64::from(self.request.fields.prompt.iter().map(|part| part.tokens).sum::<u32>())
+    }
+
+    /// The load that the request brings until its first event: tokens to read for a model engine,
+    /// with the shared parts taken as cached, else 1.
+    fn weight(&self) -> f64 {
+        match self.prompt_need() {
+            Some(need) => need.own_tokens + GENERATION_LOAD_TOKENS,
+            None => 1.0,
+        }
+    }
+
+    async fn send(&self, target: &Target, left: Duration) -> Result<Opened, (SendEnd, String)> {
+        let load = self.serving.upstreams.load(target.key, self.weight());
+        let connections_max = self.serving.config.borrow().connections_max(&self.service);
+        let request = self.upstream_request(target, left);
+        let sent = self.serving.upstreams.send(target, connections_max, request);
+        let answer = match timeout(left, sent).await {
+            Err(_) => return Err((SendEnd::Unknown, "no answer in time".to_owned())),
+            Ok(Err(SendFailure::NotSent(why))) => return Err((SendEnd::NotSent, why)),
+            Ok(Err(SendFailure::Broken(why))) => return Err((SendEnd::Unknown, why)),
+            Ok(Ok(answer)) => answer,
+        };
+        let mut opened = Opened {
+            head: answer.head,
+            body: answer.body,
+            instance: target.instance.clone(),
+            key: target.key,
+            load,
+            reads: None,
+        };
+        match self.check_head(&mut opened) {
+            None => Ok(opened),
+            Some(failure) => Err(failure),
+        }
+    }
+
+    /// Finds what is wrong with the head of an answer.
+    fn check_head(&self, opened: &mut Opened) -> Option<(SendEnd, String)> {
+        let status = opened.head.status;
+        let fields = self.serving.wire.decode_answer(status, &opened.head.headers);
+        if fields.wrong_instance {
+            return Some((SendEnd::WrongInstance, "another instance is there".to_owned()));
+        }
+        if fields.request_id.as_deref() != Some(&*self.request.id) {
+            return Some((SendEnd::Unknown, "the answer is to another request".to_owned()));
+        }
+        if fields.not_run {
+            return Some((SendEnd::Refused, format!("refused with status {status}")));
+        }
+        if status.is_success() && (!fields.is_signed || fields.is_encoded) {
+            return Some((SendEnd::Unknown, "the answer is not the upstream's own".to_owned()));
+        }
+        if let Some(idle_timeout) = fields.idle_timeout {
+            opened.body.set_idle_timeout(idle_timeout);
+        }
+        None
+    }
+
+    fn upstream_request(&self, target: &Target, left: Duration) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.request.body.clone()));
+        *request.method_mut() = self.request.method.clone();
+        *request.uri_mut() = self.request.uri.clone();
+        let mut headers = self.request.headers.clone();
+        let fields = UpstreamFields {
+            remaining: left,
+            instance: target.instance.clone(),
+            workspace: self.workspace.as_ref().map(|workspace| workspace.name.clone()),
+            inputs: self.inputs.clone(),
+            resume_after: self.resume_after,
+        };
+        self.serving.wire.encode_upstream(&mut headers, &fields);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    fn judge(&self, target: &Target, end: SendEnd) {
+        let now = self.serving.now();
+        match end {
+            SendEnd::Refused => self.serving.upstreams.was_full(now, target.key),
+            SendEnd::NotSent => self.serving.upstreams.was_unreachable(now, target.key),
+            SendEnd::WrongInstance | SendEnd::Unknown => {
+                self.serving.upstreams.failed(now, target.key);
+            }
+        }
+    }
+
+    fn log_send(&self, target: &Target, end: SendEnd, why: &str) {
+        measures::send_ended(&self.service, end.name());
+        let line = LogLine::event("send_failed")
+            .with("request", &self.request.id)
+            .with("upstream", &target.instance)
+            .with("address", target.address)
+            .with("end", end.name())
+            .with("reason", why);
+        log::info(line);
+    }
+}
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -4,9 +4,10 @@
 //! its stages from their owners ([`stages`], [`owner`]), and is sent to an upstream by
 //! [`exchange`]; streams are passed on by [`relay`].
 //!
-//! Decisions stand in modules without I/O: [`attempts`], [`batching`], [`budget`], [`config`],
-//! [`directory`], [`events`], [`freshness`], [`makers`], [`members`], [`selection`], [`stage_plan`]. A platform's formats and
-//! calls are behind the traits of [`wire`]. Everything runs on one thread.
+//! Decisions stand in modules without I/O: [`admission`] (who is taken on), [`attempts`], [`backlog`] and [`backlogs`]
+//! (what waits where), [`batching`] (the queue of a stage and its calls), [`budget`], [`come_back`], [`config`], [`directory`],
+//! [`events`], [`flow`], [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`]. A
+//! platform's formats and calls are behind the traits of [`wire`]. Everything runs on one thread.
 //!
 //! ```
 //! use fernring_gateway::{attempts::{Attempts, SendEnd}, model::Repeat};
@@ -18,16 +19,22 @@
 //! assert!(!attempts.may_send() && attempts.not_run().is_none());
 //! ```
 
+pub mod admission;
 pub mod attempts;
+pub mod backlog;
+pub mod backlogs;
 pub mod batching;
 pub mod budget;
+pub mod come_back;
 pub mod config;
 pub mod connections;
 pub mod directory;
 pub mod events;
 pub mod exchange;
+pub mod flow;
 pub mod freshness;
 pub mod ingress;
+pub mod learned;
 pub mod log;
 pub mod makers;
 mod measures;
@@ -36,6 +43,7 @@
 pub mod node;
 pub mod owner;
 pub mod peers;
+pub mod reading;
 pub mod refusal;
 pub mod relay;
 pub mod retries;
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -6,6 +6,7 @@
         directory::Change,
         freshness::Freshness,
         ingress::{Ingress, Phase},
+        learned::Learned,
         log,
         measures::{self, Readings},
         members::Member,
@@ -153,12 +154,14 @@
         let upstreams = Rc::new(Upstreams::new(failure_domain));
         let peers = Rc::new(Peers::new(me, clock.clone()));
         let retries = Rc::new(Retries::new(settings.retries.allowance(), peers.clone()));
+        let rules = Rc::new(Cell::new(settings.decide));
         let owner = Rc::new(Owner::new(
             clock.clone(),
             wire.clone(),
             config.clone(),
             upstreams.clone(),
             peers.clone(),
+            rules.clone(),
         ));
         let stages = Rc::new(Stages::new(clock.clone(), peers.clone(), owner.clone()));
         let serving = Rc::new(Serving {
@@ -168,6 +171,8 @@
             upstreams: upstreams.clone(),
             peers: peers.clone(),
             stages: stages.clone(),
+            learned: Learned::default(),
+            rules,
             retries: retries.clone(),
             in_flight: Cell::new(0),
         });
@@ -287,6 +292,7 @@
             }
         };
         self.retries.set_allowance(settings.retries.allowance());
+        self.serving.rules.set(settings.decide);
         self.peers.suggest(settings.node.seeds.iter().copied());
         *self.settings.borrow_mut() = settings;
         log::info(LogLine::event("settings_taken"));
@@ -436,6 +442,7 @@
         let loads = heartbeat.load_upstreams.iter().zip(&heartbeat.load_weights);
         let loads = loads.map(|(upstream, weight)| (*upstream, f64::from(*weight))).collect();
         self.upstreams.set_peer_loads(sender, loads);
+        self.stages.heard(sender, &heartbeat.stage_loads);
         // What another domain can't reach may well be reachable here.
         if *heartbeat.failure_domain == *self.settings.borrow().node.failure_domain {
             self.upstreams.peer_found_unreachable(self.serving.now(), &heartbeat.unreachable);
@@ -457,6 +464,7 @@
         heartbeat.config_age_ms = self.age_ms(Followed::Config);
         heartbeat.directory_age_ms = self.age_ms(Followed::Upstreams);
         heartbeat.unreachable = self.upstreams.unreachable(self.serving.now());
+        heartbeat.stage_loads = self.stages.described();
         (heartbeat.load_upstreams, heartbeat.load_weights) =
             self.upstreams.own_loads().into_iter().unzip();
     }
--- /dev/null
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -0,0 +1,215 @@
+//! Calls of an owner to its makers.
+
+use {
+    super::{Owner, outcomes::has_further_call},
+    crate::{
+        batching::{Batch, BatchQueue, Bound, Task},
+        connections::SendFailure,
+        log,
+        makers::{Maker, overdue_after, usual_time},
+        measures,
+        model::{BatchShape, Piece, PieceOutcome, Service, UpstreamKey},
+        upstreams::Target,
+    },
+    bytes::Bytes,
+    fernring_core::text::LogLine,
+    http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header::CONTENT_TYPE},
+    http_body_util::{BodyExt, Full},
+    std::{pin::pin, rc::Rc, sync::Arc, time::Duration},
+    tokio::{task::spawn_local, time::timeout},
+};
+
+/// How much longer than estimated a call may take. Upstreams differ in speed, some turn slow;
+/// beyond three times, the pieces are better off elsewhere.
+const CALL_PATIENCE: u32 = 3;
+/// Time that a call may take besides: connecting, fetching inputs, and a turn behind another
+/// node's call.
+const CALL_GRACE: Duration = Duration::from_millis(400);
+/// Longest answer of a call that is read, in bytes: a handle or reason for each piece, with room.
+const ANSWER_BYTES_MAX: usize = 1 << 20;
+
+impl Owner {
+    pub(super) fn start_call(
+        self: &Rc<Self>,
+        service: &Service,
+        shape: BatchShape,
+        target: Target,
+        batch: Batch,
+    ) {
+        let Batch { tasks, bound } = batch;
+        let bytes: u64 = tasks.iter().map(|task| task.result_bytes).sum();
+        let started = self.now();
+        let usual = usual_time(&shape, tasks.len());
+        if let Some(maker) = self.makers.borrow_mut().of(target.key) {
+            maker.call_began(started + usual, bytes);
+        }
+        let owner = self.clone();
+        let connections_max = service.connections_max;
+        let service = service.name.clone();
+        let waiting = self.queues.borrow().get(&service).map_or(0, BatchQueue::len);
+        spawn_local(async move {
+            let call = owner.call(&target, connections_max, &shape, &tasks);
+            let (end, was_overdue) = owner.watched(call, &service, &target, &shape, &tasks).await;
+            owner.log_call(&service, &target, &tasks, started, waiting, bound);
+            let now = owner.now();
+            if let Some(maker) = owner.makers.borrow_mut().get_mut(target.key) {
+                maker.call_ended(bytes);
+                if end.is_ok() {
+                    maker.took(now, now.saturating_sub(started), usual);
+                }
+            }
+            if end.is_ok() && matches!(bound, Bound::Places | Bound::Room) {
+                let took = now.saturating_sub(started);
+                let mut flows = owner.flows.borrow_mut();
+                flows.entry(service.clone()).or_default().called(&shape, tasks.len(), took);
+            }
+            owner.call_ended(&service, &target, tasks, end, was_overdue);
+            owner.pump(&service);
+        });
+    }
+
+    /// Waits for a call's end; once it is overdue, its pieces are given to another maker as well.
+    /// Tells whether that was so.
+    async fn watched<T>(
+        self: &Rc<Self>,
+        call: impl Future<Output = T>,
+        service: &Arc<str>,
+        target: &Target,
+        shape: &BatchShape,
+        tasks: &[Task],
+    ) -> (T, bool) {
+        if !self.rules.get().copies {
+            return (call.await, false);
+        }
+        let mut call = pin!(call);
+        let patience = overdue_after(shape, tasks.len());
+        if let Ok(end) = timeout(patience, &mut call).await {
+            return (end, false);
+        }
+        let line = LogLine::event("stage_call_overdue").with("service", service);
+        let line = line.with("upstream", &target.instance).with("pieces", tasks.len());
+        log::info(line.with("after_ms", patience.as_millis()));
+        for task in tasks.iter().filter(|task| has_further_call(task)) {
+            self.put_back(service, Task { calls: task.calls + 1, ..task.clone() });
+        }
+        self.pump(service);
+        (call.await, true)
+    }
+
+    fn log_call(
+        &self,
+        service: &Arc<str>,
+        target: &Target,
+        tasks: &[Task],
+        started: Duration,
+        waiting: usize,
+        bound: Bound,
+    ) {
+        measures::batch_called(service, tasks.len(), waiting);
+        let kept = self.makers.borrow().get(target.key).map_or(0, Maker::kept_bytes);
+        let line = LogLine::event("stage_call")
+            .with("service", service)
+            .with("upstream", &target.instance)
+            .with("pieces", tasks.len())
+            .with("waiting", waiting)
+            .with("bound", bound.name())
+            .with("kept_bytes", kept)
+            .with("took_ms", self.now().saturating_sub(started).as_millis());
+        log::info(line);
+    }
+
+    async fn call(
+        &self,
+        target: &Target,
+        connections_max: u32,
+        shape: &BatchShape,
+        tasks: &[Task],
+    ) -> Result<Vec<PieceOutcome>, CallFailure> {
+        let now = self.now();
+        let piece = |task: &Task| Piece {
+            remaining: task.deadline_at.saturating_sub(now),
+            ..task.piece.clone()
+        };
+        let pieces: Vec<_> = tasks.iter().map(piece).collect();
+        let call = self.wire.encode_batch(&pieces);
+        let request = self.request(target, call.path, call.body);
+        let expected = usual_time(shape, tasks.len());
+        let exchange = async {
+            let answer = self.upstreams.send(target, connections_max, request).await?;
+            let fields = self.wire.decode_answer(answer.head.status, &answer.head.headers);
+            if fields.not_run || fields.wrong_instance {
+                return Err(CallFailure::Refused);
+            }
+            if answer.head.status != StatusCode::OK {
+                return Err(CallFailure::Failed(format!("status {}", answer.head.status)));
+            }
+            let body = http_body_util::Limited::new(answer.body, ANSWER_BYTES_MAX);
+            let body = body.collect().await.map_err(|e| CallFailure::Failed(e.to_string()))?;
+            let outcomes = self.wire.decode_batch(&body.to_bytes());
+            outcomes.map_err(|error| CallFailure::Failed(error.to_string()))
+        };
+        let patience = expected * CALL_PATIENCE + CALL_GRACE;
+        let outcomes = timeout(patience, exchange).await.unwrap_or_else(|_| {
+            Err(CallFailure::Failed(format!("no answer in {} ms", patience.as_millis())))
+        })?;
+        if outcomes.len() != tasks.len() {
+            return Err(CallFailure::Failed("the answer has another number of pieces".to_owned()));
+        }
+        Ok(outcomes)
+    }
+
+    fn request(&self, target: &Target, path: &'static str, body: Bytes) -> Request<Full<Bytes>> {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(host) = HeaderValue::from_str(&target.address.to_string()) {
+            headers.insert(http::header::HOST, host);
+        }
+        self.wire.encode_instance(&mut headers, &target.instance);
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static(path);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    pub(super) async fn send_release(self: Rc<Self>, key: UpstreamKey, handles: Vec<Arc<str>>) {
+        let Some(target) = self.upstreams.target(key) else {
+            return;
+        };
+        let call = self.wire.encode_release(&handles);
+        let request = self.request(&target, call.path, call.body);
+        let connections_max = self.connections_max(key);
+        let work = async {
+            let answer = self.upstreams.send(&target, connections_max, request).await?;
+            answer.body.collect().await.map_err(|e| SendFailure::Broken(e.to_string()))
+        };
+        if let Ok(Err(error)) = timeout(CALL_GRACE, work).await {
+            // The results lapse by themselves; until then they take room.
+            let line = LogLine::event("release_failed").with("upstream", &target.instance);
+            log::info(line.with("error", error));
+        }
+    }
+}
+
+/// Why a call brought no outcomes.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum CallFailure {
+    /// Nothing was written.
+    #[error("{0}")]
+    NotSent(String),
+    /// The upstream refused it.
+    #[error("refused")]
+    Refused,
+    /// Anything else.
+    #[error("{0}")]
+    Failed(String),
+}
+
+impl From<SendFailure> for CallFailure {
+    fn from(failure: SendFailure) -> Self {
+        match failure {
+            SendFailure::NotSent(reason) => Self::NotSent(reason),
+            SendFailure::Broken(reason) => Self::Failed(reason),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -0,0 +1,411 @@
+//! The owner's side of stages: the pieces of all nodes for a stage service, filled into one batch
+//! after another.
+//!
+//! [`calls`] sends them to the makers, [`outcomes`] takes in what became of the pieces.
+//!
+//! One call at a time goes to each upstream. A piece whose call failed goes into another, up to
+//! [`CALLS_MAX`] calls; pieces may be made again, so they don't draw on the retry budget.
+
+mod calls;
+mod outcomes;
+
+use {
+    crate::{
+        backlog::Backlog,
+        batching::{BatchQueue, Makers, Task},
+        config::ConfigState,
+        directory::Effect,
+        flow::Flow,
+        makers::{Maker, MakerSet},
+        model::{BatchShape, Piece, PieceInput, Service, UpstreamKey},
+        peers::Peers,
+        settings::DecideSettings,
+        upstreams::{Target, Upstreams, maker_address},
+        wire::Wire,
+    },
+    fernring_core::clock::Clock,
+    rand::seq::SliceRandom,
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap, HashSet},
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{sync::oneshot, task::spawn_local},
+};
+
+/// How often waiting pieces are looked through for those whose time is over.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
+/// How long results that are given up wait for others before they are told to their maker.
+const RELEASE_DELAY: Duration = Duration::from_millis(15);
+/// What a result takes beside its said size, which is approximate.
+const RESULT_SIZE_MARGIN: f64 = 1.08;
+
+/// The pieces of one stage of one request.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Service of the stage.
+    pub service: Arc<str>,
+    /// The request.
+    pub request_id: Arc<str>,
+    /// Index of the stage.
+    pub stage: u32,
+    /// Number of pieces.
+    pub pieces: u32,
+    /// What they work on.
+    pub input: PieceInput,
+    /// When the results are due for the request to be on time.
+    pub due_at: Duration,
+    /// Failure domain in which the results will be read; `None` if that doesn't matter.
+    pub near: Option<Arc<str>>,
+    /// When the results are of no more use.
+    pub deadline_at: Duration,
+    /// Rank of the request; 0 goes first.
+    pub priority: u32,
+    /// Size of one result, in bytes.
+    pub result_bytes: u64,
+    /// The node that asks.
+    pub asker: SocketAddr,
+}
+
+/// How the pieces of a stage ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WorkEnd {
+    /// All were made; their handles in order.
+    Made(Vec<Arc<str>>),
+    /// Their time was over.
+    Late,
+    /// A result that they need is gone.
+    InputGone,
+    /// They could not be made.
+    Failed,
+    /// Their owner can't be reached.
+    OwnerLost,
+}
+
+impl WorkEnd {
+    /// Returns the name used in log lines.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Made(_) => "made",
+            Self::Late => "late",
+            Self::InputGone => "input_gone",
+            Self::Failed => "failed",
+            Self::OwnerLost => "owner_lost",
+        }
+    }
+}
+
+/// Who is told how a work ended.
+pub type Reply = oneshot::Sender<WorkEnd>;
+
+#[derive(Debug)]
+struct OpenWork {
+    reply: Reply,
+    handles: Vec<Option<Arc<str>>>,
+    service: Arc<str>,
+}
+
+/// The stage services that this node owns, or did.
+pub struct Owner {
+    clock: Rc<dyn Clock>,
+    wire: Rc<dyn Wire>,
+    config: Rc<RefCell<ConfigState>>,
+    upstreams: Rc<Upstreams>,
+    peers: Rc<Peers>,
+    rules: Rc<Cell<DecideSettings>>,
+    queues: RefCell<BTreeMap<Arc<str>, BatchQueue>>,
+    flows: RefCell<BTreeMap<Arc<str>, Flow>>,
+    works: RefCell<HashMap<u64, OpenWork>>,
+    makers: RefCell<MakerSet>,
+    releases: RefCell<HashMap<UpstreamKey, Vec<Arc<str>>>>,
+    next_work: Cell<u64>,
+}
+
+impl Owner {
+    /// Creates an owner that has nothing to do.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        wire: Rc<dyn Wire>,
+        config: Rc<RefCell<ConfigState>>,
+        upstreams: Rc<Upstreams>,
+        peers: Rc<Peers>,
+        rules: Rc<Cell<DecideSettings>>,
+    ) -> Self {
+        Self {
+            clock,
+            wire,
+            config,
+            upstreams,
+            peers,
+            rules,
+            queues: RefCell::default(),
+            flows: RefCell::default(),
+            works: RefCell::default(),
+            makers: RefCell::default(),
+            releases: RefCell::default(),
+            next_work: Cell::new(1),
+        }
+    }
+
+    /// Takes in the pieces of a stage and returns their number here.
+    pub fn submit(self: &Rc<Self>, work: Work, reply: Reply) -> u64 {
+        let id = self.next_work.get();
+        self.next_work.set(id + 1);
+        let pieces = work.pieces as usize;
+        let open = OpenWork { reply, handles: vec![None; pieces], service: work.service.clone() };
+        self.works.borrow_mut().insert(id, open);
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.entry(work.service.clone()).or_default();
+        let now = self.now();
+        if work.due_at > now {
+            self.flows.borrow_mut().entry(work.service.clone()).or_default().came(now, work.pieces);
+        }
+        for number in 0..work.pieces {
+            queue.push(task(id, &work, number));
+        }
+        drop(queues);
+        self.pump(&work.service);
+        id
+    }
+
+    /// Returns what waits for a service's makers; `None` if it is no stage service.
+    pub fn backlog(&self, service: &Arc<str>) -> Option<Backlog> {
+        let (_, shape) = self.service(service)?;
+        let queues = self.queues.borrow();
+        let mut flows = self.flows.borrow_mut();
+        let flow = flows.entry(service.clone()).or_default();
+        let makers = self.usable_makers(service).len();
+        Some(flow.backlog(self.now(), &shape, makers, queues.get(service)))
+    }
+
+    /// Returns the backlogs of all services that had work here.
+    pub fn backlogs(&self) -> Vec<(Arc<str>, Backlog)> {
+        let services: Vec<_> = self.flows.borrow().keys().cloned().collect();
+        let with_backlog = |service: Arc<str>| {
+            let backlog = self.backlog(&service)?;
+            Some((service, backlog))
+        };
+        services.into_iter().filter_map(with_backlog).collect()
+    }
+
+    /// Forgets pieces that nobody waits for any more. A call under way goes on; its results are
+    /// given up when it ends.
+    pub fn cancel(&self, work: u64) {
+        let Some(open) = self.works.borrow_mut().remove(&work) else {
+            return;
+        };
+        if let Some(queue) = self.queues.borrow_mut().get_mut(&open.service) {
+            queue.cancel(work);
+        }
+        self.release(&open.service, open.handles.into_iter().flatten());
+    }
+
+    /// Gives up all results that a lost node asked for.
+    pub fn release_of(&self, asker: SocketAddr) {
+        let mut releases = self.releases.borrow_mut();
+        for (key, maker) in self.makers.borrow().iter() {
+            let handles: Vec<_> = maker.asked_by(asker).cloned().collect();
+            if !handles.is_empty() {
+                releases.entry(key).or_default().extend(handles);
+            }
+        }
+    }
+
+    /// Gives results up: soon, and together with others of the same maker.
+    pub fn release(&self, service: &str, handles: impl IntoIterator<Item = Arc<str>>) {
+        for handle in handles {
+            let address = maker_address(&handle);
+            let directory = self.upstreams.directory();
+            let Some(key) = address.and_then(|address| directory.at(service, address)) else {
+                continue;
+            };
+            self.releases.borrow_mut().entry(key).or_default().push(handle);
+        }
+    }
+
+    /// Takes in that upstreams came or went.
+    pub fn upstreams_changed(self: &Rc<Self>, effects: &[Effect]) {
+        if effects.iter().all(|effect| *effect == Effect::None) {
+            return;
+        }
+        self.pump_all();
+    }
+
+    /// Drops pieces whose time is over and sends releases, for as long as the process runs.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(EXPIRY_INTERVAL).await;
+            self.pump_all();
+        }
+    }
+
+    /// Sends releases, for as long as the process runs.
+    pub async fn run_releases(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(RELEASE_DELAY).await;
+            let releases = std::mem::take(&mut *self.releases.borrow_mut());
+            for (key, handles) in releases {
+                self.forget(key, &handles);
+                spawn_local(self.clone().send_release(key, handles));
+            }
+        }
+    }
+
+    fn forget(&self, key: UpstreamKey, handles: &[Arc<str>]) {
+        if let Some(maker) = self.makers.borrow_mut().get_mut(key) {
+            for handle in handles {
+                maker.forget(handle);
+            }
+        }
+    }
+
+    fn connections_max(&self, key: UpstreamKey) -> u32 {
+        let directory = self.upstreams.directory();
+        let Some(upstream) = directory.get(key) else {
+            return 1;
+        };
+        self.config.borrow().connections_max(&upstream.record.service)
+    }
+
+    fn pump_all(self: &Rc<Self>) {
+        let services: Vec<_> = self.queues.borrow().keys().cloned().collect();
+        for service in services {
+            self.pump(&service);
+        }
+    }
+
+    /// Starts calls while pieces wait and upstreams are free.
+    fn pump(self: &Rc<Self>, service_name: &Arc<str>) {
+        let Some((service, shape)) = self.service(service_name) else {
+            self.fail_all(service_name);
+            return;
+        };
+        self.drop_expired(service_name, &shape);
+        for (target, room) in self.free_makers(service_name, &shape) {
+            let now = self.now();
+            let batch = match self.queues.borrow_mut().get_mut(service_name) {
+                Some(queue) => {
+                    let makers_in = |domain: &str| self.makers_in(service_name, domain);
+                    queue.take(
+                        now,
+                        &shape,
+                        room,
+                        &target.failure_domain,
+                        &self.rules.get(),
+                        makers_in,
+                    )
+                }
+                None => return,
+            };
+            if !batch.tasks.is_empty() {
+                self.start_call(&service, shape, target, batch);
+            }
+        }
+    }
+
+    fn service(&self, name: &Arc<str>) -> Option<(Service, BatchShape)> {
+        let held = self.config.borrow().current()?;
+        let service = held.config.services.get(name)?;
+        Some((service.clone(), service.batch?))
+    }
+
+    fn fail_all(&self, service: &Arc<str>) {
+        let Some(queue) = self.queues.borrow_mut().remove(service) else {
+            return;
+        };
+        if queue.is_empty() {
+            return;
+        }
+        let mut works = self.works.borrow_mut();
+        let lost: Vec<_> =
+            works.iter().filter(|(_, w)| w.service == *service).map(|(id, _)| *id).collect();
+        for id in lost {
+            if let Some(work) = works.remove(&id) {
+                reply(work.reply, WorkEnd::Failed);
+            }
+        }
+    }
+
+    fn drop_expired(&self, service: &Arc<str>, shape: &BatchShape) {
+        let now = self.now();
+        let Some(backlog) = self.backlog(service) else {
+            return;
+        };
+        let expired = match self.queues.borrow_mut().get_mut(service) {
+            Some(queue) => queue.take_expired(now, shape, &backlog, &self.rules.get()),
+            None => return,
+        };
+        let works: HashSet<_> = expired.into_iter().map(|task| task.work).collect();
+        for work in works {
+            self.end_work(work, WorkEnd::Late);
+        }
+    }
+
+    /// Lists the makers that could start a call, and the room that each has for results.
+    fn free_makers(&self, service: &str, shape: &BatchShape) -> Vec<(Target, u64)> {
+        if self.queues.borrow().get(service).is_none_or(BatchQueue::is_empty) {
+            return Vec::new();
+        }
+        let usable = self.usable_makers(service);
+        let free = self.makers.borrow_mut().free(self.now(), &usable, shape);
+        let target = |(key, room): (UpstreamKey, u64)| Some((self.upstreams.target(key)?, room));
+        let mut free: Vec<_> = free.into_iter().filter_map(target).collect();
+        free.shuffle(&mut rand::rng());
+        free
+    }
+
+    /// Lists the makers that take work. Others that are merely busy come free soon, so one that is
+    /// avoided waits for them.
+    fn usable_makers(&self, service: &str) -> Vec<UpstreamKey> {
+        let is_silent = |domain: &str| self.peers.is_silent(domain);
+        let candidates = self.upstreams.candidates(self.now(), service, is_silent);
+        let any_sound = candidates.iter().any(|candidate| !candidate.is_avoided);
+        let usable = candidates.iter().filter(|candidate| !candidate.is_avoided || !any_sound);
+        usable.map(|candidate| candidate.key).collect()
+    }
+
+    /// The makers of a service in a failure domain; `None` if there are none.
+    fn makers_in(&self, service: &str, failure_domain: &str) -> Option<Makers> {
+        let directory = self.upstreams.directory();
+        let makers = self.makers.borrow();
+        let there = directory.of_service(service).filter(|(_, upstream)| {
+            upstream.takes_work() && *upstream.record.failure_domain == *failure_domain
+        });
+        let free_at = |key| makers.get(key).and_then(Maker::busy_until).unwrap_or_default();
+        let times: Vec<_> = there.map(|(key, _)| free_at(key)).collect();
+        let free_at = *times.iter().min()?;
+        Some(Makers { count: times.len(), free_at })
+    }
+
+    fn now(&self) -> Duration {
+        self.clock.now().monotonic
+    }
+}
+
+/// Tells a work's end to who asked for it; if nobody waits any more, nothing is to be told.
+fn reply(reply: Reply, end: WorkEnd) {
+    drop(reply.send(end));
+}
+
+fn task(work_id: u64, work: &Work, number: u32) -> Task {
+    Task {
+        work: work_id,
+        piece: Piece {
+            request_id: work.request_id.clone(),
+            stage: work.stage,
+            number,
+            input: work.input.clone(),
+            remaining: Duration::ZERO,
+        },
+        due_at: work.due_at,
+        near: work.near.clone(),
+        deadline_at: work.deadline_at,
+        priority: work.priority,
+        result_bytes: (work.result_bytes as f64 * RESULT_SIZE_MARGIN) as u64,
+        asker: work.asker,
+        calls: 0,
+    }
+}
--- /dev/null
+++ b/crates/fernring-gateway/src/owner/outcomes.rs
@@ -0,0 +1,167 @@
+//! What becomes of pieces when their calls have ended.
+
+use {
+    super::{Owner, WorkEnd, calls::CallFailure, reply},
+    crate::{
+        batching::{CALLS_MAX, Task},
+        log,
+        makers::Kept,
+        model::PieceOutcome,
+        upstreams::Target,
+    },
+    fernring_core::text::LogLine,
+    std::sync::Arc,
+};
+
+impl Owner {
+    pub(super) fn call_ended(
+        &self,
+        service: &Arc<str>,
+        target: &Target,
+        tasks: Vec<Task>,
+        end: Result<Vec<PieceOutcome>, CallFailure>,
+        was_overdue: bool,
+    ) {
+        let now = self.now();
+        // Of these, another copy waits or is in a call already.
+        let goes_on = |task: &Task| was_overdue && has_further_call(task);
+        let outcomes = match end {
+            Ok(outcomes) => {
+                self.upstreams.succeeded(target.key);
+                outcomes
+            }
+            Err(failure) => {
+                match &failure {
+                    CallFailure::Refused => self.upstreams.was_full(now, target.key),
+                    CallFailure::NotSent(_) => self.upstreams.was_unreachable(now, target.key),
+                    CallFailure::Failed(_) => {
+                        self.upstreams.failed(now, target.key);
+                    }
+                }
+                let line = LogLine::event("stage_call_failed")
+                    .with("service", service)
+                    .with("upstream", &target.instance)
+                    .with("pieces", tasks.len())
+                    .with("error", &failure);
+                log::warn(line);
+                for task in tasks.into_iter().filter(|task| !goes_on(task)) {
+                    self.retry(service, task, !matches!(failure, CallFailure::NotSent(_)));
+                }
+                return;
+            }
+        };
+        for (task, outcome) in tasks.into_iter().zip(outcomes) {
+            let is_repeated = matches!(outcome, PieceOutcome::NoRoom | PieceOutcome::Failed);
+            if !(is_repeated && goes_on(&task)) {
+                self.piece_ended(service, target, task, outcome);
+            }
+        }
+    }
+
+    fn piece_ended(&self, service: &Arc<str>, target: &Target, task: Task, outcome: PieceOutcome) {
+        match outcome {
+            PieceOutcome::Made(handle) => self.piece_made(service, target, &task, handle),
+            PieceOutcome::Late => self.end_work(task.work, WorkEnd::Late),
+            PieceOutcome::InputGone => self.end_work(task.work, WorkEnd::InputGone),
+            PieceOutcome::NoRoom => {
+                self.had_no_room(service, target, &task);
+                self.put_back(service, task);
+            }
+            PieceOutcome::Failed => self.retry(service, task, true),
+        }
+    }
+
+    fn piece_made(&self, service: &Arc<str>, target: &Target, task: &Task, handle: Arc<str>) {
+        if let Some(maker) = self.makers.borrow_mut().get_mut(target.key) {
+            let kept = Kept { bytes: task.result_bytes, made_at: self.now(), asker: task.asker };
+            maker.keep(handle.clone(), kept);
+        }
+        let mut works = self.works.borrow_mut();
+        let Some(work) = works.get_mut(&task.work) else {
+            drop(works);
+            self.release(service, [handle]);
+            return;
+        };
+        let place = &mut work.handles[task.piece.number as usize];
+        if place.is_some() {
+            // Another maker was given the piece as well and was faster.
+            drop(works);
+            self.release(service, [handle]);
+            return;
+        }
+        *place = Some(handle);
+        if let Some(queue) = self.queues.borrow_mut().get_mut(service) {
+            queue.drop_piece(task.work, task.piece.number);
+        }
+        if work.handles.iter().any(Option::is_none) {
+            return;
+        }
+        if let Some(work) = works.remove(&task.work) {
+            drop(works);
+            let handles = work.handles.into_iter().flatten().collect();
+            if let Err(WorkEnd::Made(handles)) = work.reply.send(WorkEnd::Made(handles)) {
+                self.release(service, handles);
+            }
+        }
+    }
+
+    /// Takes in that a maker has less room than is known here: another owner's results lie there,
+    /// or results are larger than they were said to be.
+    fn had_no_room(&self, service: &Arc<str>, target: &Target, task: &Task) {
+        let room = self.service(service).map_or(0, |(_, shape)| shape.result_room_bytes);
+        let mut makers = self.makers.borrow_mut();
+        let Some(maker) = makers.get_mut(target.key) else {
+            return;
+        };
+        let known = maker.kept_bytes();
+        if maker.had_no_room(self.now(), room) {
+            let line = LogLine::event("maker_full").with("upstream", &target.instance);
+            let line = line.with("service", service).with("kept_bytes", known);
+            log::info(line.with("result_bytes", task.result_bytes));
+        }
+    }
+
+    /// Puts a piece back whose call failed, or fails its work. `was_sent` says whether the
+    /// upstream may have worked on it.
+    fn retry(&self, service: &Arc<str>, mut task: Task, was_sent: bool) {
+        if self.is_made(&task) {
+            return;
+        }
+        task.calls += u32::from(was_sent);
+        match task.calls < CALLS_MAX {
+            true => self.put_back(service, task),
+            false => self.end_work(task.work, WorkEnd::Failed),
+        }
+    }
+
+    pub(super) fn put_back(&self, service: &Arc<str>, task: Task) {
+        if !self.is_made(&task) {
+            self.queues.borrow_mut().entry(service.clone()).or_default().push(task);
+        }
+    }
+
+    /// Tells whether a piece's result is there, or not needed any more.
+    fn is_made(&self, task: &Task) -> bool {
+        let works = self.works.borrow();
+        let work = works.get(&task.work);
+        work.is_none_or(|work| work.handles[task.piece.number as usize].is_some())
+    }
+
+    pub(super) fn end_work(&self, work: u64, end: WorkEnd) {
+        let Some(open) = self.works.borrow_mut().remove(&work) else {
+            return;
+        };
+        if let Some(queue) = self.queues.borrow_mut().get_mut(&open.service) {
+            queue.cancel(work);
+        }
+        let line = LogLine::event("work_ended").with("service", &open.service);
+        log::info(line.with("outcome", end.name()));
+        self.release(&open.service, open.handles.into_iter().flatten());
+        reply(open.reply, end);
+    }
+}
+
+/// Tells whether a piece may go into a further call.
+pub(super) fn has_further_call(task: &Task) -> bool {
+    task.calls + 1 < CALLS_MAX
+}
--- a/crates/fernring-gateway/src/refusal.rs
+++ b/crates/fernring-gateway/src/refusal.rs
@@ -11,9 +11,6 @@
     std::time::Duration,
 };
 
-/// When to come back after a refusal because of load. Long enough for a batch to end, and well
-/// within the time that callers are ready to wait.
-pub const RETRY_AFTER_LOAD: Duration = Duration::from_millis(300);
 /// When to come back to a node that isn't ready; the retry reaches another one.
 pub const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(100);
 
@@ -68,6 +65,12 @@
         Self { code, detail: detail.into(), status, retry_after: None, closes: false }
     }
 
+    /// Changes when the caller should come back.
+    pub fn back_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
     /// Returns the status.
     pub fn status(&self) -> StatusCode {
         self.status
--- a/crates/fernring-gateway/src/selection.rs
+++ b/crates/fernring-gateway/src/selection.rs
@@ -34,6 +34,16 @@
     pub home: Option<UpstreamKey>,
 }
 
+/// A model engine that was chosen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ModelChoice {
+    /// The engine.
+    pub key: UpstreamKey,
+    /// Tokens that it should have to read until the request's first event: those of requests before it
+    /// and its own.
+    pub tokens: f64,
+}
+
 /// Chooses an upstream for a request that is like any other; `draw` is a random number that breaks
 /// ties.
 pub fn choose(candidates: &[Candidate], draw: u64) -> Option<UpstreamKey> {
@@ -46,19 +56,20 @@
 ///
 /// A `home` goes first for as long as the same holds for it. The shared parts are taken to be read there and at
 /// the first of the order.
-pub fn choose_model(candidates: &[Candidate], need: PromptNeed) -> Option<UpstreamKey> {
+pub fn choose_model(candidates: &[Candidate], need: PromptNeed) -> Option<ModelChoice> {
     let mut pool = sound(candidates);
     let rank = |c: &Candidate| xxh3_64_with_seed(&c.identity.to_le_bytes(), need.prefix);
     pool.sort_by_key(|c| std::cmp::Reverse(rank(c)));
     let usual = pool.first()?.key;
     pool.sort_by_key(|c| need.home != Some(c.key));
-    let backlog = |c: &Candidate| {
+    let to_read = |c: &Candidate| {
         let has_shared = c.key == usual || need.home == Some(c.key);
-        c.load + if has_shared { need.own_tokens } else { need.all_tokens }
+        if has_shared { need.own_tokens } else { need.all_tokens }
     };
+    let backlog = |c: &Candidate| c.load + to_read(c);
     let in_time = pool.iter().find(|c| backlog(c) <= need.patience_tokens);
     let least = || pool.iter().min_by(|a, b| backlog(a).total_cmp(&backlog(b)));
-    in_time.or_else(least).map(|c| c.key)
+    in_time.or_else(least).map(|c| ModelChoice { key: c.key, tokens: backlog(c) })
 }
 
 /// Leaves out those that are to be avoided, unless nothing else is there.
--- a/crates/fernring-gateway/src/serve.rs
+++ b/crates/fernring-gateway/src/serve.rs
@@ -6,12 +6,14 @@
         config::{ConfigState, HeldConfig},
         exchange::{CallerRequest, Ended, InFlight},
         ingress::RequestGuard,
+        learned::Learned,
         log, measures,
         model::{Route, Workspace, key_hash},
         peers::Peers,
         refusal::{RETRY_AFTER_NOT_READY, Refusal},
         relay::{Relay, RelayError},
         retries::Retries,
+        settings::DecideSettings,
         stages::Stages,
         upstreams::Upstreams,
         wire::Wire,
@@ -62,6 +64,10 @@
     pub peers: Rc<Peers>,
     /// The stages.
     pub stages: Rc<Stages>,
+    /// What was learned from what came true.
+    pub learned: Learned,
+    /// The mechanisms of the policy that are on.
+    pub rules: Rc<Cell<DecideSettings>>,
     /// The retry budget.
     pub retries: Rc<Retries>,
     /// Requests in flight.
--- a/crates/fernring-gateway/src/settings.rs
+++ b/crates/fernring-gateway/src/settings.rs
@@ -24,6 +24,52 @@
     /// Log lines.
     #[serde(default)]
     pub log: LogSettings,
+    /// Mechanisms of the policy.
+    #[serde(default)]
+    pub decide: DecideSettings,
+}
+
+/// Mechanisms of the policy under load. All are on; each can be switched off to measure what it is
+/// worth on a deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DecideSettings {
+    /// Requests are taken on or refused at arrival, by a forecast of their whole path.
+    pub admission: bool,
+    /// Late pieces are given up once what comes leaves no time for them.
+    pub give_up: bool,
+    /// The pieces of a request's stage are kept together in one call.
+    pub whole_works: bool,
+    /// More urgent ranks go ahead in queues.
+    pub ranks: bool,
+    /// Pieces are made in the failure domain where large results are read or lie.
+    pub placing: bool,
+    /// Requests that share parts of prompts meet at the same model engines.
+    pub prefixes: bool,
+    /// The pieces of an overdue call are given to another maker as well.
+    pub copies: bool,
+    /// Large results are made late, just before they are read.
+    pub made_late: bool,
+}
+
+impl DecideSettings {
+    /// All mechanisms on.
+    pub const ALL: Self = Self {
+        admission: true,
+        give_up: true,
+        whole_works: true,
+        ranks: true,
+        placing: true,
+        prefixes: true,
+        copies: true,
+        made_late: true,
+    };
+}
+
+impl Default for DecideSettings {
+    fn default() -> Self {
+        Self::ALL
+    }
 }
 
 /// Who the node is and where it listens.
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -2,13 +2,17 @@
 
 use {
     crate::{
+        backlog::Backlog,
+        backlogs::Backlogs,
         log, measures,
         model::PieceInput,
         owner::{Owner, Work, WorkEnd},
         peers::Peers,
     },
     fernring_core::{clock::Clock, text::LogLine},
-    fernring_protocol::gateway::{GatewayBody, ReleaseResults, StageDone, StageWork, WorkTicket},
+    fernring_protocol::gateway::{
+        GatewayBody, ReleaseResults, StageDone, StageLoad, StageWork, WorkTicket,
+    },
     std::{
         cell::{Cell, RefCell},
         collections::HashMap,
@@ -34,6 +38,7 @@
     clock: Rc<dyn Clock>,
     peers: Rc<Peers>,
     owner: Rc<Owner>,
+    backlogs: Rc<Backlogs>,
     pending: RefCell<HashMap<u64, Pending>>,
     /// Works of peers that are under way here, by who asked and their number there.
     foreign: RefCell<HashMap<(SocketAddr, u64), u64>>,
@@ -72,12 +77,37 @@
             clock,
             peers,
             owner,
+            backlogs: Rc::default(),
             pending: RefCell::default(),
             foreign: RefCell::default(),
             next_ticket: Cell::new(1),
         }
     }
 
+    /// Returns the backlogs that this node knows.
+    pub fn backlogs(&self) -> &Rc<Backlogs> {
+        &self.backlogs
+    }
+
+    /// Returns what is ahead at a service, as far as this node knows.
+    pub fn backlog(&self, service: &Arc<str>) -> Option<Backlog> {
+        let is_own = self.peers.owner(service) == self.peers.address();
+        let own = if is_own { self.owner.backlog(service) } else { None };
+        self.backlogs.of(self.clock.now().monotonic, service, own)
+    }
+
+    /// Returns what is to be said of stage services in heartbeats.
+    pub fn described(&self) -> Vec<StageLoad> {
+        let mut own = self.owner.backlogs();
+        own.retain(|(service, _)| self.peers.owner(service) == self.peers.address());
+        self.backlogs.described(own)
+    }
+
+    /// Takes in what a peer says of stage services.
+    pub fn heard(&self, peer: SocketAddr, loads: &[StageLoad]) {
+        self.backlogs.heard(self.clock.now().monotonic, peer, loads);
+    }
+
     /// Has the pieces of a stage made. Dropping the future cancels them.
     pub async fn make(&self, work: Work) -> WorkEnd {
         let started = self.clock.now().monotonic;
@@ -132,6 +162,7 @@
     /// Takes in that a peer is lost: what it owned is to be asked for elsewhere, and nobody
     /// there waits any more.
     pub fn peer_lost(&self, peer: SocketAddr) {
+        self.backlogs.lost(peer);
         let lost: Vec<_> = {
             let mut pending = self.pending.borrow_mut();
             let tickets: Vec<_> =
--- a/crates/fernring-gateway/tests/testsuite/batching.rs
+++ b/crates/fernring-gateway/tests/testsuite/batching.rs
@@ -2,13 +2,21 @@
 
 use {
     fernring_gateway::{
-        batching::{BatchQueue, Makers, Task},
+        backlog::Backlog,
+        batching::{BatchQueue, Bound, Makers, Task},
         model::{BatchShape, Piece, PieceInput},
+        settings::DecideSettings,
     },
     std::{net::SocketAddr, time::Duration},
 };
 
 const NOW: Duration = Duration::from_secs(100);
+const RULES: DecideSettings = DecideSettings::ALL;
+
+/// A service whose makers have nothing to do.
+fn idle() -> Backlog {
+    Backlog { rate_per_s: 20.0, ..Backlog::default() }
+}
 
 fn shape() -> BatchShape {
     BatchShape {
@@ -51,8 +59,8 @@
 }
 
 fn take(queue: &mut BatchQueue, room_bytes: u64) -> Vec<u64> {
-    let taken = queue.take(NOW, &shape(), room_bytes, "a", no_makers);
-    taken.iter().map(|task| task.work).collect()
+    let taken = queue.take(NOW, &shape(), room_bytes, "a", &RULES, no_makers);
+    taken.tasks.iter().map(|task| task.work).collect()
 }
 
 #[test]
@@ -68,16 +76,18 @@
 #[test]
 fn what_can_be_in_time_goes_before_what_cannot() {
     let mut queue = queue([task(1, 50), task(2, 900)]);
-    let taken = queue.take(NOW, &BatchShape { pieces_max: 1, ..shape() }, 10_000, "a", no_makers);
-    assert_eq!(taken[0].work, 2);
+    let taken =
+        queue.take(NOW, &BatchShape { pieces_max: 1, ..shape() }, 10_000, "a", &RULES, no_makers);
+    assert_eq!(taken.tasks[0].work, 2);
 }
 
 #[test]
 fn a_request_of_higher_rank_goes_first_when_due_at_the_same_time() {
     let low = Task { priority: 2, ..task(1, 900) };
     let mut queue = queue([low, task(2, 900)]);
-    let taken = queue.take(NOW, &BatchShape { pieces_max: 1, ..shape() }, 10_000, "a", no_makers);
-    assert_eq!(taken[0].work, 2);
+    let taken =
+        queue.take(NOW, &BatchShape { pieces_max: 1, ..shape() }, 10_000, "a", &RULES, no_makers);
+    assert_eq!(taken.tasks[0].work, 2);
 }
 
 #[test]
@@ -105,12 +115,16 @@
         (domain == "b").then_some(Makers { count: 1, free_at: NOW + Duration::from_millis(100) })
     };
     let mut patient = queue([far(900)]);
-    assert!(patient.take(NOW, &shape(), 10_000, "a", makers).is_empty());
-    assert_eq!(patient.take(NOW, &shape(), 10_000, "b", makers).len(), 1);
+    assert!(patient.take(NOW, &shape(), 10_000, "a", &RULES, makers).tasks.is_empty());
+    assert_eq!(patient.take(NOW, &shape(), 10_000, "b", &RULES, makers).tasks.len(), 1);
     let mut urgent = queue([far(200)]);
-    assert_eq!(urgent.take(NOW, &shape(), 10_000, "a", makers).len(), 1);
+    assert_eq!(urgent.take(NOW, &shape(), 10_000, "a", &RULES, makers).tasks.len(), 1);
     let mut alone = queue([far(900)]);
-    assert_eq!(alone.take(NOW, &shape(), 10_000, "a", no_makers).len(), 1, "no maker is there");
+    assert_eq!(
+        alone.take(NOW, &shape(), 10_000, "a", &RULES, no_makers).tasks.len(),
+        1,
+        "no maker is there"
+    );
 }
 
 #[test]
@@ -118,7 +132,8 @@
     let expired = Task { deadline_at: NOW + Duration::from_millis(100), ..task(1, 900) };
     let mut queue = queue([expired, task(2, 900), task(3, 900)]);
     queue.cancel(2);
-    let gone: Vec<_> = queue.take_expired(NOW, &shape()).iter().map(|task| task.work).collect();
+    let gone: Vec<_> =
+        queue.take_expired(NOW, &shape(), &idle(), &RULES).iter().map(|task| task.work).collect();
     assert_eq!(gone, [1]);
     assert_eq!(take(&mut queue, 10_000), [3]);
     assert!(queue.is_empty());
@@ -129,10 +144,14 @@
     let read_in =
         |work, domain: &str, due_ms| Task { near: Some(domain.into()), ..task(work, due_ms) };
     let one = BatchShape { pieces_max: 1, ..shape() };
-    let mut queue_at_hand = queue([read_in(1, "b", 900), read_in(2, "a", 1_100)]);
-    assert_eq!(queue_at_hand.take(NOW, &one, 10_000, "a", no_makers)[0].work, 2);
+    let mut queue_at_hand = queue([read_in(1, "b", 900), read_in(2, "a", 1_050)]);
+    assert_eq!(queue_at_hand.take(NOW, &one, 10_000, "a", &RULES, no_makers).tasks[0].work, 2);
     let mut urgent = queue([read_in(1, "b", 900), read_in(2, "a", 3_000)]);
-    assert_eq!(urgent.take(NOW, &one, 10_000, "a", no_makers)[0].work, 1, "unless that is urgent");
+    assert_eq!(
+        urgent.take(NOW, &one, 10_000, "a", &RULES, no_makers).tasks[0].work,
+        1,
+        "unless that is urgent"
+    );
 }
 
 #[test]
@@ -144,6 +163,77 @@
     };
     let mut queue = queue([piece(0), piece(1)]);
     queue.drop_piece(1, 0);
-    let left = queue.take(NOW, &shape(), 10_000, "a", no_makers);
-    assert_eq!(left.iter().map(|task| task.piece.number).collect::<Vec<_>>(), [1]);
+    let left = queue.take(NOW, &shape(), 10_000, "a", &RULES, no_makers);
+    assert_eq!(left.tasks.iter().map(|task| task.piece.number).collect::<Vec<_>>(), [1]);
+}
+
+/// Replays a crowd: works of three pieces wait while makers have room for seven, over and over. Pieces
+/// of a work that were made apart would take room until the last one is made.
+#[test]
+fn a_work_goes_into_a_call_whole_unless_much_of_the_call_would_stay_empty() {
+    let eight = BatchShape { pieces_max: 8, ..shape() };
+    let crowd = || queue((1..=4).flat_map(|work| (0..3).map(move |_| task(work, 900 + work * 10))));
+    let works = |batch: &fernring_gateway::batching::Batch| -> Vec<u64> {
+        batch.tasks.iter().map(|task| task.work).collect()
+    };
+    let mut roomy = crowd();
+    let call = roomy.take(NOW, &eight, 700, "a", &RULES, no_makers);
+    assert_eq!(works(&call), [1, 1, 1, 2, 2, 2], "one place of seven stays empty");
+    assert_eq!(call.bound, Bound::Places);
+    let mut narrow = crowd();
+    let call = narrow.take(NOW, &eight, 500, "a", &RULES, no_makers);
+    assert_eq!(works(&call), [1, 1, 1, 2, 2], "two of five would stay empty");
+    let mut split = crowd();
+    let rules = DecideSettings { whole_works: false, ..RULES };
+    let call = split.take(NOW, &eight, 700, "a", &rules, no_makers);
+    assert_eq!(works(&call), [1, 1, 1, 2, 2, 2, 3]);
+}
+
+#[test]
+fn a_call_says_what_ended_its_filling() {
+    let bound = |room_bytes, works: u64| {
+        let mut queue = queue((1..=works).map(|work| task(work, 900)));
+        queue.take(NOW, &shape(), room_bytes, "a", &RULES, no_makers).bound
+    };
+    assert_eq!(bound(10_000, 3), Bound::Empty);
+    assert_eq!(bound(10_000, 9), Bound::Places);
+    assert_eq!(bound(200, 9), Bound::Room);
+    let far = Task { near: Some("b".into()), ..task(1, 900) };
+    let there = |_: &str| Some(Makers { count: 1, free_at: NOW });
+    let call = queue([far]).take(NOW, &shape(), 10_000, "a", &RULES, there);
+    assert_eq!(call.bound, Bound::Domain);
+}
+
+/// Replays a crowd that doesn't thin out: a piece has missed its due time, and as many pieces come as can be
+/// made. It would be kept, with the results that it needs, until its deadline.
+#[test]
+fn a_late_piece_is_given_up_when_nothing_is_left_for_it() {
+    let crowded = Backlog { rate_per_s: 20.0, arrivals_per_s: 20.0, ..Backlog::default() };
+    let expired = |backlog: &Backlog, rules: &DecideSettings| -> Vec<u64> {
+        let mut queue = queue([task(1, 0), task(2, 900)]);
+        queue.take_expired(NOW, &shape(), backlog, rules).iter().map(|task| task.work).collect()
+    };
+    assert_eq!(expired(&crowded, &RULES), [1]);
+    assert_eq!(expired(&idle(), &RULES), [0; 0]);
+    assert_eq!(expired(&crowded, &DecideSettings { give_up: false, ..RULES }), [0; 0]);
+}
+
+/// The same crowd: 30 pieces are late, and a quarter of the pace is left for them.
+#[test]
+fn late_pieces_are_kept_for_as_long_as_what_is_left_will_reach_them() {
+    let backlog =
+        Backlog { rate_per_s: 20.0, arrivals_per_s: 15.0, late: 30, ..Backlog::default() };
+    let deadline = |work| Task { deadline_at: NOW + Duration::from_secs(4), ..task(work, 0) };
+    let mut queue = queue((1..=30).map(deadline));
+    let gone = queue.take_expired(NOW, &shape(), &backlog, &RULES);
+    assert_eq!((queue.len(), gone.len()), (19, 11), "five a second, less the last call");
+}
+
+#[test]
+fn waiting_pieces_are_counted_by_rank_and_late_ones_apart() {
+    let low = Task { priority: 2, ..task(2, 900) };
+    let queue = queue([task(1, 900), low.clone(), low, task(3, 0)]);
+    let (in_time, late) = queue.counts(NOW, &shape());
+    assert_eq!(in_time[..3], [1, 0, 2]);
+    assert_eq!(late, 1);
 }
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -1,12 +1,16 @@
 //! Tests of the gateway's decisions, a file a module.
 
+mod admission;
 mod attempts;
+mod backlogs;
 mod batching;
 mod budget;
+mod come_back;
 mod config;
 mod directory;
 mod events;
 mod freshness;
+mod learned;
 mod makers;
 mod members;
 mod refusal;
--- a/crates/fernring-gateway/tests/testsuite/refusal.rs
+++ b/crates/fernring-gateway/tests/testsuite/refusal.rs
@@ -5,7 +5,7 @@
     fernring_gateway::{
         attempts::{Attempts, SendEnd},
         model::Repeat,
-        refusal::{RETRY_AFTER_LOAD, Refusal},
+        refusal::{RETRY_AFTER_NOT_READY, Refusal},
     },
     http::StatusCode,
 };
@@ -14,7 +14,7 @@
 fn only_a_request_that_has_not_run_is_refused_with_the_promise() {
     let mut attempts = Attempts::new(Repeat::Never, 1);
     let not_run = attempts.not_run().expect("nothing was sent");
-    let refusal = Refusal::not_run(not_run, ResultCode::NoUpstream, RETRY_AFTER_LOAD, "");
+    let refusal = Refusal::not_run(not_run, ResultCode::NoUpstream, RETRY_AFTER_NOT_READY, "");
     assert_eq!(refusal.status(), StatusCode::SERVICE_UNAVAILABLE);
     attempts.ended(SendEnd::Unknown);
     assert!(attempts.not_run().is_none());
--- a/crates/fernring-gateway/tests/testsuite/selection.rs
+++ b/crates/fernring-gateway/tests/testsuite/selection.rs
@@ -32,6 +32,10 @@
     }
 }
 
+fn chosen(candidates: &[Candidate], need: PromptNeed) -> Option<UpstreamKey> {
+    choose_model(candidates, need).map(|choice| choice.key)
+}
+
 #[test]
 fn requests_that_share_a_prompt_meet_and_prompts_spread() {
     let all = candidates(6);
@@ -39,9 +43,9 @@
     reversed.reverse();
     let mut used = BTreeSet::new();
     for prefix in 0..50 {
-        let chosen = choose_model(&all, need(prefix)).unwrap();
-        assert_eq!(choose_model(&reversed, need(prefix)), Some(chosen));
-        used.insert(chosen);
+        let engine = chosen(&all, need(prefix)).unwrap();
+        assert_eq!(chosen(&reversed, need(prefix)), Some(engine));
+        used.insert(engine);
     }
     assert_eq!(used.len(), 6);
 }
@@ -49,13 +53,13 @@
 #[test]
 fn a_backlog_that_would_make_it_late_sends_a_request_elsewhere() {
     let mut all = candidates(3);
-    let first = choose_model(&all, need(7)).unwrap();
+    let first = chosen(&all, need(7)).unwrap();
     let at = |all: &[Candidate], key| all.iter().position(|c| c.key == key).unwrap();
     let index = at(&all, first);
     all[index].load = 15_000.0;
-    assert_eq!(choose_model(&all, need(7)), Some(first), "still in time there");
+    assert_eq!(chosen(&all, need(7)), Some(first), "still in time there");
     all[index].load = 25_000.0;
-    assert_ne!(choose_model(&all, need(7)), Some(first));
+    assert_ne!(chosen(&all, need(7)), Some(first));
 }
 
 #[test]
@@ -64,7 +68,7 @@
     for (candidate, load) in all.iter_mut().zip([90_000.0, 50_000.0, 70_000.0]) {
         candidate.load = load;
     }
-    assert_eq!(choose_model(&all, need(7)), Some(all[1].key));
+    assert_eq!(chosen(&all, need(7)), Some(all[1].key));
 }
 
 #[test]
@@ -72,11 +76,11 @@
     let mut all = candidates(3);
     for home in 0..3 {
         let wanted = PromptNeed { home: Some(all[home].key), ..need(7) };
-        assert_eq!(choose_model(&all, wanted), wanted.home);
+        assert_eq!(chosen(&all, wanted), wanted.home);
     }
     all[0].load = 50_000.0;
     let wanted = PromptNeed { home: Some(all[0].key), ..need(7) };
-    assert_ne!(choose_model(&all, wanted), wanted.home);
+    assert_ne!(chosen(&all, wanted), wanted.home);
 }
 
 #[test]
@@ -87,7 +91,7 @@
     all[1].is_avoided = true;
     assert!(choose(&all, 1).is_some());
     assert_eq!(choose(&[], 1), None);
-    assert_eq!(choose_model(&[], need(1)), None);
+    assert_eq!(chosen(&[], need(1)), None);
 }
 
 #[test]
@@ -106,7 +110,7 @@
 #[test]
 fn the_usual_engine_of_a_shared_part_has_it_also_where_another_was_to_be_home() {
     let mut all = candidates(4);
-    let usual = choose_model(&all, need(7)).unwrap();
+    let usual = chosen(&all, need(7)).unwrap();
     let home = all.iter().position(|c| c.key != usual).unwrap();
     // Nobody is in time, and the home least of all.
     for candidate in &mut all {
@@ -114,5 +118,5 @@
     }
     all[home].load = 90_000.0;
     let wanted = PromptNeed { home: Some(all[home].key), ..need(7) };
-    assert_eq!(choose_model(&all, wanted), Some(usual));
+    assert_eq!(chosen(&all, wanted), Some(usual));
 }
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -87,6 +87,35 @@
     /// The same of the upstreams' records.
     #[prost(uint32, optional, tag = "11")]
     pub directory_age_ms: Option<u32>,
+    /// What waits at the stage services that the node owns, and what it has promised.
+    #[prost(message, repeated, tag = "12")]
+    pub stage_loads: Vec<StageLoad>,
+}
+
+/// What a node says of one stage service.
+#[derive(Clone, PartialEq, Message)]
+pub struct StageLoad {
+    /// Short hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Whether the node owns the service; if not, only `promised` is set.
+    #[prost(bool, tag = "2")]
+    pub is_owner: bool,
+    /// Pieces a second that its makers finish together while more wait.
+    #[prost(float, tag = "3")]
+    pub rate_per_s: f32,
+    /// Pieces a second that came of late.
+    #[prost(float, tag = "4")]
+    pub arrivals_per_s: f32,
+    /// Pieces that wait and can be in time, by rank.
+    #[prost(uint32, repeated, tag = "5")]
+    pub waiting: Vec<u32>,
+    /// Pieces that wait and can't be in time.
+    #[prost(uint32, tag = "6")]
+    pub late: u32,
+    /// Pieces that the node has promised to requests and not asked for yet, by rank.
+    #[prost(uint32, repeated, tag = "7")]
+    pub promised: Vec<u32>,
 }
 
 /// Asks for the upstreams' records.
