Room that something else takes at a maker comes free step by step

Change: half of what was found taken is believed free after each call's time; a further refusal adds what was wrong.

--- a/crates/fernring-gateway/src/makers.rs
+++ b/crates/fernring-gateway/src/makers.rs
@@ -6,8 +6,12 @@
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// How long a refusal for want of room is remembered: about a call.
-const UNKNOWN_ROOM_TIME: Duration = Duration::from_millis(250);
+/// Calls without pieces after which half of what something else takes of a maker's room is believed to be
+/// free again. After all nodes were lost, the results of before lie there for their whole lifetime; a maker
+/// that is filled up to its room again and again makes calls for a few pieces only.
+const UNKNOWN_CALLS: f64 = 1.25;
+/// Part of a maker's room below which what something else takes there is forgotten: one of so many.
+const UNKNOWN_PARTS: u64 = 16;
 /// Part of a call's usual time beyond which its pieces are given to another maker as well. Calls
 /// of sound makers take at most 1.15 times what is said of them, and twice that behind the call of
 /// another owner (users' bench); at 1.6 such calls were made twice for nothing.
@@ -103,19 +107,28 @@
 
     /// Takes in that it refused a piece for want of room though there should be some; tells whether
     /// that is news.
-    pub fn had_no_room(&mut self, now: Duration, room_bytes: u64) -> bool {
-        if self.unknown.is_some() {
-            return false;
-        }
-        let unknown = room_bytes.saturating_sub(self.kept_bytes());
-        self.unknown = Some((unknown, now + UNKNOWN_ROOM_TIME));
-        true
+    pub fn had_no_room(&mut self, now: Duration, shape: &BatchShape) -> bool {
+        let before = self.unknown.map_or(0, |(bytes, _)| bytes);
+        let found = shape.result_room_bytes.saturating_sub(self.kept_bytes());
+        self.unknown = Some((before + found, now + unknown_for(shape)));
+        found > 0
+    }
+
+    fn expire(&mut self, now: Duration, shape: &BatchShape) {
+        self.kept.retain(|_, kept| now < kept.made_at + shape.result_lifetime);
+        self.unknown = match self.unknown {
+            Some((bytes, until)) if now >= until => {
+                let is_much = bytes > shape.result_room_bytes / UNKNOWN_PARTS;
+                is_much.then_some((bytes / 2, now + unknown_for(shape)))
+            }
+            other => other,
+        };
     }
+}
 
-    fn expire(&mut self, now: Duration, lifetime: Duration) {
-        self.kept.retain(|_, kept| now < kept.made_at + lifetime);
-        self.unknown = self.unknown.filter(|(_, until)| now < *until);
-    }
+/// Returns how long room that something else takes is believed to be taken whole.
+fn unknown_for(shape: &BatchShape) -> Duration {
+    shape.call_time.mul_f64(UNKNOWN_CALLS)
 }
 
 /// Returns the time that a call takes, by what is said of it.
@@ -165,7 +178,7 @@
     ) -> Vec<(UpstreamKey, u64)> {
         for key in keys {
             if let Some(maker) = self.makers.get_mut(*key) {
-                maker.expire(now, shape.result_lifetime);
+                maker.expire(now, shape);
             }
         }
         let is_slow = |key: &UpstreamKey| self.makers.get(*key).is_some_and(|m| m.is_slow(now));
--- a/crates/fernring-gateway/src/owner/outcomes.rs
+++ b/crates/fernring-gateway/src/owner/outcomes.rs
@@ -108,13 +108,15 @@
     /// Takes in that a maker has less room than is known here: another owner's results lie there,
     /// or results are larger than they were said to be.
     fn had_no_room(&self, service: &Arc<str>, target: &Target, task: &Task) {
-        let room = self.service(service).map_or(0, |(_, shape)| shape.result_room_bytes);
+        let Some((_, shape)) = self.service(service) else {
+            return;
+        };
         let mut makers = self.makers.borrow_mut();
         let Some(maker) = makers.get_mut(target.key) else {
             return;
         };
         let known = maker.kept_bytes();
-        if maker.had_no_room(self.now(), room) {
+        if maker.had_no_room(self.now(), &shape) {
             let line = LogLine::event("maker_full").with("upstream", &target.instance);
             let line = line.with("service", service).with("kept_bytes", known);
             log::info(line.with("result_bytes", task.result_bytes));
--- a/crates/fernring-gateway/tests/testsuite/makers.rs
+++ b/crates/fernring-gateway/tests/testsuite/makers.rs
@@ -58,15 +58,21 @@
     assert_eq!(room(&mut set, NOW + SHAPE.result_lifetime), 1_000);
 }
 
+/// Replays the time after all nodes were lost: results that nobody knows fill a maker and lapse bit by bit.
 #[test]
-fn a_refusal_for_want_of_room_is_believed_for_a_moment() {
+fn room_that_something_else_takes_is_believed_to_come_free_step_by_step() {
     let keys = keys(1);
     let mut set = MakerSet::default();
     let maker = set.of(keys[0]).unwrap();
-    assert!(maker.had_no_room(NOW, 1_000));
-    assert!(!maker.had_no_room(NOW, 1_000), "said once");
-    assert_eq!(set.free(NOW, &keys, &SHAPE)[0].1, 0);
-    assert_eq!(set.free(NOW + Duration::from_secs(1), &keys, &SHAPE)[0].1, 1_000);
+    assert!(maker.had_no_room(NOW, &SHAPE));
+    assert!(!maker.had_no_room(NOW, &SHAPE), "said once");
+    let step = CALL.mul_f64(1.25);
+    let mut room_after = |steps: u32| set.free(NOW + step * steps, &keys, &SHAPE)[0].1;
+    assert_eq!([0, 1, 2, 3].map(&mut room_after), [0, 500, 750, 875]);
+    let maker = set.get_mut(keys[0]).unwrap();
+    assert!(maker.had_no_room(NOW + step * 3, &SHAPE), "what was given free is taken after all");
+    let mut room_after = |steps: u32| set.free(NOW + step * steps, &keys, &SHAPE)[0].1;
+    assert_eq!([3, 4, 5, 6, 7, 8].map(&mut room_after), [0, 500, 750, 875, 938, 1_000]);
 }
 
 #[test]
