Less urgent ranks wait for the more urgent ones that are still to come

Change: owners say arrivals by rank; the wait of a rank is what is ahead by the pace that the more urgent ranks leave.

--- a/crates/fernring-gateway/src/backlog.rs
+++ b/crates/fernring-gateway/src/backlog.rs
@@ -19,8 +19,8 @@
 pub struct Backlog {
     /// Pieces a second that all makers finish together while more wait than they can take.
     pub rate_per_s: f64,
-    /// Pieces a second that came of late, those that were late already left out.
-    pub arrivals_per_s: f64,
+    /// Pieces a second that came of late, by rank; those that were late already are left out.
+    pub arrivals_per_s: [f64; RANKS],
     /// Pieces that wait and can still be in time.
     pub waiting: PiecesByRank,
     /// Pieces that wait and can't be in time any more; they go last.
@@ -30,7 +30,8 @@
 impl Backlog {
     /// Returns the backlog as it should be `age` later, if pieces go on to come and go as they did.
     pub fn after(mut self, age: Duration) -> Self {
-        let change = (self.arrivals_per_s - self.rate_per_s) * age.as_secs_f64();
+        let arrivals = self.arrivals_per_s.iter().sum::<f64>();
+        let change = (arrivals - self.rate_per_s) * age.as_secs_f64();
         let total: u32 = self.waiting.iter().sum();
         if total == 0 {
             return self;
@@ -49,10 +50,14 @@
         }
     }
 
-    /// Returns the time until a piece of a rank has its turn that can still be in time.
+    /// Returns the time until a piece of a rank has its turn that can still be in time; `None` if as many
+    /// more urgent ones come as can be made.
     pub fn wait(&self, rank: usize) -> Option<Duration> {
         let ahead = self.waiting[..=rank].iter().sum::<u32>() + self.late;
-        time_for(f64::from(ahead), self.rate_per_s)
+        match ahead {
+            0 => (self.rate_per_s > 0.0).then_some(Duration::ZERO),
+            _ => time_for(f64::from(ahead), self.rate_left(rank)),
+        }
     }
 
     /// Returns the time until a late piece has its turn, which is when all others are done; `None` if
@@ -68,7 +73,12 @@
     /// Returns the time until a number of pieces is made while those that come go first; `None` if as
     /// many come as can be made.
     pub fn time_for_late(&self, pieces: u32) -> Option<Duration> {
-        time_for(f64::from(pieces), self.rate_per_s - self.arrivals_per_s)
+        time_for(f64::from(pieces), self.rate_left(RANKS))
+    }
+
+    /// Returns the pieces a second that are left by those that come of more urgent ranks.
+    fn rate_left(&self, rank: usize) -> f64 {
+        self.rate_per_s - self.arrivals_per_s[..rank].iter().sum::<f64>()
     }
 }
 
--- a/crates/fernring-gateway/src/backlogs.rs
+++ b/crates/fernring-gateway/src/backlogs.rs
@@ -95,7 +95,7 @@
             let load = loads.entry(service).or_default();
             load.is_owner = true;
             load.rate_per_s = backlog.rate_per_s as f32;
-            load.arrivals_per_s = backlog.arrivals_per_s as f32;
+            load.arrivals_per_s = backlog.arrivals_per_s.map(|per_s| per_s as f32).to_vec();
             load.waiting = backlog.waiting.to_vec();
             load.late = backlog.late;
         }
@@ -131,14 +131,15 @@
 fn backlog_of(load: &StageLoad) -> Backlog {
     Backlog {
         rate_per_s: load.rate_per_s.into(),
-        arrivals_per_s: load.arrivals_per_s.into(),
+        arrivals_per_s: by_rank(&load.arrivals_per_s).map(f64::from),
         waiting: by_rank(&load.waiting),
         late: load.late,
     }
 }
 
-fn by_rank(pieces: &[u32]) -> PiecesByRank {
-    let mut ranks = [0; RANKS];
-    ranks.iter_mut().zip(pieces).for_each(|(rank, pieces)| *rank = *pieces);
+/// Returns what was said by rank; what wasn't is nothing.
+fn by_rank<T: Copy + Default>(said: &[T]) -> [T; RANKS] {
+    let mut ranks = [T::default(); RANKS];
+    ranks.iter_mut().zip(said).for_each(|(rank, said)| *rank = *said);
     ranks
 }
--- a/crates/fernring-gateway/src/flow.rs
+++ b/crates/fernring-gateway/src/flow.rs
@@ -1,7 +1,12 @@
 //! How the pieces of a stage service come and go, as its owner sees it. No I/O.
 
 use {
-    crate::{backlog::Backlog, batching::BatchQueue, makers::usual_time, model::BatchShape},
+    crate::{
+        backlog::{Backlog, RANKS},
+        batching::BatchQueue,
+        makers::usual_time,
+        model::BatchShape,
+    },
     std::time::Duration,
 };
 
@@ -15,14 +20,15 @@
 /// How the pieces of one service come and go.
 #[derive(Debug, Default)]
 pub struct Flow {
-    arrivals: Arrivals,
+    /// By rank.
+    arrivals: [Arrivals; RANKS],
     pace: Pace,
 }
 
 impl Flow {
-    /// Takes in that pieces came that can be in time.
-    pub fn came(&mut self, now: Duration, pieces: u32) {
-        self.arrivals.add(now, pieces);
+    /// Takes in that pieces of a rank came that can be in time.
+    pub fn came(&mut self, now: Duration, rank: usize, pieces: u32) {
+        self.arrivals[rank].add(now, pieces);
     }
 
     /// Takes in a call that left pieces behind for want of places or room.
@@ -41,7 +47,7 @@
         let (waiting, late) = queue.map(|queue| queue.counts(now, shape)).unwrap_or_default();
         Backlog {
             rate_per_s: self.pace.per_s(said_pace(shape)) * makers as f64,
-            arrivals_per_s: self.arrivals.per_s(now),
+            arrivals_per_s: self.arrivals.each_ref().map(|arrivals| arrivals.per_s(now)),
             waiting,
             late,
         }
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -11,7 +11,7 @@
 
 use {
     crate::{
-        backlog::Backlog,
+        backlog::{Backlog, rank},
         batching::{BatchQueue, Makers, Task},
         config::ConfigState,
         directory::Effect,
@@ -161,7 +161,9 @@
         let queue = queues.entry(work.service.clone()).or_default();
         let now = self.now();
         if work.due_at > now {
-            self.flows.borrow_mut().entry(work.service.clone()).or_default().came(now, work.pieces);
+            let mut flows = self.flows.borrow_mut();
+            let flow = flows.entry(work.service.clone()).or_default();
+            flow.came(now, rank(work.priority), work.pieces);
         }
         for number in 0..work.pieces {
             queue.push(task(id, &work, number));
--- a/crates/fernring-gateway/tests/testsuite/admission.rs
+++ b/crates/fernring-gateway/tests/testsuite/admission.rs
@@ -3,7 +3,7 @@
 use {
     fernring_gateway::{
         admission::{Need, StageNeed, Verdict, decide},
-        backlog::Backlog,
+        backlog::{Backlog, RANKS},
         flow::{Arrivals, Pace},
     },
     std::time::Duration,
@@ -18,6 +18,13 @@
     backlog
 }
 
+/// Pieces a second that come, all of rank 1.
+fn coming(per_s: f64) -> [f64; RANKS] {
+    let mut ranks = [0.0; RANKS];
+    ranks[1] = per_s;
+    ranks
+}
+
 fn stage(after: &[usize], backlog: Backlog) -> StageNeed {
     StageNeed { after: after.to_vec(), pieces: 2, backlog: Some(backlog), call_time: MS(300) }
 }
@@ -35,17 +42,34 @@
 
 #[test]
 fn the_less_urgent_are_refused_first() {
-    let crowd = Backlog { arrivals_per_s: 100.0, ..busy(130) };
+    let crowd = Backlog { arrivals_per_s: coming(100.0), ..busy(130) };
     let at_rank = |rank| decide(&Need { rank, ..need(vec![stage(&[], crowd)]) });
     assert_eq!(at_rank(0), Verdict::InTime(MS(400)), "what waits there is behind it");
     assert_eq!(at_rank(1), Verdict::Refused(None), "nothing says when it would have a chance");
     assert_eq!(at_rank(2), Verdict::Refused(None));
 }
 
+/// Replays a crowd of one rank: the ranks behind it are served by what it leaves.
+#[test]
+fn a_less_urgent_rank_waits_for_those_of_the_more_urgent_that_are_still_to_come() {
+    let at = |rank, per_s| {
+        let crowd = Backlog { arrivals_per_s: coming(per_s), ..busy(50) };
+        crowd.wait(rank)
+    };
+    assert_eq!(at(1, 80.0), Some(MS(500)), "who comes later is behind");
+    assert_eq!(at(2, 50.0), Some(MS(1_000)));
+    assert_eq!(at(2, 100.0), None);
+    assert_eq!(at(0, 100.0), Some(MS(0)));
+}
+
 #[test]
 fn what_comes_late_is_taken_on_only_where_a_part_of_the_pace_is_left_for_it() {
-    let late =
-        |arrivals_per_s| decide(&need(vec![stage(&[], Backlog { arrivals_per_s, ..busy(150) })]));
+    let late = |arrivals_per_s| {
+        decide(&need(vec![stage(
+            &[],
+            Backlog { arrivals_per_s: coming(arrivals_per_s), ..busy(150) },
+        )]))
+    };
     assert_eq!(late(50.0), Verdict::Late(MS(3_400)));
     assert_eq!(late(80.0), Verdict::Refused(Some(MS(7_500))));
 }
@@ -73,7 +97,7 @@
     for ms in 0..3_000u64 {
         let now = MS(ms);
         if ms % 5 == 0 {
-            backlog.arrivals_per_s = arrivals.per_s(now);
+            backlog.arrivals_per_s = coming(arrivals.per_s(now));
             if let Verdict::InTime(time) = decide(&need(vec![stage(&[], backlog)])) {
                 assert!(time <= MS(1_500));
                 backlog.waiting[1] += 2;
@@ -94,7 +118,7 @@
 
 #[test]
 fn a_backlog_is_carried_on_until_its_owner_is_heard_again() {
-    let growing = Backlog { arrivals_per_s: 150.0, ..busy(100) };
+    let growing = Backlog { arrivals_per_s: coming(150.0), ..busy(100) };
     assert_eq!(growing.after(MS(200)).waiting[1], 110);
     assert_eq!(busy(10).after(MS(1_000)).waiting[1], 0);
 }
--- a/crates/fernring-gateway/tests/testsuite/backlogs.rs
+++ b/crates/fernring-gateway/tests/testsuite/backlogs.rs
@@ -12,8 +12,9 @@
 }
 
 fn backlog(waiting: u32) -> Backlog {
-    let mut backlog = Backlog { rate_per_s: 100.0, arrivals_per_s: 100.0, ..Backlog::default() };
+    let mut backlog = Backlog { rate_per_s: 100.0, ..Backlog::default() };
     backlog.waiting[0] = waiting;
+    backlog.arrivals_per_s[0] = 100.0;
     backlog
 }
 
--- a/crates/fernring-gateway/tests/testsuite/batching.rs
+++ b/crates/fernring-gateway/tests/testsuite/batching.rs
@@ -2,7 +2,7 @@
 
 use {
     fernring_gateway::{
-        backlog::Backlog,
+        backlog::{Backlog, RANKS},
         batching::{BatchQueue, Bound, Makers, Task},
         model::{BatchShape, Piece, PieceInput},
         settings::DecideSettings,
@@ -18,6 +18,13 @@
     Backlog { rate_per_s: 20.0, ..Backlog::default() }
 }
 
+/// Pieces a second that come, all of the first rank.
+fn coming(per_s: f64) -> [f64; RANKS] {
+    let mut ranks = [0.0; RANKS];
+    ranks[0] = per_s;
+    ranks
+}
+
 fn shape() -> BatchShape {
     BatchShape {
         pieces_max: 4,
@@ -208,7 +215,7 @@
 /// made. It would be kept, with the results that it needs, until its deadline.
 #[test]
 fn a_late_piece_is_given_up_when_nothing_is_left_for_it() {
-    let crowded = Backlog { rate_per_s: 20.0, arrivals_per_s: 20.0, ..Backlog::default() };
+    let crowded = Backlog { arrivals_per_s: coming(20.0), ..idle() };
     let expired = |backlog: &Backlog, rules: &DecideSettings| -> Vec<u64> {
         let mut queue = queue([task(1, 0), task(2, 900)]);
         queue.take_expired(NOW, &shape(), backlog, rules).iter().map(|task| task.work).collect()
@@ -221,8 +228,7 @@
 /// The same crowd: 30 pieces are late, and a quarter of the pace is left for them.
 #[test]
 fn late_pieces_are_kept_for_as_long_as_what_is_left_will_reach_them() {
-    let backlog =
-        Backlog { rate_per_s: 20.0, arrivals_per_s: 15.0, late: 30, ..Backlog::default() };
+    let backlog = Backlog { arrivals_per_s: coming(15.0), late: 30, ..idle() };
     let deadline = |work| Task { deadline_at: NOW + Duration::from_secs(4), ..task(work, 0) };
     let mut queue = queue((1..=30).map(deadline));
     let gone = queue.take_expired(NOW, &shape(), &backlog, &RULES);
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -104,9 +104,9 @@
     /// Pieces a second that its makers finish together while more wait.
     #[prost(float, tag = "3")]
     pub rate_per_s: f32,
-    /// Pieces a second that came of late.
-    #[prost(float, tag = "4")]
-    pub arrivals_per_s: f32,
+    /// Pieces a second that came of late, by rank.
+    #[prost(float, repeated, tag = "4")]
+    pub arrivals_per_s: Vec<f32>,
     /// Pieces that wait and can be in time, by rank.
     #[prost(uint32, repeated, tag = "5")]
     pub waiting: Vec<u32>,
