--- a/crates/fernring-gateway/src/admission.rs
+++ b/crates/fernring-gateway/src/admission.rs
@@ -5,6 +5,10 @@
 //! are given up in the end is lost. So the whole path is forecast at arrival, and a request is
 //! turned away at once unless its answer will come while it is of use. One that is taken on is
 //! kept.
+//!
+//! What is known of the queues is up to a heartbeat old, and is carried on by what came and went until then. The limits are the
+//! caller's own: the objective for those that can be in time, its patience for the others. There is no limit on
+//! a queue's length, since a queue that can be served in time is as long as it may be.
 
 use {crate::backlog::Backlog, std::time::Duration};
 
--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -1,4 +1,7 @@
-//! Which pieces go into the next call to an upstream of a stage service.
+//! Which pieces go into the next call to an upstream of a stage service, and which are given up. No I/O.
+//!
+//! The load that this answers: more pieces wait than the next calls hold. A call costs its fixed time whatever it
+//! holds, results take room until they are read, and a piece that is made too late is made for little.
 
 use {
     crate::{
--- a/crates/fernring-gateway/src/come_back.rs
+++ b/crates/fernring-gateway/src/come_back.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-/// Callers follow a pause up to this part of the time that they have left (platform's pages); a longer
-/// one would be shortened by them.
+/// Callers follow a pause up to this part of the time that they have left, by the platform's protocol; they
+/// would shorten a longer one.
 const FOLLOWED_PART: f64 = 1.0 / 3.0;
 /// Part of the pause that the most urgent rank is told; the rest is spread over the ranks.
 const FIRST_PART: f64 = 0.6;
--- a/crates/fernring-gateway/src/flow.rs
+++ b/crates/fernring-gateway/src/flow.rs
@@ -1,4 +1,7 @@
 //! How the pieces of a stage service come and go, as its owner sees it. No I/O.
+//!
+//! The load that this answers: makers turn slow, are lost or added, or have little room, and what the
+//! configuration says of full calls is then far from what they do.
 
 use {
     crate::{
--- a/crates/fernring-gateway/src/makers.rs
+++ b/crates/fernring-gateway/src/makers.rs
@@ -14,7 +14,7 @@
 const UNKNOWN_PARTS: u64 = 16;
 /// Part of a call's usual time beyond which its pieces are given to another maker as well. Calls
 /// of sound makers take at most 1.15 times what is said of them, and twice that behind the call of
-/// another owner (users' bench); at 1.6 such calls were made twice for nothing.
+/// another owner (as logged); at 1.6 such calls were made twice for nothing.
 const OVERDUE_PART: f64 = 2.2;
 /// Time that a call may take besides before it is overdue: connecting, and fetching inputs.
 const OVERDUE_GRACE: Duration = Duration::from_millis(100);
--- a/crates/fernring-gateway/src/reading.rs
+++ b/crates/fernring-gateway/src/reading.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-/// Speed that is assumed before anything was seen, in tokens a millisecond: the geometric middle of
-/// small and large models on today's accelerators (10 to 100). The first dozens of answers replace it.
+/// Speed that is assumed before anything was seen, in tokens a millisecond: about that of a large model on one
+/// of today's accelerators. The first dozens of answers replace it.
 const SPEED_FIRST: f64 = 40.0;
 /// Part of the answers that come at a lower speed than the learned one. Most had to wait for other
 /// prompts, or were read with less of them cached than was thought; a few found more cached.
