One short hash, one listing of makers for a pump, and a refusal built once

Read again, nothing new: the hash of heartbeats stood twice; a pump listed the makers of a service twice and counted an empty queue; the whole queue was sorted at each change though the order matters only for late pieces; a refusal at arrival drew its pause twice; Learned held one map after the margin had gone; promises of no pieces were kept; the last bound of a call was asked for in two ways. Tests keep their assertions; learned.rs is renamed to reading.rs with its module.

--- a/crates/fernring-gateway/src/backlogs.rs
+++ b/crates/fernring-gateway/src/backlogs.rs
@@ -2,7 +2,10 @@
 //! what the nodes have promised to requests that haven't come to a stage yet. No I/O.
 
 use {
-    crate::backlog::{Backlog, PiecesByRank, RANKS},
+    crate::{
+        backlog::{Backlog, PiecesByRank, RANKS},
+        model::short_hash,
+    },
     fernring_protocol::gateway::StageLoad,
     std::{
         cell::RefCell,
@@ -12,18 +15,12 @@
         sync::Arc,
         time::Duration,
     },
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Age from which on what an owner said is of no use: more than two heartbeats were lost, and it may
 /// be the owner no longer.
 const SAID_AGE_MAX: Duration = Duration::from_millis(700);
 
-/// Short hash of a service's name, for heartbeats. Two that collide only mislead forecasts.
-fn short_hash(service: &str) -> u32 {
-    xxh3_64(service.as_bytes()) as u32
-}
-
 #[derive(Debug, Default)]
 struct Peer {
     said_at: Duration,
@@ -37,6 +34,7 @@
 #[derive(Debug, Default)]
 pub struct Backlogs {
     peers: RefCell<HashMap<SocketAddr, Peer>>,
+    /// Invariant: some rank of each entry has pieces.
     promised: RefCell<BTreeMap<Arc<str>, PiecesByRank>>,
 }
 
@@ -52,8 +50,12 @@
 
 impl Drop for Promise {
     fn drop(&mut self) {
-        if let Some(promised) = self.backlogs.promised.borrow_mut().get_mut(&self.service) {
+        let mut all = self.backlogs.promised.borrow_mut();
+        if let Some(promised) = all.get_mut(&self.service) {
             promised[self.rank] -= self.pieces;
+            if *promised == PiecesByRank::default() {
+                all.remove(&self.service);
+            }
         }
     }
 }
@@ -100,9 +102,7 @@
             load.late = backlog.late;
         }
         for (service, promised) in &*self.promised.borrow() {
-            if promised.iter().any(|pieces| *pieces > 0) {
-                loads.entry(service.clone()).or_default().promised = promised.to_vec();
-            }
+            loads.entry(service.clone()).or_default().promised = promised.to_vec();
         }
         let hashed = |(service, load): (Arc<str>, StageLoad)| StageLoad {
             service: short_hash(&service),
--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -172,7 +172,10 @@
         let begun = &self.begun;
         let in_time = backlog.waiting.iter().sum::<u32>();
         let mut late = 0;
-        self.tasks.sort_by_cached_key(|task| (urgency(task, shape, rules), task.work));
+        if rules.give_up && backlog.late > 0 {
+            // Late ones are numbered in their order.
+            self.tasks.sort_by_cached_key(|task| (urgency(task, shape, rules), task.work));
+        }
         let expired = |task: &mut Task| {
             if !rules.give_up || begun.contains(&task.work) || !misses(task, now, shape) {
                 return task.deadline_at <= now + shape.call_time;
@@ -213,8 +216,9 @@
         for task in &self.tasks {
             *sizes.entry(task.work).or_default() += 1;
         }
-        // The work that was looked at last, and whether it is left whole for another call.
-        let mut looked_at = (None, false);
+        // The work that was looked at last, and whether it is left whole to another call.
+        let mut looked_at = None;
+        let mut is_left_whole = false;
         let mut room_bytes = room_bytes;
         let mut taken = 0;
         let mut bound = Bound::Empty;
@@ -228,22 +232,21 @@
                     && makers_in(near)
                         .is_some_and(|there| there.done_at(now, *ahead, shape) <= task.due_at)
             });
-            if looked_at.0 != Some(task.work) {
+            if looked_at != Some(task.work) {
                 let pieces = sizes[&task.work];
                 let by_room = (room_bytes / task.result_bytes.max(1)) as usize;
-                let left = by_room.min(shape.pieces_max - taken);
-                let splits = rules.whole_works
-                    && pieces > left
-                    && left * LEFT_PLACES <= taken + left
+                let places = by_room.min(shape.pieces_max - taken);
+                looked_at = Some(task.work);
+                is_left_whole = rules.whole_works
+                    && pieces > places
+                    && places * LEFT_PLACES <= taken + places
                     && !begun.contains(&task.work);
-                looked_at = (Some(task.work), splits);
             }
             let kept_out = match () {
                 () if taken == shape.pieces_max => Bound::Places,
                 () if left_to_others => Bound::Domain,
-                () if looked_at.1 && task.result_bytes > room_bytes => Bound::Room,
-                () if looked_at.1 => Bound::Places,
                 () if task.result_bytes > room_bytes => Bound::Room,
+                () if is_left_whole => Bound::Places,
                 () => {
                     taken += 1;
                     room_bytes -= task.result_bytes;
--- a/crates/fernring-gateway/src/exchange/admitting.rs
+++ b/crates/fernring-gateway/src/exchange/admitting.rs
@@ -37,11 +37,10 @@
         log::info(line);
         self.forecast = forecast;
         if let Verdict::Refused(after) = verdict {
-            let refusal = self.give_up(ResultCode::ExpiredInQueue, "overload");
-            return Err(refusal.back_after(self.come_back(after)));
+            return Err(self.give_up_until(ResultCode::ExpiredInQueue, "overload", after));
         }
         let backlogs = self.serving.stages.backlogs();
-        for stage in 0..stages {
+        for stage in (0..stages).filter(|stage| self.plan.count(*stage) > 0) {
             let (pieces, spec) = (self.plan.count(stage), self.plan.spec(stage));
             let promise = backlogs.promise(&spec.service, need.rank, pieces);
             self.promises.insert(stage, promise);
--- a/crates/fernring-gateway/src/exchange/mod.rs
+++ b/crates/fernring-gateway/src/exchange/mod.rs
@@ -247,7 +247,7 @@
         let now = self.serving.now();
         if let Some(reads) = opened.reads.take() {
             let took = now.saturating_sub(reads.sent_at);
-            self.serving.learned.read(&self.service, reads.tokens, took);
+            self.serving.reading.read(&self.service, reads.tokens, took);
         }
         let passed_on = self.passed_on.get_or_insert(PassedOn {
             first_at: now,
@@ -277,20 +277,28 @@
         self.open().await
     }
 
-    /// Returns when the caller should come back, given when what waits now should be done.
-    fn come_back(&self, drained_after: Option<Duration>) -> Duration {
-        let draw = rand::rng().random_range(0.0..1.0);
-        come_back(drained_after, self.time_left(), rank(self.priority()), draw)
-    }
-
     /// Returns the final answer for a request that is given up: a promise that it has not run if
     /// that is so.
     pub fn give_up(&self, code: ResultCode, detail: &str) -> Refusal {
-        match self.attempts.not_run() {
-            Some(not_run) => Refusal::not_run(not_run, code, self.come_back(None), detail),
-            None if code == ResultCode::WindowEnded => Refusal::may_have_run(code, detail),
-            None => Refusal::may_have_run(ResultCode::StageFailed, detail),
-        }
+        self.give_up_until(code, detail, None)
+    }
+
+    /// The same where it can be said when what waits now should be done.
+    fn give_up_until(
+        &self,
+        code: ResultCode,
+        detail: &str,
+        drained_after: Option<Duration>,
+    ) -> Refusal {
+        let Some(not_run) = self.attempts.not_run() else {
+            return match code {
+                ResultCode::WindowEnded => Refusal::may_have_run(code, detail),
+                _ => Refusal::may_have_run(ResultCode::StageFailed, detail),
+            };
+        };
+        let draw = rand::rng().random_range(0.0..1.0);
+        let after = come_back(drained_after, self.time_left(), rank(self.priority()), draw);
+        Refusal::not_run(not_run, code, after, detail)
     }
 
     /// Takes in the request's end: writes its line and counts it.
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -140,10 +140,7 @@
             .with("load", chosen.map_or(0.0, |candidate| candidate.load.round()))
             .with("is_avoided", chosen.is_some_and(|candidate| candidate.is_avoided))
             .with("is_home", is_home)
-            .with(
-                "reads_per_ms",
-                self.serving.learned.reading(&self.service).tokens_in(ONE_MS).round(),
-            )
+            .with("reads_per_ms", self.serving.reading.of(&self.service).tokens_in(ONE_MS).round())
             .with("config", self.serving.config.borrow().version())
             .with("left_ms", self.time_left().as_millis());
         log::info(line);
@@ -158,7 +155,7 @@
         let shared = parts.len().checked_sub(2).and_then(|index| parts.get(index));
         let own = parts.last()?;
         let time_left = self.objective_at.saturating_sub(self.serving.now());
-        let speed = self.serving.learned.reading(&self.service);
+        let speed = self.serving.reading.of(&self.service);
         Some(PromptNeed {
             prefix: shared.unwrap_or(own).id,
             own_tokens: f64::from(own.tokens),
--- a/crates/fernring-gateway/src/exchange/staging.rs
+++ b/crates/fernring-gateway/src/exchange/staging.rs
@@ -85,7 +85,7 @@
     /// leave the room for results to the others meanwhile.
     fn chain_lead(&self) -> usize {
         if !self.serving.rules.get().made_late {
-            return usize::MAX / 2;
+            return self.route.stages.len();
         }
         let held = self.serving.config.borrow().current();
         let routes = held.iter().flat_map(|held| &held.config.routes);
@@ -138,7 +138,7 @@
 
     /// Time that a model engine needs for the whole prompt.
     pub(super) fn reading_time(&self) -> Duration {
-        self.serving.learned.reading(&self.service).time_for(self.prompt_tokens())
+        self.serving.reading.of(&self.service).time_for(self.prompt_tokens())
     }
 
     /// Failure domain in which a stage's pieces are best made: where its results are read if they
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -34,7 +34,6 @@
 pub mod flow;
 pub mod freshness;
 pub mod ingress;
-pub mod learned;
 pub mod log;
 pub mod makers;
 mod measures;
--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -178,6 +178,12 @@
     }
 }
 
+/// Hashes the name of an upstream's instance or of a service, for heartbeats. Two that collide only mislead
+/// selection and forecasts.
+pub fn short_hash(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
 /// Hashes a key, so that configurations hold none in clear.
 pub fn key_hash(key: &str) -> u64 {
     xxh3_64(key.as_bytes())
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -176,14 +176,17 @@
     /// Returns what waits for a service's makers; `None` if it is no stage service.
     pub fn backlog(&self, service: &Arc<str>) -> Option<Backlog> {
         let (_, shape) = self.service(service)?;
+        Some(self.backlog_before(service, &shape, self.usable_makers(service).len()))
+    }
+
+    fn backlog_before(&self, service: &Arc<str>, shape: &BatchShape, makers: usize) -> Backlog {
         let queues = self.queues.borrow();
         let mut flows = self.flows.borrow_mut();
         let flow = flows.entry(service.clone()).or_default();
-        let makers = self.usable_makers(service).len();
-        Some(flow.backlog(self.now(), &shape, makers, queues.get(service)))
+        flow.backlog(self.now(), shape, makers, queues.get(service))
     }
 
-    /// Returns the backlogs of all services that had work here.
+    /// Returns the backlogs of all services that had work here, or were asked about.
     pub fn backlogs(&self) -> Vec<(Arc<str>, Backlog)> {
         let services: Vec<_> = self.flows.borrow().keys().cloned().collect();
         let with_backlog = |service: Arc<str>| {
@@ -285,8 +288,12 @@
             self.fail_all(service_name);
             return;
         };
-        self.drop_expired(service_name, &shape);
-        for (target, room) in self.free_makers(service_name, &shape) {
+        if self.queues.borrow().get(service_name).is_none_or(BatchQueue::is_empty) {
+            return;
+        }
+        let makers = self.usable_makers(service_name);
+        self.drop_expired(service_name, &shape, makers.len());
+        for (target, room) in self.free_makers(&makers, &shape) {
             let now = self.now();
             let batch = match self.queues.borrow_mut().get_mut(service_name) {
                 Some(queue) => {
@@ -331,11 +338,9 @@
         }
     }
 
-    fn drop_expired(&self, service: &Arc<str>, shape: &BatchShape) {
+    fn drop_expired(&self, service: &Arc<str>, shape: &BatchShape, makers: usize) {
         let now = self.now();
-        let Some(backlog) = self.backlog(service) else {
-            return;
-        };
+        let backlog = self.backlog_before(service, shape, makers);
         let expired = match self.queues.borrow_mut().get_mut(service) {
             Some(queue) => queue.take_expired(now, shape, &backlog, &self.rules.get()),
             None => return,
@@ -346,13 +351,9 @@
         }
     }
 
-    /// Lists the makers that could start a call, and the room that each has for results.
-    fn free_makers(&self, service: &str, shape: &BatchShape) -> Vec<(Target, u64)> {
-        if self.queues.borrow().get(service).is_none_or(BatchQueue::is_empty) {
-            return Vec::new();
-        }
-        let usable = self.usable_makers(service);
-        let free = self.makers.borrow_mut().free(self.now(), &usable, shape);
+    /// Lists those of some makers that could start a call, and the room that each has for results.
+    fn free_makers(&self, makers: &[UpstreamKey], shape: &BatchShape) -> Vec<(Target, u64)> {
+        let free = self.makers.borrow_mut().free(self.now(), makers, shape);
         let target = |(key, room): (UpstreamKey, u64)| Some((self.upstreams.target(key)?, room));
         let mut free: Vec<_> = free.into_iter().filter_map(target).collect();
         free.shuffle(&mut rand::rng());
--- a/crates/fernring-gateway/src/reading.rs
+++ b/crates/fernring-gateway/src/reading.rs
@@ -1,6 +1,6 @@
 //! How fast the engines of a model service read prompts, learned from their answers. No I/O.
 
-use std::time::Duration;
+use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
 
 /// Speed that is assumed before anything was seen, in tokens a millisecond: about that of a large model on one
 /// of today's accelerators. The first dozens of answers replace it.
@@ -44,3 +44,19 @@
         self.0 *= 1.0 + step * STEP_PART;
     }
 }
+
+/// The speeds of all model services that a node has sent to, by name.
+#[derive(Debug, Default)]
+pub struct ReadingSpeeds(RefCell<HashMap<Arc<str>, ReadingSpeed>>);
+
+impl ReadingSpeeds {
+    /// Returns the speed of a service's engines.
+    pub fn of(&self, service: &str) -> ReadingSpeed {
+        self.0.borrow().get(service).copied().unwrap_or_default()
+    }
+
+    /// Takes in that an engine's first event came `took` after it was sent a request with `tokens` to read.
+    pub fn read(&self, service: &Arc<str>, tokens: f64, took: Duration) {
+        self.0.borrow_mut().entry(service.clone()).or_default().read(tokens, took);
+    }
+}
--- a/crates/fernring-gateway/src/refusal.rs
+++ b/crates/fernring-gateway/src/refusal.rs
@@ -65,12 +65,6 @@
         Self { code, detail: detail.into(), status, retry_after: None, closes: false }
     }
 
-    /// Changes when the caller should come back.
-    pub fn back_after(mut self, after: Duration) -> Self {
-        self.retry_after = Some(after);
-        self
-    }
-
     /// Returns the status.
     pub fn status(&self) -> StatusCode {
         self.status
--- a/crates/fernring-gateway/src/serve.rs
+++ b/crates/fernring-gateway/src/serve.rs
@@ -6,10 +6,10 @@
         config::{ConfigState, HeldConfig},
         exchange::{CallerRequest, Ended, InFlight},
         ingress::RequestGuard,
-        learned::Learned,
         log, measures,
         model::{Route, Workspace, key_hash},
         peers::Peers,
+        reading::ReadingSpeeds,
         refusal::{RETRY_AFTER_NOT_READY, Refusal},
         relay::{Relay, RelayError},
         retries::Retries,
@@ -64,8 +64,8 @@
     pub peers: Rc<Peers>,
     /// The stages.
     pub stages: Rc<Stages>,
-    /// What was learned from what came true.
-    pub learned: Learned,
+    /// How fast model engines read, as learned since the start.
+    pub reading: ReadingSpeeds,
     /// The mechanisms of the policy that are on.
     pub rules: Rc<Cell<DecideSettings>>,
     /// The retry budget.
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -4,7 +4,7 @@
     crate::{
         connections::{Answer, Pool, SendFailure},
         directory::{Change, Directory, Effect},
-        model::UpstreamKey,
+        model::{UpstreamKey, short_hash},
         selection::Candidate,
     },
     bytes::Bytes,
@@ -50,12 +50,6 @@
     totals: HashMap<u32, f64>,
 }
 
-/// Short hash of an upstream's instance, for heartbeats. Two that collide only mislead
-/// selection.
-pub fn short_hash(instance: &str) -> u32 {
-    xxh3_64(instance.as_bytes()) as u32
-}
-
 /// Returns the address of the maker of a result, which its handle begins with.
 pub fn maker_address(handle: &str) -> Option<SocketAddr> {
     handle.split('/').next()?.parse().ok()
--- a/crates/fernring-gateway/tests/testsuite/learned.rs
+++ b/crates/fernring-gateway/tests/testsuite/reading.rs
@@ -1,4 +1,4 @@
-//! What is learned from what came true.
+//! How fast model engines read, as learned.
 
 use {fernring_gateway::reading::ReadingSpeed, std::time::Duration};
 
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -3,8 +3,8 @@
 use {
     fernring_gateway::{
         directory::Change,
-        model::{UpstreamKey, UpstreamRecord, UpstreamState},
-        upstreams::{Upstreams, short_hash},
+        model::{UpstreamKey, UpstreamRecord, UpstreamState, short_hash},
+        upstreams::Upstreams,
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
 };
