Sight: how long a node is behind, whom it asks, when it stands in for a reader

A node that puts a question off says so, which the asker only counts. For this what nodes do to follow a topic through peers stands in one module without I/O (following); what it decides is unchanged.

--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Decisions stand in modules without I/O: [`admission`] (who is taken on), [`attempts`], [`backlog`] and [`backlogs`]
 //! (what waits where), [`batching`] (the queue of a stage and its calls), [`budget`], [`come_back`], [`config`], [`directory`],
-//! [`events`], [`flow`], [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`]. A
+//! [`events`], [`flow`], [`following`] (what peers pass on), [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`]. A
 //! platform's formats and calls are behind the traits of [`wire`]. Everything runs on one thread.
 //!
 //! ```
@@ -32,6 +32,7 @@
 pub mod events;
 pub mod exchange;
 pub mod flow;
+pub mod following;
 pub mod freshness;
 pub mod ingress;
 pub mod log;
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -4,7 +4,7 @@
     crate::{
         config::ConfigState,
         directory::Change,
-        freshness::Freshness,
+        following::{Following, Reply},
         ingress::{Ingress, Phase},
         log,
         measures::{self, Readings},
@@ -58,11 +58,6 @@
 /// How often a shutting-down node looks whether everything is done.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Configurations that are sent to peers within an interval, in bytes, and the interval: a quarter of the
-/// smallest link that is in use, 10 Mbit/s. Nodes that have got it pass it on in turn.
-const CONFIG_SENT_BYTES_MAX: usize = 64 << 10;
-const CONFIG_SENT_INTERVAL: Duration = Duration::from_millis(200);
-
 /// A gateway node.
 pub struct Node {
     settings: RefCell<Settings>,
@@ -76,8 +71,6 @@
     serving: Rc<Serving>,
     loops: Rc<StoreLoops>,
     render: Box<dyn Fn() -> String>,
-    /// Since when configurations were sent to peers, and how many bytes.
-    config_sent: Cell<(Duration, usize)>,
 }
 
 /// What a node is built on.
@@ -186,9 +179,7 @@
             upstreams: upstreams.clone(),
             owner: owner.clone(),
             peers: peers.clone(),
-            config_freshness: RefCell::new(Freshness::new(rand::random())),
-            directory_freshness: RefCell::new(Freshness::new(rand::random())),
-            ask_at: Default::default(),
+            following: [(); 2].map(|()| RefCell::new(Following::new(rand::random()))),
             started_at,
             store_answers: Cell::new(true),
         });
@@ -207,7 +198,6 @@
             serving,
             loops,
             render,
-            config_sent: Cell::default(),
         });
         peers.set_handler(node.clone());
         node
@@ -365,23 +355,21 @@
         self.peers.send(peer, body);
     }
 
-    /// Passes the configuration on, unless too much of it was sent just now: whoever gets none
-    /// finds another that has it with the next heartbeats.
+    /// Passes the configuration on, unless too much of it was sent just now.
     fn send_config(&self, peer: SocketAddr) {
         let Some(held) = self.config.borrow().current() else {
             return;
         };
-        let now = self.serving.now();
-        let (since, sent) = self.config_sent.get();
-        let (since, sent) =
-            if now < since + CONFIG_SENT_INTERVAL { (since, sent) } else { (now, 0) };
-        if sent > 0 && sent + held.bytes.len() > CONFIG_SENT_BYTES_MAX {
-            return;
-        }
-        self.config_sent.set((since, sent + held.bytes.len()));
-        let age_ms = self.age_ms(Followed::Config);
-        let config = ConfigBytes { record: held.bytes.clone(), age_ms };
-        self.peers.send(peer, GatewayBody::Config(config));
+        let following = self.loops.following(Followed::Config);
+        let reply = following.borrow_mut().asked(self.serving.now(), held.bytes.len());
+        let body = match reply {
+            Reply::Record => {
+                let age_ms = self.age_ms(Followed::Config);
+                GatewayBody::Config(ConfigBytes { record: held.bytes.clone(), age_ms })
+            }
+            Reply::PutOff => GatewayBody::ConfigPutOff(Nothing {}),
+        };
+        self.peers.send(peer, body);
     }
 
     fn send_directory(&self, peer: SocketAddr, since: u64) {
@@ -411,7 +399,7 @@
     }
 
     fn age_ms(&self, what: Followed) -> Option<u32> {
-        let age = self.loops.age(what)?;
+        let age = self.loops.following(what).borrow().told_age(self.serving.now())?;
         Some(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
     }
 }
@@ -429,6 +417,9 @@
             GatewayBody::Config(config) => {
                 self.loops.take_peer_config(config.record, config.age_ms.map(from_ms));
             }
+            GatewayBody::ConfigPutOff(_) => {
+                self.loops.following(Followed::Config).borrow_mut().put_off(self.serving.now());
+            }
             GatewayBody::DirectoryRequest(request) => self.send_directory(sender, request.since),
             GatewayBody::Directory(records) => self.take_directory(records),
             GatewayBody::Work(work) => self.stages.work(sender, work),
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -7,7 +7,8 @@
     crate::{
         config::ConfigState,
         directory::{Change, Effect},
-        freshness::{DOUBT_AFTER, Freshness, read_wait},
+        following::Following,
+        freshness::{DOUBT_AFTER, read_wait},
         log, measures,
         members::ReaderPart,
         owner::Owner,
@@ -37,8 +38,6 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the start in which a node doesn't know its peers yet, so that it takes nobody's part.
 const START_TIME: Duration = Duration::from_secs(1);
-/// Shortest time between two questions to peers for what they know and this node doesn't.
-const ASK_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause between two reads of the upstreams' records, so that the heartbeats of all of them don't
 /// cost a call each. Well below the time after which a leaving upstream may get no new work.
 const GATHER_PAUSE: Duration = Duration::from_millis(600);
@@ -63,12 +62,8 @@
     pub owner: Rc<Owner>,
     /// The other nodes.
     pub peers: Rc<Peers>,
-    /// How well the configuration is known.
-    pub config_freshness: RefCell<Freshness>,
-    /// How well the upstreams' records are known.
-    pub directory_freshness: RefCell<Freshness>,
-    /// When peers may be asked again, for the configuration and for the upstreams' records.
-    pub ask_at: [Cell<Duration>; 2],
+    /// How well the configuration and the upstreams' records are known, in the order of [`Followed`].
+    pub following: [RefCell<Following>; 2],
     /// When the node started.
     pub started_at: Duration,
     /// Whether the last call on the upstreams' records was answered.
@@ -137,11 +132,12 @@
         let mut has_failed = false;
         loop {
             let part = self.part();
-            if !self.freshness(what).borrow().shall_read(self.now(), part) {
+            if !self.following(what).borrow().freshness().shall_read(self.now(), part) {
                 (pause, has_failed) = (PAUSE_FIRST, false);
                 sleep(WATCH_INTERVAL).await;
                 continue;
             }
+            self.reads(what, part);
             from = from.map(|from| self.known_to(what, from));
             let answer = match from {
                 None => self.store.newest(topic).await,
@@ -165,7 +161,7 @@
                     self.answered(what);
                     take(page, is_whole);
                     if !went_back {
-                        self.freshness(what).borrow_mut().was_read(self.now(), part);
+                        self.following(what).borrow_mut().was_read(self.now(), part);
                     }
                     if has_records && !gather.is_zero() {
                         sleep(gather).await;
@@ -197,7 +193,7 @@
     /// Returns how long the next read waits for a record. After a failure the question is whether
     /// the store is back, and after silence what it holds; these have no time.
     fn read_wait(&self, what: Followed, part: ReaderPart, has_failed: bool) -> Duration {
-        let is_in_doubt = self.freshness(what).borrow().is_in_doubt(self.now());
+        let is_in_doubt = self.following(what).borrow().freshness().is_in_doubt(self.now());
         match has_failed || (is_in_doubt && part != ReaderPart::Alone) {
             true => Duration::ZERO,
             false => rand::rng().random_range(read_wait(part)),
@@ -210,7 +206,7 @@
         sleep(DOUBT_AFTER.min(wait)).await;
         while wait.is_zero()
             || self.part() == ReaderPart::Alone
-            || !self.freshness(what).borrow().is_in_doubt(self.now())
+            || !self.following(what).borrow().freshness().is_in_doubt(self.now())
         {
             sleep(WATCH_INTERVAL).await;
         }
@@ -224,16 +220,26 @@
         }
     }
 
-    fn freshness(&self, what: Followed) -> &RefCell<Freshness> {
-        match what {
-            Followed::Config => &self.config_freshness,
-            Followed::Upstreams => &self.directory_freshness,
-        }
+    /// Returns how well a topic is known.
+    pub fn following(&self, what: Followed) -> &RefCell<Following> {
+        &self.following[what as usize]
     }
 
     /// Returns the time since what is known was the newest for sure.
     pub fn age(&self, what: Followed) -> Option<Duration> {
-        self.freshness(what).borrow().age(self.now())
+        self.following(what).borrow().freshness().age(self.now())
+    }
+
+    /// Says that this node reads a topic, if it does so in place of the readers.
+    fn reads(&self, what: Followed, part: ReaderPart) {
+        if part != ReaderPart::None {
+            return;
+        }
+        let behind = self.following(what).borrow().behind();
+        let behind_ms = behind.since.map(|since| (self.now() - since).as_millis());
+        let line = LogLine::event("store_stand_in").with("topic", what.topic().name());
+        let line = line.with_some("age_ms", self.age(what).map(|age| age.as_millis()));
+        log::info(line.with_some("behind_ms", behind_ms));
     }
 
     /// Returns the mark of what is known.
@@ -247,23 +253,20 @@
     /// Takes in what a peer says of its knowledge; tells whether it is to be asked for it.
     pub fn heard(&self, what: Followed, mark: u64, age: Option<Duration>) -> bool {
         let (now, own) = (self.now(), self.mark(what));
+        let shall_ask = self.following(what).borrow_mut().heard(now, own, mark, age);
         if mark == own
             && let Some(age) = age
         {
             self.known_from_peer(what, age);
         }
-        let ask_at = &self.ask_at[what as usize];
-        if mark <= own || now < ask_at.get() {
-            return false;
-        }
-        ask_at.set(now + ASK_INTERVAL);
-        true
+        shall_ask
     }
 
     fn known_from_peer(&self, what: Followed, age: Duration) {
         let now = self.now();
-        self.freshness(what).borrow_mut().confirmed(now.saturating_sub(age));
-        if what == Followed::Upstreams && !self.freshness(what).borrow().is_stale(now) {
+        let mut following = self.following(what).borrow_mut();
+        following.confirmed(now.saturating_sub(age));
+        if what == Followed::Upstreams && !following.freshness().is_stale(now) {
             // Peers hear the store again; whether records may have lapsed, they say themselves.
             self.store_answers.set(true);
             self.upstreams.records_read(now.saturating_sub(age));
@@ -302,10 +305,18 @@
             }
         };
         let (from, to) = (self.config.borrow().version(), config.version);
-        if self.config.borrow_mut().offer(config, record) {
-            let line = LogLine::event("config_taken").with("from", from).with("to", to);
-            log::info(line.with("source", source));
+        let bytes = record.len();
+        if !self.config.borrow_mut().offer(config, record) {
+            return;
         }
+        let mut following = self.following(Followed::Config).borrow_mut();
+        let behind = following.behind();
+        following.caught_up();
+        let line = LogLine::event("config_taken").with("from", from).with("to", to);
+        let line = line.with("source", source).with("bytes", bytes);
+        let behind_ms = behind.since.map(|since| (self.now() - since).as_millis());
+        let line = line.with_some("behind_ms", behind_ms).with("asked", behind.asked);
+        log::info(line.with("put_off", behind.put_off));
     }
 
     fn take_upstreams(&self, page: Page, is_whole: bool) {
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -10,7 +10,7 @@
     #[prost(string, tag = "1")]
     pub sender: String,
     /// What is said.
-    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<GatewayBody>,
 }
 
@@ -44,6 +44,9 @@
     /// Results that are not needed any more.
     #[prost(message, tag = "10")]
     Release(ReleaseResults),
+    /// The configuration isn't sent now, since too much was sent just before.
+    #[prost(message, tag = "11")]
+    ConfigPutOff(Nothing),
 }
 
 /// A message without content.
