Only who has read the store tells how long ago that was

Cause: the age of what is known was told in heartbeats and told on by who had heard it. Each hop leaves out the time on the way and the part of a millisecond; among 78 nodes somebody is always about to tell, so what nobody confirmed stayed fresh. Change: heartbeats carry the time since the node's own last read, or nothing. One hop's time is left out, once. Looked at for the same: backlogs and unreachable upstreams are only told by who found them; the time for which removals may be lapses is told on, but only with records, at most a few hops each.

--- a/crates/fernring-gateway/src/following.rs
+++ b/crates/fernring-gateway/src/following.rs
@@ -99,9 +99,9 @@
         self.behind = Behind::default();
     }
 
-    /// Returns the age that peers are told: the time since what is known here was the newest for sure.
+    /// Returns the age that peers are told.
     pub fn told_age(&self, now: Duration) -> Option<Duration> {
-        self.freshness.age(now)
+        self.freshness.told_age(now)
     }
 
     /// Takes in how far a peer knows the topic (`mark`) and the age that it tells, with how far this node
--- a/crates/fernring-gateway/src/freshness.rs
+++ b/crates/fernring-gateway/src/freshness.rs
@@ -2,7 +2,7 @@
 //!
 //! One node of each failure domain reads; the others follow its heartbeats. The first of these readers asks
 //! often, and its answers confirm what all nodes know; the others ask seldom, so that a domain that is cut
-//! off has one. Whoever has had no sign for a while that what it knows is the newest asks too, so a
+//! off has one. Only who has read the store says how long ago that was. Whoever has had no sign for a while that what it knows is the newest asks too, so a
 //! reader that is lost, or cut off from the store, costs a moment and never the configuration's
 //! bound.
 //!
@@ -44,7 +44,9 @@
 /// What is known of one topic.
 #[derive(Debug, Clone)]
 pub struct Freshness {
+    /// By an own read, or by a peer that told of its own.
     confirmed_at: Option<Duration>,
+    read_at: Option<Duration>,
     stand_in_until: Duration,
     patience: Duration,
 }
@@ -53,7 +55,7 @@
     /// Starts with nothing known. `draw`, from 0 to 1, spreads the nodes.
     pub fn new(draw: f64) -> Self {
         let patience = STALE_AFTER + STALE_SPREAD.mul_f64(draw.clamp(0.0, 1.0));
-        Self { confirmed_at: None, stand_in_until: Duration::ZERO, patience }
+        Self { confirmed_at: None, read_at: None, stand_in_until: Duration::ZERO, patience }
     }
 
     /// Takes in that what is known here was the newest at some time.
@@ -66,9 +68,17 @@
         if part == ReaderPart::None && self.confirmed_at.is_some() && self.is_stale(now) {
             self.stand_in_until = now + STAND_IN_TIME;
         }
+        self.read_at = Some(now);
         self.confirmed(now);
     }
 
+    /// Returns the age that peers are told: the time since this node itself read the store last. What it has
+    /// heard isn't told on: each hop leaves out the time on the way, so that among many nodes ages grow
+    /// hardly at all (with 78 of them and 1 to 8 ms on the way, doubt came after 6.6 s in place of 1.7 s).
+    pub fn told_age(&self, now: Duration) -> Option<Duration> {
+        self.read_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Returns the time since what is known was last the newest for sure; `None` if nothing is known.
     pub fn age(&self, now: Duration) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_sub(at))
