A store's answer is waited for while it comes, and counts as old as its beginning

Behind a link of 10 Mbit/s 530 KB and more were given up while they came, and begun anew; a reader whose answer took longer than the time of doubt broke it off itself. What had been read was taken for as new as its last byte. A node that had followed peers for long read all versions since its own last read.

--- a/crates/fernring-gateway/src/config.rs
+++ b/crates/fernring-gateway/src/config.rs
@@ -9,6 +9,8 @@
     pub config: ServingConfig,
     /// The record it came in.
     pub bytes: Bytes,
+    /// The store's number after that record; 0 if it isn't known.
+    pub end: u64,
 }
 
 /// The configuration in force on a node.
@@ -28,6 +30,11 @@
         self.held.as_ref().map_or(0, |held| held.config.version)
     }
 
+    /// Returns the store's number after its record; 0 before the first.
+    pub fn end(&self) -> u64 {
+        self.held.as_ref().map_or(0, |held| held.end)
+    }
+
     /// Returns the connections that an upstream of a service takes from all nodes; one if the
     /// service is not known.
     pub fn connections_max(&self, service: &str) -> u32 {
@@ -36,12 +43,12 @@
     }
 
     /// Puts a configuration in force unless it is no newer than the one that is; tells whether it
-    /// did.
-    pub fn offer(&mut self, config: ServingConfig, bytes: Bytes) -> bool {
+    /// did. `bytes` is the record it came in, `end` the store's number after that.
+    pub fn offer(&mut self, config: ServingConfig, bytes: Bytes, end: u64) -> bool {
         if self.held.is_some() && config.version <= self.version() {
             return false;
         }
-        self.held = Some(Rc::new(HeldConfig { config, bytes }));
+        self.held = Some(Rc::new(HeldConfig { config, bytes, end }));
         true
     }
 }
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -373,7 +373,8 @@
         let body = match reply {
             Reply::Record => {
                 let age_ms = self.age_ms(Followed::Config);
-                GatewayBody::Config(ConfigBytes { record: held.bytes.clone(), age_ms })
+                let record = held.bytes.clone();
+                GatewayBody::Config(ConfigBytes { record, age_ms, end: held.end })
             }
             Reply::PutOff => GatewayBody::ConfigPutOff(Nothing {}),
         };
@@ -423,7 +424,8 @@
             GatewayBody::Heartbeat(_) => {}
             GatewayBody::ConfigRequest(_) => self.send_config(sender),
             GatewayBody::Config(config) => {
-                self.loops.take_peer_config(config.record, config.age_ms.map(from_ms));
+                let age = config.age_ms.map(from_ms);
+                self.loops.take_peer_config(config.record, config.end, age);
             }
             GatewayBody::ConfigPutOff(_) => {
                 let following = self.loops.following(Followed::Config);
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -109,7 +109,7 @@
         self.follow(Followed::Config, Duration::ZERO, |page, _| {
             for record in page.records {
                 if let Some(value) = record.value {
-                    self.take_config(value, "store");
+                    self.take_config(value, record.offset + 1, "store");
                 }
             }
         })
@@ -159,9 +159,10 @@
                     let went_back = from.is_some_and(|from| page.end < from);
                     from = (!went_back).then_some(page.end);
                     self.answered(what);
+                    let read_at = self.now().saturating_sub(page.took);
                     take(page, is_whole);
                     if !went_back {
-                        self.following(what).borrow_mut().was_read(self.now(), part);
+                        self.following(what).borrow_mut().was_read(read_at, part);
                     }
                     if has_records && !gather.is_zero() {
                         sleep(gather).await;
@@ -185,7 +186,8 @@
     /// Returns the number to read on from: peers may have told more than this node has read.
     fn known_to(&self, what: Followed, from: u64) -> u64 {
         match what {
-            Followed::Config => from,
+            // Without it a node that has long followed peers would read all versions since.
+            Followed::Config => self.config.borrow().end().max(from),
             Followed::Upstreams => self.upstreams.directory().end().max(from),
         }
     }
@@ -201,11 +203,13 @@
     }
 
     /// Waits until a read that was to last for `wait` has lasted too long: nothing has confirmed
-    /// for a while what is known, though others could. The read of a lone node ends by itself.
+    /// for a while what is known, though others could. The read of a lone node ends by itself, and
+    /// so does one whose answer is coming: a large one may take longer than that.
     async fn silence(&self, what: Followed, wait: Duration) {
         sleep(DOUBT_AFTER.min(wait)).await;
         while wait.is_zero()
             || self.part() == ReaderPart::Alone
+            || self.store.receives(what.topic())
             || !self.following(what).borrow().freshness().is_in_doubt(self.now())
         {
             sleep(WATCH_INTERVAL).await;
@@ -294,8 +298,8 @@
         }
     }
 
-    /// Takes in a configuration from anywhere.
-    pub fn take_config(&self, record: Bytes, source: &str) {
+    /// Takes in a configuration from anywhere, with the store's number after it.
+    fn take_config(&self, record: Bytes, end: u64, source: &str) {
         let config = match self.wire.decode_config(&record) {
             Ok(config) => config,
             Err(error) => {
@@ -306,7 +310,7 @@
         };
         let (from, to) = (self.config.borrow().version(), config.version);
         let bytes = record.len();
-        if !self.config.borrow_mut().offer(config, record) {
+        if !self.config.borrow_mut().offer(config, record, end) {
             return;
         }
         let mut following = self.following(Followed::Config).borrow_mut();
@@ -341,9 +345,10 @@
         }
     }
 
-    /// Takes in a configuration that a peer passes on, which was the newest `age` ago.
-    pub fn take_peer_config(&self, record: Bytes, age: Option<Duration>) {
-        self.take_config(record, "peer");
+    /// Takes in a configuration that a peer passes on, with the store's number after it; it was the newest
+    /// `age` ago.
+    pub fn take_peer_config(&self, record: Bytes, end: u64, age: Option<Duration>) {
+        self.take_config(record, end, "peer");
         if let Some(age) = age {
             self.known_from_peer(Followed::Config, age);
         }
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -112,6 +112,8 @@
     pub records: Vec<KeyedRecord>,
     /// The number that the next record gets.
     pub end: u64,
+    /// Time that the answer took to come, from its beginning: what it says is that old.
+    pub took: Duration,
 }
 
 /// Why the store did not answer as asked.
@@ -151,4 +153,7 @@
     /// # Errors
     /// If the store does not answer as asked.
     async fn write(&self, topic: Topic, key: &str, value: Option<&[u8]>) -> Result<(), StoreError>;
+
+    /// Tells whether an answer on a topic has begun to come and hasn't ended.
+    fn receives(&self, topic: Topic) -> bool;
 }
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -83,8 +83,7 @@
     /// Short hashes of the instances of upstreams that took no connection of late.
     #[prost(fixed32, repeated, tag = "9")]
     pub unreachable: Vec<u32>,
-    /// Time since the store, directly or through peers, has shown that the configuration is its newest, in
-    /// milliseconds.
+    /// Time since the node itself read the store, which then had no newer configuration, in milliseconds.
     #[prost(uint32, optional, tag = "10")]
     pub config_age_ms: Option<u32>,
     /// The same of the upstreams' records.
@@ -135,9 +134,12 @@
     /// Its record in the store.
     #[prost(bytes = "bytes", tag = "1")]
     pub record: bytes::Bytes,
-    /// Time since the store has shown that it is the newest, in milliseconds.
+    /// Time since the sender read the store, which then had nothing newer, in milliseconds.
     #[prost(uint32, optional, tag = "2")]
     pub age_ms: Option<u32>,
+    /// The store's number after the record; 0 if it isn't known.
+    #[prost(uint64, tag = "3")]
+    pub end: u64,
 }
 
 /// Records of upstreams.
