Upstreams' records are put off like the configuration when too much was sent

Cause: the same as with the configuration: nodes that start together ask the first peer that they hear for all records, and it sent them all at once, whatever its link (120 upstreams make 12 KB, 12,000 over a megabyte). Change: one place answers questions for records; the asker goes to the next peer.

--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -32,6 +32,7 @@
     http_body_util::Full,
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
+    prost::Message,
     std::{
         cell::{Cell, RefCell},
         convert::Infallible,
@@ -207,7 +208,9 @@
     /// Sets what may be passed on to peers, by the settings.
     fn apply_link(&self) {
         let link = self.settings.borrow().node.link_bytes_per_s();
-        self.loops.following(Followed::Config).borrow_mut().set_link(link);
+        for what in [Followed::Config, Followed::Upstreams] {
+            self.loops.following(what).borrow_mut().set_link(link);
+        }
     }
 
     /// Runs the node until `stop` is done, then finishes everything in flight; `settings_path` is
@@ -368,15 +371,10 @@
         let Some(held) = self.config.borrow().current() else {
             return;
         };
-        let following = self.loops.following(Followed::Config);
-        let reply = following.borrow_mut().asked(self.serving.now(), held.packed.len());
-        if reply == Reply::PutOff {
-            self.peers.send(peer, GatewayBody::ConfigPutOff(Nothing {}));
-            return;
-        }
         let age_ms = self.age_ms(Followed::Config);
         let config = ConfigBytes { packed: held.packed.clone(), age_ms, end: held.end };
-        self.peers.send_record(peer, GatewayBody::Config(config));
+        let bytes = held.packed.len();
+        self.pass_on(peer, Followed::Config, bytes, GatewayBody::Config(config));
     }
 
     fn send_directory(&self, peer: SocketAddr, since: u64) {
@@ -392,7 +390,27 @@
             lapses_ms: directory.lapses_for(self.serving.now()).as_millis() as u32,
             age_ms: self.age_ms(Followed::Upstreams),
         };
-        self.peers.send_record(peer, GatewayBody::Directory(records));
+        let bytes = records.encoded_len();
+        self.pass_on(peer, Followed::Upstreams, bytes, GatewayBody::Directory(records));
+    }
+
+    /// Answers a peer's question with a record, or puts it off.
+    fn pass_on(&self, peer: SocketAddr, what: Followed, bytes: usize, record: GatewayBody) {
+        let reply = self.loops.following(what).borrow_mut().asked(self.serving.now(), bytes);
+        match (reply, what) {
+            (Reply::Record, _) => self.peers.send_record(peer, record),
+            (Reply::PutOff, Followed::Config) => {
+                self.peers.send(peer, GatewayBody::ConfigPutOff(Nothing {}));
+            }
+            (Reply::PutOff, Followed::Upstreams) => {
+                self.peers.send(peer, GatewayBody::DirectoryPutOff(Nothing {}));
+            }
+        }
+    }
+
+    fn put_off(&self, what: Followed) {
+        let mut following = self.loops.following(what).borrow_mut();
+        following.put_off(self.serving.now(), rand::random());
     }
 
     fn take_directory(&self, records: DirectoryRecords) {
@@ -425,10 +443,8 @@
                 let age = config.age_ms.map(from_ms);
                 self.loops.take_peer_config(config.packed, config.end, age);
             }
-            GatewayBody::ConfigPutOff(_) => {
-                let following = self.loops.following(Followed::Config);
-                following.borrow_mut().put_off(self.serving.now(), rand::random());
-            }
+            GatewayBody::ConfigPutOff(_) => self.put_off(Followed::Config),
+            GatewayBody::DirectoryPutOff(_) => self.put_off(Followed::Upstreams),
             GatewayBody::DirectoryRequest(request) => self.send_directory(sender, request.since),
             GatewayBody::Directory(records) => self.take_directory(records),
             GatewayBody::Work(work) => self.stages.work(sender, work),
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -10,7 +10,7 @@
     #[prost(string, tag = "1")]
     pub sender: String,
     /// What is said.
-    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<GatewayBody>,
 }
 
@@ -47,6 +47,9 @@
     /// The configuration isn't sent now, since too much was sent just before.
     #[prost(message, tag = "11")]
     ConfigPutOff(Nothing),
+    /// The same of the upstreams' records.
+    #[prost(message, tag = "12")]
+    DirectoryPutOff(Nothing),
 }
 
 /// A message without content.
