A node that hears of something newer leaves the store to the readers for 0.6 s

Cause: while the first reader's own answer of 788 KB came it confirmed nothing; nodes began to doubt just when their peers passed the record on, and 42 of 86 read it from the store, where each of them had it from a peer before that. Change: for 0.6 s from the first word of something newer a node that knows anything doesn't stand in for its reader.

--- a/crates/fernring-gateway/src/following.rs
+++ b/crates/fernring-gateway/src/following.rs
@@ -36,6 +36,10 @@
 /// moments again; short beside the time that a record takes.
 const PUT_OFF_PAUSE_MAX: Duration = Duration::from_millis(60);
 
+/// Time in which a node that has heard of something newer leaves the store to the readers: by its end 90 in 100 of 86 nodes
+/// have 530 KB from their peers and have heard that this is the newest. Without it 42 of them read the store in vain.
+const PASS_ON_TIME: Duration = Duration::from_millis(600);
+
 /// What a node says to a peer that asks for a record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
@@ -67,6 +71,8 @@
     /// Size of the last record, in bytes.
     record_bytes: usize,
     behind: Behind,
+    /// Up to when peers have time to pass on what this node has heard of.
+    served_until: Duration,
 }
 
 impl Following {
@@ -79,6 +85,7 @@
             sends_until: Duration::ZERO,
             record_bytes: 0,
             behind: Behind::default(),
+            served_until: Duration::ZERO,
         }
     }
 
@@ -92,6 +99,13 @@
         &self.freshness
     }
 
+    /// Tells whether this node reads the store now.
+    pub fn shall_read(&self, now: Duration, part: ReaderPart) -> bool {
+        let is_served = now < self.served_until && part == ReaderPart::None;
+        let is_starting = self.freshness.age(now).is_none();
+        (is_starting || !is_served) && self.freshness.shall_read(now, part)
+    }
+
     /// Returns how long the node has been behind.
     pub fn behind(&self) -> Behind {
         self.behind
@@ -130,7 +144,10 @@
         if mark <= own {
             return false;
         }
-        self.behind.since.get_or_insert(now);
+        if self.behind.since.is_none() {
+            self.behind.since = Some(now);
+            self.served_until = now + PASS_ON_TIME;
+        }
         if now < self.ask_at {
             return false;
         }
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod owner;
 pub mod peers;
 pub mod reading;
+mod records;
 pub mod refusal;
 pub mod relay;
 pub mod retries;
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -3,16 +3,15 @@
 use {
     crate::{
         config::ConfigState,
-        directory::Change,
         following::{Following, Reply},
         ingress::{Ingress, Phase},
         log,
         measures::{self, Readings},
         members::Member,
-        model::{UpstreamRecord, UpstreamState},
         owner::Owner,
         peers::{PeerHandler, Peers},
         reading::ReadingSpeeds,
+        records::{change_from, directory_record},
         retries::Retries,
         serve::Serving,
         settings::{NodeSettings, Settings, load},
@@ -25,8 +24,7 @@
     bytes::Bytes,
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{
-        ConfigBytes, DirectoryRecord, DirectoryRecords, DirectoryRequest, GatewayBody,
-        GatewayHeartbeat, Nothing,
+        ConfigBytes, DirectoryRecords, DirectoryRequest, GatewayBody, GatewayHeartbeat, Nothing,
     },
     http::{Request, Response, StatusCode},
     http_body_util::Full,
@@ -495,41 +493,3 @@
     // A file that is gone for a moment counts as unchanged until it is back.
     std::fs::metadata(path).and_then(|data| data.modified()).ok()
 }
-
-fn directory_record(change: &Change) -> DirectoryRecord {
-    let instance = change.instance.to_string();
-    let Some(record) = &change.record else {
-        let offset = change.offset;
-        return DirectoryRecord { instance, offset, is_removed: true, ..Default::default() };
-    };
-    DirectoryRecord {
-        instance,
-        offset: change.offset,
-        service: record.service.to_string(),
-        address: record.address.to_string(),
-        failure_domain: record.failure_domain.to_string(),
-        slots: record.slots,
-        is_draining: record.state == UpstreamState::Draining,
-        is_removed: false,
-    }
-}
-
-fn change_from(record: DirectoryRecord) -> Option<Change> {
-    let instance: Arc<str> = record.instance.into();
-    if record.is_removed {
-        return Some(Change { instance, offset: record.offset, record: None });
-    }
-    let state = match record.is_draining {
-        true => UpstreamState::Draining,
-        false => UpstreamState::Ready,
-    };
-    let upstream = UpstreamRecord {
-        instance: instance.clone(),
-        service: record.service.into(),
-        address: record.address.parse().ok()?,
-        failure_domain: record.failure_domain.into(),
-        slots: record.slots,
-        state,
-    };
-    Some(Change { instance, offset: record.offset, record: Some(upstream) })
-}
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -133,7 +133,7 @@
         let mut has_failed = false;
         loop {
             let part = self.part();
-            if !self.following(what).borrow().freshness().shall_read(self.now(), part) {
+            if !self.following(what).borrow().shall_read(self.now(), part) {
                 (pause, has_failed) = (PAUSE_FIRST, false);
                 sleep(WATCH_INTERVAL).await;
                 continue;
--- a/crates/fernring-gateway/tests/testsuite/fleet.rs
+++ b/crates/fernring-gateway/tests/testsuite/fleet.rs
@@ -68,6 +68,8 @@
     record_bytes: usize,
     /// Whether the store answers the readers.
     pub(crate) store_answers: bool,
+    /// Reads of the store by nodes that are no readers.
+    pub(crate) stand_ins: usize,
 }
 
 impl Fleet {
@@ -98,6 +100,7 @@
             store_for,
             record_bytes,
             store_answers: true,
+            stand_ins: 0,
         };
         for node in 0..NODES {
             let phase = fleet.random.random_range(Duration::ZERO..HEARTBEAT_INTERVAL);
@@ -196,15 +199,13 @@
         let now = self.now;
         let watched = &mut self.nodes[node];
         let is_reader = node < READERS;
-        if is_reader
-            || watched.reads
-            || !watched.following.freshness().shall_read(now, ReaderPart::None)
-        {
+        if is_reader || watched.reads || !watched.following.shall_read(now, ReaderPart::None) {
             return;
         }
         watched.doubted_at.get_or_insert(now);
         if self.store_for == StoreFor::All {
             watched.reads = true;
+            self.stand_ins += 1;
             let answered_at = self.over_link(None, node);
             self.after(answered_at - now, Event::StoreAnswers { node });
         }
--- a/crates/fernring-gateway/tests/testsuite/following.rs
+++ b/crates/fernring-gateway/tests/testsuite/following.rs
@@ -10,6 +10,8 @@
 const SEEDS: std::ops::Range<u64> = 1..6;
 /// Size of a configuration with 1,400 routes, in bytes.
 const LARGE_BYTES: usize = 270_994;
+/// Size of one with 4,200 routes, packed, in bytes.
+const PACKED_BYTES: usize = 62_849;
 /// Time in which the nodes settle.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 
@@ -62,3 +64,21 @@
         assert_eq!(there, NODES, "seed {seed}: with {copies} copies");
     }
 }
+
+/// While the first reader's own answer came, for 0.6 s, it confirmed nothing, so nodes began to doubt just when their peers
+/// passed the new record on: 42 of 86 nodes read 788 KB from the store, and all had them from a peer before that.
+#[test]
+fn a_node_that_gets_a_record_from_its_peers_does_not_read_it_from_the_store_as_well() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed, StoreFor::All, PACKED_BYTES);
+        fleet.run_for(SETTLE_TIME);
+        fleet.store_answers = false;
+        fleet.run_for(STALE_AFTER - Duration::from_millis(400));
+        assert_eq!(fleet.stand_ins, 0, "seed {seed}");
+        fleet.publish();
+        fleet.store_answers = true;
+        fleet.run_for(Duration::from_millis(1_500));
+        assert_eq!(fleet.up_to_date(), NODES, "seed {seed}");
+        assert!(fleet.stand_ins <= NODES / 10, "seed {seed}: {} reads", fleet.stand_ins);
+    }
+}
