Upstreams' records: a caught-up node asks again at once, and their age is that of the newest word

Applying changes moves the directory's end, so that a node was never found to have caught up (store_stand_in topic=upstreams behind_ms=27394) and waited 300 ms for its next question; and what peers tell of reads long ago set the age of records back (records_age_ms 25,000 at the median, 195 before). Change: one place applies changes, by the end before them; the age only moves forward.

--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -328,13 +328,7 @@
 
     fn take_upstreams(&self, page: Page, is_whole: bool) {
         let changes: Vec<_> = page.records.iter().filter_map(|r| self.decode(r)).collect();
-        let now = self.now();
-        let effects = match is_whole {
-            true => self.upstreams.replace(now, changes, page.end),
-            false => self.upstreams.apply(now, changes),
-        };
-        self.upstreams_known_to(page.end);
-        self.upstreams_changed(&effects);
+        self.apply_upstreams(changes, page.end, is_whole);
     }
 
     fn decode(&self, record: &KeyedRecord) -> Option<Change> {
@@ -365,25 +359,26 @@
         if records.end <= self.upstreams.directory().end() {
             return;
         }
-        let now = self.now();
-        self.upstreams.lapses_known(now, records.lapses_for);
-        let effects = match records.is_whole {
-            true => self.upstreams.replace(now, records.changes, records.end),
-            false => self.upstreams.apply(now, records.changes),
-        };
-        self.upstreams_known_to(records.end);
-        self.upstreams_changed(&effects);
+        self.upstreams.lapses_known(self.now(), records.lapses_for);
+        self.apply_upstreams(records.changes, records.end, records.is_whole);
         if let Some(age) = records.age {
             self.known_from_peer(Followed::Upstreams, age);
         }
     }
 
-    fn upstreams_known_to(&self, end: u64) {
-        if end > self.upstreams.directory().end() {
+    /// Puts changes of upstreams in force, or all records, which reach up to `end`.
+    fn apply_upstreams(&self, changes: Vec<Change>, end: u64, is_whole: bool) {
+        let (now, known) = (self.now(), self.upstreams.directory().end());
+        let effects = match is_whole {
+            true => self.upstreams.replace(now, changes, end),
+            false => self.upstreams.apply(now, changes),
+        };
+        self.upstreams.advance(end);
+        if end > known {
             // Only changes are passed on, so what a peer sends is small.
             self.following(Followed::Upstreams).borrow_mut().caught_up(0);
         }
-        self.upstreams.advance(end);
+        self.upstreams_changed(&effects);
     }
 
     fn upstreams_changed(&self, effects: &[Effect]) {
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -132,7 +132,7 @@
 
     /// Says that records were read from the store.
     pub fn records_read(&self, now: Duration) {
-        self.read_at.set(now);
+        self.read_at.set(now.max(self.read_at.get()));
     }
 
     /// Returns the time since records were last read from the store.
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -89,3 +89,15 @@
     upstreams.set_peer_loads(peer, Vec::new());
     assert_eq!(load(&upstreams), 0.0);
 }
+
+#[test]
+fn the_age_of_records_is_that_of_the_newest_word_of_the_store() {
+    let upstreams = upstreams(&["one"]);
+    upstreams.records_read(NOW);
+    upstreams.records_read(NOW - Duration::from_secs(30));
+    assert_eq!(
+        upstreams.record_age(NOW),
+        Duration::ZERO,
+        "a peer that read long ago changes nothing"
+    );
+}
