A configuration that a peer passes on confirms nothing by itself

Cause: with the record came the time since its sender had read the store, and that counted for whatever the node had, also if the record couldn't be read: a node between others that send what it doesn't understand, as during an upgrade, held its older version for fresh and never asked the store. Change: the record carries no age; confirmations come with heartbeats alone.

--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -369,8 +369,7 @@
         let Some(held) = self.config.borrow().current() else {
             return;
         };
-        let age_ms = self.age_ms(Followed::Config);
-        let config = ConfigBytes { packed: held.packed.clone(), age_ms, end: held.end };
+        let config = ConfigBytes { packed: held.packed.clone(), end: held.end };
         let bytes = held.packed.len();
         self.pass_on(peer, Followed::Config, bytes, GatewayBody::Config(config));
     }
@@ -438,8 +437,7 @@
             GatewayBody::Heartbeat(_) => {}
             GatewayBody::ConfigRequest(_) => self.send_config(sender),
             GatewayBody::Config(config) => {
-                let age = config.age_ms.map(from_ms);
-                self.loops.take_peer_config(config.packed, config.end, age);
+                self.loops.take_peer_config(config.packed, config.end);
             }
             GatewayBody::ConfigPutOff(_) => self.put_off(Followed::Config),
             GatewayBody::DirectoryPutOff(_) => self.put_off(Followed::Upstreams),
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -342,16 +342,13 @@
         }
     }
 
-    /// Takes in a packed configuration that a peer passes on, with the store's number after it; it was the newest
-    /// `age` ago.
-    pub fn take_peer_config(&self, packed: Bytes, end: u64, age: Option<Duration>) {
+    /// Takes in a packed configuration that a peer passes on, with the store's number after it. It confirms nothing:
+    /// if it can't be read, what is known here may well be out of date.
+    pub fn take_peer_config(&self, packed: Bytes, end: u64) {
         match unpack(&packed) {
             Ok(record) => self.take_config(&record, packed, end, "peer"),
             Err(error) => config_refused("peer", &error),
         }
-        if let Some(age) = age {
-            self.known_from_peer(Followed::Config, age);
-        }
     }
 
     /// Takes in records of upstreams that a peer passes on.
--- a/crates/fernring-gateway/tests/testsuite/fleet.rs
+++ b/crates/fernring-gateway/tests/testsuite/fleet.rs
@@ -41,7 +41,7 @@
     Heartbeat { from: usize, to: usize, version: u64, age_ms: Option<u64> },
     Question { from: usize, to: usize },
     PutOff { to: usize },
-    Record { to: usize, version: u64, age_ms: Option<u64> },
+    Record { to: usize, version: u64 },
 }
 
 #[derive(Debug)]
@@ -176,7 +176,10 @@
                 let draw = self.random.random();
                 self.nodes[to].following.put_off(self.now, draw);
             }
-            Event::Record { to, version, age_ms } => self.record(to, version, age_ms),
+            Event::Record { to, version } => {
+                self.nodes[to].copies += 1;
+                self.take(to, version);
+            }
         }
     }
 
@@ -248,23 +251,14 @@
         let bytes = self.record_bytes;
         match self.nodes[to].following.asked(self.now, bytes) {
             Reply::Record => {
-                let (version, age_ms) = (self.nodes[to].version, self.told_age_ms(to));
+                let version = self.nodes[to].version;
                 let there_at = self.over_link(Some(to), from);
-                self.after(there_at - self.now, Event::Record { to: from, version, age_ms });
+                self.after(there_at - self.now, Event::Record { to: from, version });
             }
             Reply::PutOff => self.send(Event::PutOff { to: from }),
         }
     }
 
-    fn record(&mut self, to: usize, version: u64, age_ms: Option<u64>) {
-        self.nodes[to].copies += 1;
-        self.take(to, version);
-        if let Some(age_ms) = age_ms {
-            let at = self.now.saturating_sub(Duration::from_millis(age_ms));
-            self.nodes[to].following.confirmed(at);
-        }
-    }
-
     fn take(&mut self, node: usize, version: u64) {
         let bytes = self.record_bytes;
         let node = &mut self.nodes[node];
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -134,12 +134,10 @@
 /// The configuration in force.
 #[derive(Clone, PartialEq, Message)]
 pub struct ConfigBytes {
-    /// Its record in the store, packed ([`crate::packing`]). Field 1 held it as it is.
+    /// Its record in the store, packed ([`crate::packing`]). Field 1 held it as it is, and field 2 an age, which
+    /// nodes that don't know of packing would take for a confirmation of what they have.
     #[prost(bytes = "bytes", tag = "4")]
     pub packed: bytes::Bytes,
-    /// Time since the sender read the store, which then had nothing newer, in milliseconds.
-    #[prost(uint32, optional, tag = "2")]
-    pub age_ms: Option<u32>,
     /// The store's number after the record; 0 if it isn't known.
     #[prost(uint64, tag = "3")]
     pub end: u64,
