--- a/crates/fernring-gateway/src/freshness.rs
+++ b/crates/fernring-gateway/src/freshness.rs
@@ -2,9 +2,9 @@
 //!
 //! One node of each failure domain reads; the others follow its heartbeats. The first of these readers asks
 //! often, and its answers confirm what all nodes know; the others ask seldom, so that a domain that is cut
-//! off has one. Only who has read the store says how long ago that was. Whoever has had no sign for a while that what it knows is the newest asks too, so a
-//! reader that is lost, or cut off from the store, costs a moment and never the configuration's
-//! bound.
+//! off has one. Only who has read the store says how long ago that was. Whoever has had no sign for a while that
+//! what it knows is the newest asks too, so a reader that is lost, or cut off from the store, costs a moment and
+//! never the configuration's bound.
 //!
 //! ```
 //! use {
