An upstream that starts again is a new one; records of other writers name none

Cause: a record with another start was taken for a change of the same upstream, so connections, load, calls and failures of the process of before lived on; behind a cut what was in hand waited for timeouts. A record that can't be read was skipped, so that what its key said before stayed in use; one without a readable key made its whole page unreadable, and the reading stood still there for good.

Change: the latest start wins over any number; it is the end of the old upstream and a new key, in one event. Connections of before are closed, in use or not, so each request and call in hand fails at once as one that may have run. Loads are counted by start. What can't be read is an entry of its own: it ends the upstream of its key without the doubt of a lapse, and is passed on as such. Found on the way: a record with another address left the connections to the old one in use.

Orders of starts, removals, unusable records and lapses: 256 logs in 24 orders, twice, as read in order.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -77,6 +77,8 @@
 struct Shared {
     idle: Vec<Idle>,
     open: usize,
+    /// Tasks of all connections that were opened and haven't ended.
+    tasks: Vec<AbortHandle>,
 }
 
 /// The connections to one upstream.
@@ -101,6 +103,11 @@
         Self { address, shared: Rc::default() }
     }
 
+    /// Returns the address that it connects to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns the number of connections, idle ones included.
     pub fn open(&self) -> usize {
         self.shared.borrow().open
@@ -122,6 +129,14 @@
         self.shared.borrow_mut().open -= idle.len();
     }
 
+    /// Closes all connections, those in use included: what waits on them fails at once.
+    pub fn close(&self) {
+        self.forget_idle();
+        for task in std::mem::take(&mut self.shared.borrow_mut().tasks) {
+            task.abort();
+        }
+    }
+
     /// Sends a request and waits for the head of its answer. At most `open_max` connections are
     /// opened.
     ///
@@ -175,6 +190,10 @@
             .map_err(|error| SendFailure::NotSent(format!("connect: {error}")))?;
         // An error of the connection also reaches the request on it, which reports it.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
+        let mut shared = self.shared.borrow_mut();
+        shared.tasks.retain(|task| !task.is_finished());
+        shared.tasks.push(task.abort_handle());
+        drop(shared);
         open.connection = Some(Connection { sender, _task: TaskGuard(task.abort_handle()) });
         Ok(open)
     }
--- a/crates/fernring-gateway/src/directory.rs
+++ b/crates/fernring-gateway/src/directory.rs
@@ -3,6 +3,10 @@
 //! Records are numbered by the store; for one upstream the highest number wins, whichever way
 //! it came. A removal that may be a lapse during an outage of the store takes effect only after
 //! [`RETURN_GRACE`].
+//!
+//! A process may start again under the instance that it had. The latest start wins over any number: it ends the
+//! upstream of before and begins a new one with a new key, so that nothing that is kept by key outlives a start. A
+//! record that can't be read takes the upstream that its key named out of use, without the doubt of a lapse.
 
 use {
     crate::model::{UpstreamKey, UpstreamRecord, UpstreamState},
@@ -17,15 +21,26 @@
 /// Removals that are remembered for peers: about one day's at the long-run size, some 300 KB.
 const REMOVALS_MAX: usize = 4_096;
 
-/// A record, or the removal of one, with its number in the store.
+/// What the store holds under an instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Entry {
+    /// The upstream's own record.
+    Present(UpstreamRecord),
+    /// Nothing any more.
+    Removed,
+    /// Something that is no record of an upstream, of another writer. It names no upstream.
+    Unusable,
+}
+
+/// An entry with its number in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
-    /// This run of the upstream's process.
+    /// Its key: an upstream's instance.
     pub instance: Arc<str>,
     /// Number in the store.
     pub offset: u64,
-    /// What it says; `None` if the record was removed.
-    pub record: Option<UpstreamRecord>,
+    /// What the store holds there.
+    pub entry: Entry,
 }
 
 /// What a change did, for the log.
@@ -41,6 +56,13 @@
     Returned(UpstreamKey),
     /// It is gone, and its key with it.
     Gone(UpstreamKey),
+    /// Its process has started again: what was known of it is over, and what it had in hand is lost.
+    Restarted {
+        /// Key of the upstream of before, which is gone.
+        old: UpstreamKey,
+        /// Key of the new one.
+        new: UpstreamKey,
+    },
     /// Nothing that matters here.
     None,
 }
@@ -66,7 +88,7 @@
         Change {
             instance: self.record.instance.clone(),
             offset: self.offset,
-            record: Some(self.record.clone()),
+            entry: Entry::Present(self.record.clone()),
         }
     }
 
@@ -76,15 +98,26 @@
     }
 }
 
+/// The end of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Removal {
+    /// Its number in the store.
+    offset: u64,
+    /// The latest start that is known of the instance, so that an earlier one doesn't come back.
+    started_ms: Option<u64>,
+    /// Whether the store holds something there that can't be read.
+    is_unusable: bool,
+}
+
 /// All upstreams that a node knows.
 #[derive(Debug, Default)]
 pub struct Directory {
     upstreams: SlotMap<UpstreamKey, Upstream>,
     /// Invariant: one entry for each upstream, by its instance.
     by_instance: HashMap<Arc<str>, UpstreamKey>,
-    /// Instances that were removed and the number of the removal, so that an older record from a
-    /// peer doesn't bring them back.
-    removed: HashMap<Arc<str>, u64>,
+    /// The newest removal of each instance that was removed once, also if it is back, so that an older record
+    /// from a peer doesn't bring back what was before.
+    removed: HashMap<Arc<str>, Removal>,
     /// Up to when removals may be lapses.
     lapses_until: Duration,
     /// Number from which on every change is known here; what was removed before may not be.
@@ -149,11 +182,16 @@
         }
         let present = self.upstreams.values().filter(|u| u.offset >= since && !u.is_doubtful());
         let present = present.map(Upstream::change);
-        let removed = self.removed.iter().filter(|(_, offset)| **offset >= since);
-        let removed = removed.map(|(instance, offset)| Change {
+        let is_newest = |instance: &Arc<str>, removal: &Removal| {
+            let upstream = self.by_instance.get(instance).map(|key| &self.upstreams[*key]);
+            upstream.is_none_or(|upstream| upstream.offset < removal.offset)
+        };
+        let removed = self.removed.iter().filter(|(_, removal)| removal.offset >= since);
+        let removed = removed.filter(|(instance, removal)| is_newest(instance, removal));
+        let removed = removed.map(|(instance, removal)| Change {
             instance: instance.clone(),
-            offset: *offset,
-            record: None,
+            offset: removal.offset,
+            entry: if removal.is_unusable { Entry::Unusable } else { Entry::Removed },
         });
         Some(present.chain(removed).collect())
     }
@@ -168,12 +206,19 @@
     /// Takes in a change.
     pub fn apply(&mut self, now: Duration, change: Change) -> Effect {
         self.end = self.end.max(change.offset + 1);
-        match change.record {
-            Some(record) => self.insert(change.offset, record),
-            None => self.remove(now, &change.instance, change.offset),
+        match change.entry {
+            Entry::Present(record) => self.insert(change.offset, record),
+            Entry::Removed => self.remove(now, &change.instance, change.offset),
+            Entry::Unusable => self.refuse(&change.instance, change.offset),
         }
     }
 
+    /// Tells whether it is known that an entry, by its number, can't be read.
+    pub fn is_refused(&self, instance: &str, offset: u64) -> bool {
+        let removal = self.removed.get(instance);
+        removal.is_some_and(|removal| removal.is_unusable && removal.offset == offset)
+    }
+
     /// Takes in all records of the store at once; what is missing among them was removed.
     pub fn replace(&mut self, now: Duration, records: Vec<Change>, end: u64) -> Vec<Effect> {
         let present: Vec<_> = records.iter().map(|change| change.instance.clone()).collect();
@@ -197,10 +242,15 @@
     }
 
     fn insert(&mut self, offset: u64, record: UpstreamRecord) -> Effect {
-        if self.removed.get(&record.instance).is_some_and(|removed| *removed > offset) {
-            return Effect::None;
+        if let Some(removal) = self.removed.get_mut(&record.instance) {
+            if removal.offset > offset {
+                removal.started_ms = removal.started_ms.max(record.started_ms);
+                return self.end_earlier(&record);
+            }
+            if is_earlier(record.started_ms, removal.started_ms) {
+                return Effect::None;
+            }
         }
-        self.removed.remove(&record.instance);
         let Some(key) = self.by_instance.get(&record.instance).copied() else {
             let instance = record.instance.clone();
             let upstream = Upstream { record, offset, removal_due: None };
@@ -209,13 +259,17 @@
             return Effect::Appeared(key);
         };
         let upstream = &mut self.upstreams[key];
-        if offset < upstream.offset {
+        let known_ms = upstream.record.started_ms;
+        if is_earlier(known_ms, record.started_ms) {
+            return self.restart(key, offset, record);
+        }
+        if offset < upstream.offset || is_earlier(record.started_ms, known_ms) {
             return Effect::None;
         }
         let was_ready = upstream.takes_work();
         let was_held = upstream.removal_due.take().is_some();
         upstream.offset = offset;
-        upstream.record = record;
+        upstream.record = UpstreamRecord { started_ms: record.started_ms.or(known_ms), ..record };
         match (was_ready, upstream.takes_work()) {
             (true, false) => Effect::Draining(key),
             (_, true) if was_held => Effect::Returned(key),
@@ -223,14 +277,25 @@
         }
     }
 
+    /// Ends an upstream that started earlier than another run of its instance that is over already, too.
+    fn end_earlier(&mut self, over: &UpstreamRecord) -> Effect {
+        let key = self.by_instance.get(&over.instance).copied();
+        let earlier =
+            key.filter(|key| is_earlier(self.upstreams[*key].record.started_ms, over.started_ms));
+        earlier.map_or(Effect::None, |key| self.drop_upstream(key))
+    }
+
+    /// Ends an upstream whose process has started again, and begins the new one.
+    fn restart(&mut self, old: UpstreamKey, offset: u64, record: UpstreamRecord) -> Effect {
+        self.upstreams.remove(old);
+        let instance = record.instance.clone();
+        let new = self.upstreams.insert(Upstream { record, offset, removal_due: None });
+        self.by_instance.insert(instance, new);
+        Effect::Restarted { old, new }
+    }
+
     fn remove(&mut self, now: Duration, instance: &Arc<str>, offset: u64) -> Effect {
-        let key = self.by_instance.get(instance).copied();
-        if key.is_some_and(|key| offset < self.upstreams[key].offset) {
-            return Effect::None;
-        }
-        self.removed.insert(instance.clone(), offset);
-        self.forget_old_removals();
-        let Some(key) = key else {
+        let Some(key) = self.note_removal(instance, offset, false) else {
             return Effect::None;
         };
         if now < self.lapses_until && self.upstreams[key].takes_work() {
@@ -240,16 +305,45 @@
         self.drop_upstream(key)
     }
 
+    /// Takes an upstream out of use whose entry can't be read.
+    fn refuse(&mut self, instance: &Arc<str>, offset: u64) -> Effect {
+        match self.note_removal(instance, offset, true) {
+            Some(key) => self.drop_upstream(key),
+            None => Effect::None,
+        }
+    }
+
+    /// Remembers a removal unless a newer record is known; returns the upstream that it ends, if there is one.
+    fn note_removal(
+        &mut self,
+        instance: &Arc<str>,
+        offset: u64,
+        is_unusable: bool,
+    ) -> Option<UpstreamKey> {
+        let key = self.by_instance.get(instance).copied();
+        let before = self.removed.get(instance).copied();
+        if before.is_some_and(|before| offset < before.offset) {
+            return None;
+        }
+        let upstream = key.map(|key| &self.upstreams[key]);
+        let of_upstream = upstream.and_then(|upstream| upstream.record.started_ms);
+        let is_over = upstream.is_some_and(|upstream| upstream.offset <= offset);
+        let started_ms = of_upstream.max(before.and_then(|removal| removal.started_ms));
+        self.removed.insert(instance.clone(), Removal { offset, started_ms, is_unusable });
+        self.forget_old_removals();
+        key.filter(|_| is_over)
+    }
+
     /// Forgets the older half of the removals when there are too many; who asks for changes from
     /// before gets all records.
     fn forget_old_removals(&mut self) {
         if self.removed.len() <= REMOVALS_MAX {
             return;
         }
-        let mut offsets: Vec<_> = self.removed.values().copied().collect();
+        let mut offsets: Vec<_> = self.removed.values().map(|removal| removal.offset).collect();
         let (_, middle, _) = offsets.select_nth_unstable(REMOVALS_MAX / 2);
         let middle = *middle;
-        self.removed.retain(|_, offset| *offset >= middle);
+        self.removed.retain(|_, removal| removal.offset >= middle);
         self.floor = self.floor.max(middle);
     }
 
@@ -261,3 +355,8 @@
         Effect::Gone(key)
     }
 }
+
+/// Tells whether one start is earlier than another. A start that isn't known is neither earlier nor later.
+fn is_earlier(one_ms: Option<u64>, other_ms: Option<u64>) -> bool {
+    one_ms.zip(other_ms).is_some_and(|(one_ms, other_ms)| one_ms < other_ms)
+}
--- a/crates/fernring-gateway/src/measures.rs
+++ b/crates/fernring-gateway/src/measures.rs
@@ -70,6 +70,11 @@
         .increment(1);
 }
 
+/// Counts a record of the store that can't be read, once for each time that it was written.
+pub(crate) fn record_refused(topic: &'static str) {
+    counter!("fernring_gateway_records_refused_total", "topic" => topic).increment(1);
+}
+
 /// Counts a send that the retry budget did not allow.
 pub(crate) fn budget_spent(service: &Arc<str>) {
     let service = bounded(service).to_string();
--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -201,8 +201,11 @@
 /// An upstream as its own record describes it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamRecord {
-    /// This run of the upstream's process.
+    /// Its identity, which a process that starts again may keep.
     pub instance: Arc<str>,
+    /// When its process started, in Unix milliseconds; `None` if the record doesn't say. Whatever was known of
+    /// the same instance with an earlier start is over.
+    pub started_ms: Option<u64>,
     /// Service that it belongs to.
     pub service: Arc<str>,
     /// Its address.
@@ -215,6 +218,17 @@
     pub state: UpstreamState,
 }
 
+impl UpstreamRecord {
+    /// Returns a short hash of this run of the upstream's process, by which nodes tell each other of it: two starts
+    /// of one instance have different ones, so that load of the first isn't counted for the second.
+    pub fn run_hash(&self) -> u32 {
+        match self.started_ms {
+            Some(started_ms) => short_hash(&format!("{}@{started_ms}", self.instance)),
+            None => short_hash(&self.instance),
+        }
+    }
+}
+
 /// A part of a prompt that requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/fernring-gateway/src/records.rs
+++ b/crates/fernring-gateway/src/records.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        directory::Change,
+        directory::{Change, Entry},
         model::{UpstreamRecord, UpstreamState},
     },
     fernring_protocol::gateway::DirectoryRecord,
@@ -12,19 +12,28 @@
 /// Encodes a change for a peer.
 pub(crate) fn directory_record(change: &Change) -> DirectoryRecord {
     let instance = change.instance.to_string();
-    let Some(record) = &change.record else {
-        let offset = change.offset;
-        return DirectoryRecord { instance, offset, is_removed: true, ..Default::default() };
+    let offset = change.offset;
+    let record = match &change.entry {
+        Entry::Present(record) => record,
+        Entry::Removed => {
+            return DirectoryRecord { instance, offset, is_removed: true, ..Default::default() };
+        }
+        Entry::Unusable => {
+            let removed = DirectoryRecord { instance, offset, ..Default::default() };
+            return DirectoryRecord { is_removed: true, is_unusable: true, ..removed };
+        }
     };
     DirectoryRecord {
         instance,
-        offset: change.offset,
+        offset,
         service: record.service.to_string(),
         address: record.address.to_string(),
         failure_domain: record.failure_domain.to_string(),
         slots: record.slots,
         is_draining: record.state == UpstreamState::Draining,
         is_removed: false,
+        started_ms: record.started_ms,
+        is_unusable: false,
     }
 }
 
@@ -32,7 +41,8 @@
 pub(crate) fn change_from(record: DirectoryRecord) -> Option<Change> {
     let instance: Arc<str> = record.instance.into();
     if record.is_removed {
-        return Some(Change { instance, offset: record.offset, record: None });
+        let entry = if record.is_unusable { Entry::Unusable } else { Entry::Removed };
+        return Some(Change { instance, offset: record.offset, entry });
     }
     let state = match record.is_draining {
         true => UpstreamState::Draining,
@@ -40,11 +50,12 @@
     };
     let upstream = UpstreamRecord {
         instance: instance.clone(),
+        started_ms: record.started_ms,
         service: record.service.into(),
         address: record.address.parse().ok()?,
         failure_domain: record.failure_domain.into(),
         slots: record.slots,
         state,
     };
-    Some(Change { instance, offset: record.offset, record: Some(upstream) })
+    Some(Change { instance, offset: record.offset, entry: Entry::Present(upstream) })
 }
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         config::ConfigState,
-        directory::{Change, Effect},
+        directory::{Change, Effect, Entry},
         following::Following,
         freshness::{DOUBT_AFTER, read_wait},
         log, measures,
@@ -160,6 +160,7 @@
                     let went_back = from.is_some_and(|from| page.end < from);
                     from = (!went_back).then_some(page.end);
                     self.answered(what);
+                    note_unreadable(topic, &page);
                     let read_at = self.now().saturating_sub(page.took);
                     take(page, is_whole);
                     if !went_back {
@@ -327,19 +328,23 @@
     }
 
     fn take_upstreams(&self, page: Page, is_whole: bool) {
-        let changes: Vec<_> = page.records.iter().filter_map(|r| self.decode(r)).collect();
+        let changes: Vec<_> = page.records.iter().map(|record| self.decode(record)).collect();
         self.apply_upstreams(changes, page.end, is_whole);
     }
 
-    fn decode(&self, record: &KeyedRecord) -> Option<Change> {
-        match self.wire.decode_upstream(record) {
-            Ok(change) => Some(change),
-            Err(error) => {
-                let line = LogLine::event("upstream_refused").with("instance", &record.key);
-                log::warn(line.with("error", error));
-                None
-            }
+    /// Decodes a record; one that can't be read takes the upstream that its key named out of use.
+    fn decode(&self, record: &KeyedRecord) -> Change {
+        let error = match self.wire.decode_upstream(record) {
+            Ok(change) => return change,
+            Err(error) => error,
+        };
+        // Whole readings bring it again and again; it is said once.
+        if !self.upstreams.directory().is_refused(&record.key, record.offset) {
+            measures::record_refused(Topic::Upstreams.name());
+            let line = LogLine::event("upstream_refused").with("instance", &record.key);
+            log::warn(line.with("record", record.offset).with("error", error));
         }
+        Change { instance: record.key.clone(), offset: record.offset, entry: Entry::Unusable }
     }
 
     /// Takes in a packed configuration that a peer passes on, with the store's number after it. It confirms nothing:
@@ -386,11 +391,16 @@
                 Effect::Draining(key) => (key, "draining"),
                 Effect::Held(key) => (key, "held"),
                 Effect::Returned(key) => (key, "returned"),
+                Effect::Restarted { new, .. } => (new, "restarted"),
                 Effect::Gone(key) => (key, "gone"),
             };
-            let instance = self.upstreams.target(*key).map(|target| target.instance);
+            let directory = self.upstreams.directory();
+            let upstream = directory.get(*key);
             let line = LogLine::event("upstream_changed").with("change", what);
-            log::info(line.with_some("instance", instance));
+            let line = line.with_some("instance", upstream.map(|u| &u.record.instance));
+            let line = line.with_some("record", upstream.map(|u| u.offset));
+            let started_ms = upstream.and_then(|upstream| upstream.record.started_ms);
+            log::info(line.with_some("started_ms", started_ms));
         }
         self.owner.upstreams_changed(effects);
     }
@@ -443,6 +453,15 @@
     }
 }
 
+/// Says that a page held records without a readable key. Only a read of changes brings them, so each is said once.
+fn note_unreadable(topic: Topic, page: &Page) {
+    if page.unreadable > 0 {
+        measures::record_refused(topic.name());
+        let line = LogLine::event("records_unreadable").with("topic", topic.name());
+        log::warn(line.with("records", page.unreadable).with("end", page.end));
+    }
+}
+
 fn config_refused(source: &str, error: &dyn std::fmt::Display) {
     let line = LogLine::event("config_refused").with("source", source);
     log::warn(line.with("error", error));
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -4,7 +4,7 @@
     crate::{
         connections::{Answer, Pool, SendFailure},
         directory::{Change, Directory, Effect},
-        model::{UpstreamKey, short_hash},
+        model::UpstreamKey,
         selection::Candidate,
     },
     bytes::Bytes,
@@ -188,18 +188,30 @@
         self.settle(effects)
     }
 
-    /// Drops what is kept of upstreams that are gone.
+    /// Drops what is kept of upstreams that are gone. What one that has started again had in hand ends now, as lost:
+    /// behind a cut nothing else says so before the timeouts of seconds.
     fn settle(&self, effects: Vec<Effect>) -> Vec<Effect> {
         for effect in &effects {
-            if let Effect::Gone(key) = effect {
-                self.pools.borrow_mut().remove(*key);
-                self.health.borrow_mut().remove(*key);
-                self.own_loads.borrow_mut().remove(*key);
+            match effect {
+                Effect::Gone(key) => drop(self.forget(*key)),
+                Effect::Restarted { old, .. } => {
+                    if let Some(pool) = self.forget(*old) {
+                        pool.close();
+                    }
+                }
+                _ => {}
             }
         }
         effects
     }
 
+    /// Forgets all that is kept of an upstream and returns its connections.
+    fn forget(&self, key: UpstreamKey) -> Option<Pool> {
+        self.health.borrow_mut().remove(key);
+        self.own_loads.borrow_mut().remove(key);
+        self.pools.borrow_mut().remove(key)
+    }
+
     /// Lists the upstreams of a service that may get new work. `is_silent` tells whether a
     /// failure domain can't be reached.
     pub fn candidates(
@@ -216,7 +228,7 @@
         let candidate = |(key, upstream): (UpstreamKey, &crate::directory::Upstream)| {
             let record = &upstream.record;
             let failed = health.get(key).is_some_and(|health| now < health.avoid_until);
-            let peers = totals.get(&short_hash(&record.instance)).copied().unwrap_or(0.0);
+            let peers = totals.get(&record.run_hash()).copied().unwrap_or(0.0);
             Candidate {
                 key,
                 identity: xxh3_64(record.instance.as_bytes()),
@@ -270,7 +282,7 @@
         let loads = self.own_loads.borrow();
         let named = loads.iter().filter(|(_, load)| **load >= 0.5).filter_map(|(key, load)| {
             let upstream = directory.get(key)?;
-            Some((short_hash(&upstream.record.instance), *load as u32))
+            Some((upstream.record.run_hash(), *load as u32))
         });
         named.collect()
     }
@@ -341,7 +353,7 @@
         let health = self.health.borrow();
         let named = health.iter().filter(|(_, health)| now < health.unreachable_until);
         let instances = named.filter_map(|(key, _)| directory.get(key));
-        instances.map(|upstream| short_hash(&upstream.record.instance)).collect()
+        instances.map(|upstream| upstream.record.run_hash()).collect()
     }
 
     /// Takes in the upstreams that took no connection of a peer in the same failure domain.
@@ -352,7 +364,7 @@
         let directory = self.directory.borrow();
         let mut health = self.health.borrow_mut();
         for (key, upstream) in directory.iter() {
-            let is_named = upstreams.contains(&short_hash(&upstream.record.instance));
+            let is_named = upstreams.contains(&upstream.record.run_hash());
             if is_named && let Some(entry) = health.entry(key) {
                 let entry = entry.or_default();
                 entry.avoid_until = entry.avoid_until.max(now + AVOID_FIRST * 2);
@@ -376,9 +388,17 @@
     }
 
     fn pool(&self, target: &Target) -> Result<Pool, SendFailure> {
+        if self.directory.borrow().get(target.key).is_none() {
+            return Err(SendFailure::NotSent("the upstream is gone".to_owned()));
+        }
         let mut pools = self.pools.borrow_mut();
         let entry = pools.entry(target.key);
         let entry = entry.ok_or_else(|| SendFailure::NotSent("the upstream is gone".to_owned()))?;
-        Ok(entry.or_insert_with(|| Pool::new(target.address)).clone())
+        let pool = entry.or_insert_with(|| Pool::new(target.address));
+        if pool.address() != target.address {
+            // Its record names another address now; what runs at the old one may end.
+            *pool = Pool::new(target.address);
+        }
+        Ok(pool.clone())
     }
 }
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -114,6 +114,8 @@
     pub end: u64,
     /// Time that the answer took to come, from its beginning: what it says is that old.
     pub took: Duration,
+    /// Records that were left out because even their keys can't be read.
+    pub unreadable: usize,
 }
 
 /// Why the store did not answer as asked.
--- a/crates/fernring-gateway/tests/testsuite/directory.rs
+++ b/crates/fernring-gateway/tests/testsuite/directory.rs
@@ -2,7 +2,7 @@
 
 use {
     fernring_gateway::{
-        directory::{Change, Directory, Effect, RETURN_GRACE},
+        directory::{Change, Directory, Effect, Entry, RETURN_GRACE},
         model::{UpstreamRecord, UpstreamState},
     },
     std::time::Duration,
@@ -13,6 +13,7 @@
 fn record(instance: &str, state: UpstreamState) -> UpstreamRecord {
     UpstreamRecord {
         instance: instance.into(),
+        started_ms: None,
         service: "s".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         failure_domain: "a".into(),
@@ -25,17 +26,17 @@
     Change {
         instance: instance.into(),
         offset,
-        record: Some(record(instance, UpstreamState::Ready)),
+        entry: Entry::Present(record(instance, UpstreamState::Ready)),
     }
 }
 
 fn draining(instance: &str, offset: u64) -> Change {
-    let record = Some(record(instance, UpstreamState::Draining));
-    Change { instance: instance.into(), offset, record }
+    let entry = Entry::Present(record(instance, UpstreamState::Draining));
+    Change { instance: instance.into(), offset, entry }
 }
 
 fn removed(instance: &str, offset: u64) -> Change {
-    Change { instance: instance.into(), offset, record: None }
+    Change { instance: instance.into(), offset, entry: Entry::Removed }
 }
 
 fn taking_work(directory: &Directory) -> usize {
@@ -181,3 +182,155 @@
     let known = directory.changes_since(directory.end() - 1_000).expect("the newest are kept");
     assert_eq!(known.len(), 1_000);
 }
+
+fn started(instance: &str, offset: u64, started_ms: u64) -> Change {
+    let record = record(instance, UpstreamState::Ready);
+    let record = UpstreamRecord { started_ms: Some(started_ms), ..record };
+    Change { instance: instance.into(), offset, entry: Entry::Present(record) }
+}
+
+fn unusable(instance: &str, offset: u64) -> Change {
+    Change { instance: instance.into(), offset, entry: Entry::Unusable }
+}
+
+/// The start of the only upstream, if there is one that takes work.
+fn start_in_use(directory: &Directory) -> Option<u64> {
+    let mut upstreams = directory.iter().map(|(_, upstream)| upstream);
+    let upstream = upstreams.next()?;
+    assert!(upstreams.next().is_none(), "one upstream an instance");
+    upstream.record.started_ms
+}
+
+#[test]
+fn a_new_start_is_the_end_of_the_old_upstream_and_a_new_one() {
+    let mut directory = Directory::default();
+    let Effect::Appeared(first) = directory.apply(NOW, started("i", 1, 10)) else {
+        panic!("it is new");
+    };
+    let Effect::Restarted { old, new } = directory.apply(NOW, started("i", 2, 20)) else {
+        panic!("it has started again");
+    };
+    assert_eq!(old, first);
+    assert!(directory.get(old).is_none() && directory.get(new).is_some());
+    assert_eq!(directory.apply(NOW, started("i", 3, 10)), Effect::None, "no news");
+    assert_eq!(start_in_use(&directory), Some(20));
+    let draining = Change { entry: draining("i", 4).entry, ..started("i", 4, 20) };
+    assert!(matches!(directory.apply(NOW, draining), Effect::Draining(key) if key == new));
+    assert!(matches!(directory.apply(NOW, removed("i", 5)), Effect::Gone(key) if key == new));
+}
+
+#[test]
+fn a_later_start_beats_a_record_with_a_higher_number_that_a_peer_passes_on() {
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    // The store keeps only the newest record of each key, here a late one of the process of before.
+    reader.replace(NOW, vec![started("i", 7, 10)], 8);
+    follower.apply(NOW, started("i", 6, 20));
+    pass_on(&reader, &mut follower);
+    assert_eq!(start_in_use(&follower), Some(20));
+}
+
+#[test]
+fn a_start_that_a_peer_knows_of_is_passed_on_as_one() {
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    reader.apply(NOW, started("i", 0, 10));
+    pass_on(&reader, &mut follower);
+    let before = follower.iter().next().unwrap().0;
+    reader.apply(NOW, started("i", 1, 20));
+    pass_on(&reader, &mut follower);
+    assert_eq!(start_in_use(&follower), Some(20));
+    assert!(follower.get(before).is_none());
+}
+
+#[test]
+fn a_record_that_cannot_be_read_takes_its_upstream_out_of_use_until_one_can() {
+    let mut directory = Directory::default();
+    directory.apply(NOW, ready("i", 1));
+    directory.apply(NOW, ready("other", 2));
+    // Also while removals may be lapses: what lies there is no lapse.
+    directory.store_was_out(NOW);
+    assert!(matches!(directory.apply(NOW, unusable("i", 3)), Effect::Gone(_)));
+    assert!(directory.is_refused("i", 3) && !directory.is_refused("i", 2));
+    assert_eq!(instances(&directory), ["other"]);
+    assert_eq!(directory.apply(NOW, ready("i", 2)), Effect::None, "an older one changes nothing");
+    assert!(matches!(directory.apply(NOW, ready("i", 4)), Effect::Appeared(_)));
+    assert_eq!(instances(&directory), ["i", "other"]);
+}
+
+#[test]
+fn a_record_that_cannot_be_read_is_passed_on_as_one() {
+    let (mut reader, mut follower) = (Directory::default(), Directory::default());
+    reader.apply(NOW, ready("i", 0));
+    pass_on(&reader, &mut follower);
+    reader.apply(NOW, unusable("i", 1));
+    let changes = reader.changes_since(1).expect("known since the start");
+    assert_eq!(changes, [unusable("i", 1)]);
+    follower.store_was_out(NOW);
+    pass_on(&reader, &mut follower);
+    assert!(instances(&follower).is_empty());
+}
+
+/// What the entries of one instance lead to when they are read in their order: a start that goes back is no news.
+fn read_in_order(log: &[Change]) -> Option<u64> {
+    let (mut latest, mut present) = (0, None);
+    for change in log {
+        match &change.entry {
+            Entry::Present(record) => {
+                let started_ms = record.started_ms.unwrap();
+                if started_ms >= latest {
+                    (latest, present) = (started_ms, Some(started_ms));
+                }
+            }
+            Entry::Removed | Entry::Unusable => present = None,
+        }
+    }
+    present
+}
+
+fn permutations(log: &[Change]) -> Vec<Vec<Change>> {
+    if log.is_empty() {
+        return vec![Vec::new()];
+    }
+    let mut all = Vec::new();
+    for first in 0..log.len() {
+        let mut rest = log.to_vec();
+        let change = rest.remove(first);
+        all.extend(permutations(&rest).into_iter().map(|mut order| {
+            order.insert(0, change.clone());
+            order
+        }));
+    }
+    all
+}
+
+/// Every log of four entries of one instance, in every order in which the store and peers may bring them, leads to
+/// what the log says, in calm and while removals may be lapses.
+#[test]
+fn starts_removals_and_lapses_lead_to_the_same_in_any_order() {
+    let entries: [fn(u64) -> Change; 4] = [
+        |offset| started("i", offset, 1),
+        |offset| started("i", offset, 2),
+        |offset| removed("i", offset),
+        |offset| unusable("i", offset),
+    ];
+    let mut checked = 0;
+    for code in 0..256usize {
+        let log: Vec<_> =
+            (0..4u64).map(|offset| entries[code >> (2 * offset) & 3](offset)).collect();
+        let expected = read_in_order(&log);
+        for order in permutations(&log) {
+            for is_lapsing in [false, true] {
+                let mut directory = Directory::default();
+                if is_lapsing {
+                    directory.store_was_out(NOW);
+                }
+                for change in &order {
+                    directory.apply(NOW, change.clone());
+                }
+                directory.expire(NOW + RETURN_GRACE);
+                assert_eq!(start_in_use(&directory), expected, "{log:?} in the order {order:?}");
+                checked += 1;
+            }
+        }
+    }
+    assert_eq!(checked, 256 * 24 * 2);
+}
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -2,7 +2,7 @@
 
 use {
     fernring_gateway::{
-        directory::Change,
+        directory::{Change, Entry},
         model::{UpstreamKey, UpstreamRecord, UpstreamState, short_hash},
         upstreams::Upstreams,
     },
@@ -16,8 +16,9 @@
     let change = |(number, instance): (usize, &&str)| Change {
         instance: (*instance).into(),
         offset: number as u64,
-        record: Some(UpstreamRecord {
+        entry: Entry::Present(UpstreamRecord {
             instance: (*instance).into(),
+            started_ms: None,
             service: "s".into(),
             address: SocketAddr::from(([10, 0, 0, 1], number as u16)),
             failure_domain: "a".into(),
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -190,6 +190,12 @@
     /// Whether it was removed; only instance and number are set then.
     #[prost(bool, tag = "8")]
     pub is_removed: bool,
+    /// When its process started, in Unix milliseconds, if that is known.
+    #[prost(uint64, optional, tag = "9")]
+    pub started_ms: Option<u64>,
+    /// With `is_removed`: whether something lies there that can't be read, so that it is no lapse.
+    #[prost(bool, tag = "10")]
+    pub is_unusable: bool,
 }
 
 /// Pieces of one stage of one request.
--- a/crates/fernring-standins/src/store.rs
+++ b/crates/fernring-standins/src/store.rs
@@ -59,16 +59,30 @@
     fn newest(&self) -> BTreeMap<String, (u64, Vec<u8>)> {
         let mut newest = self.kept.clone();
         for (offset, record) in (self.first..).zip(&self.records) {
-            newest.insert(record.key.clone(), (offset, record.value.clone()));
+            if let Record::Keyed { key, value } = record {
+                newest.insert(key.clone(), (offset, value.clone()));
+            }
         }
         newest
     }
 }
 
 #[derive(Debug, Clone)]
-struct Record {
-    key: String,
-    value: Vec<u8>,
+enum Record {
+    /// A key and its value.
+    Keyed { key: String, value: Vec<u8> },
+    /// Bytes of another writer that hold no readable key.
+    Raw(Vec<u8>),
+}
+
+impl Record {
+    /// Returns what the log holds of it after its length.
+    fn content(&self) -> Vec<u8> {
+        match self {
+            Self::Keyed { key, value } => [&[key.len() as u8], key.as_bytes(), value].concat(),
+            Self::Raw(content) => content.clone(),
+        }
+    }
 }
 
 /// The store.
@@ -136,7 +150,7 @@
     /// Writes an upstream's record; without a state it is removed.
     pub fn list(&self, instance: &str, service: &str, address: SocketAddr, state: Option<&str>) {
         let record = state.map(|state| {
-            json!({"service": service, "address": address.to_string(), "zone": "a", "version": 1,
+            json!({"service": service, "address": address.to_string(), "zone": "a", "version": "v1",
                 "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1})
         });
         let value = record.map_or_else(Vec::new, |record| record.to_string().into_bytes());
@@ -154,10 +168,19 @@
         }
     }
 
+    /// Writes a record that holds no readable key.
+    pub fn put_raw(&self, topic: &str, content: &[u8]) {
+        self.push(topic, Record::Raw(content.to_vec()));
+    }
+
     fn put(&self, topic: &str, key: &str, value: Vec<u8>) -> u64 {
+        self.push(topic, Record::Keyed { key: key.to_owned(), value })
+    }
+
+    fn push(&self, topic: &str, record: Record) -> u64 {
         let mut topics = self.lock();
         let topic = topics.entry(topic.to_owned()).or_default();
-        topic.records.push(Record { key: key.to_owned(), value });
+        topic.records.push(record);
         let offset = topic.end() - 1;
         drop(topics);
         self.appended.send_modify(|count| *count += 1);
@@ -252,11 +275,9 @@
         page.extend(topic.end().to_be_bytes());
         page.extend(topic.first.to_be_bytes());
         for record in topic.records.get(skip as usize..).unwrap_or_default() {
-            let length = 1 + record.key.len() + record.value.len();
-            page.extend((length as u32).to_be_bytes());
-            page.push(record.key.len() as u8);
-            page.extend(record.key.as_bytes());
-            page.extend(&record.value);
+            let content = record.content();
+            page.extend((content.len() as u32).to_be_bytes());
+            page.extend(content);
         }
         Some(page)
     }
