--- a/crates/fernring-gateway/src/backlogs.rs
+++ b/crates/fernring-gateway/src/backlogs.rs
@@ -6,7 +6,7 @@
         backlog::{Backlog, PiecesByRank, RANKS},
         model::short_hash,
     },
-    fernring_protocol::gateway::StageLoad,
+    fernring_protocol::gateway::{LoadsOf, StageLoad},
     std::{
         cell::RefCell,
         collections::{BTreeMap, HashMap},
@@ -26,8 +26,18 @@
     said_at: Duration,
     /// Of the services that it owns.
     backlogs: HashMap<u32, Backlog>,
-    /// What it promised.
+    promised_at: Duration,
+    /// What it promised, or its whole failure domain.
     promised: HashMap<u32, PiecesByRank>,
+    /// Whether `promised` is that of its domain.
+    is_sum: bool,
+}
+
+impl Peer {
+    fn promised(&self, now: Duration) -> impl Iterator<Item = (&u32, &PiecesByRank)> {
+        let is_fresh = now <= self.promised_at + SAID_AGE_MAX;
+        self.promised.iter().filter(move |_| is_fresh)
+    }
 }
 
 /// The backlogs as one node knows them.
@@ -36,6 +46,8 @@
     peers: RefCell<HashMap<SocketAddr, Peer>>,
     /// Invariant: some rank of each entry has pieces.
     promised: RefCell<BTreeMap<Arc<str>, PiecesByRank>>,
+    /// What this node told its domain's delegates last, which the sums that they tell contain.
+    told: RefCell<HashMap<u32, PiecesByRank>>,
 }
 
 /// Pieces of a stage that were promised to a request and haven't been asked for yet; given back
@@ -81,7 +93,9 @@
             Some(newest.backlogs[&hash].after(now.saturating_sub(newest.said_at)))
         };
         let mut backlog = own.or_else(said)?;
-        for promised in fresh.filter_map(|peer| peer.promised.get(&hash)) {
+        for (_, promised) in
+            peers.values().flat_map(|peer| peer.promised(now)).filter(|(s, _)| **s == hash)
+        {
             backlog.add(promised);
         }
         if let Some(promised) = self.promised.borrow().get(service) {
@@ -90,36 +104,74 @@
         Some(backlog)
     }
 
-    /// Returns what is to be said in heartbeats: the backlogs of own services and what was promised.
-    pub fn described(&self, own: Vec<(Arc<str>, Backlog)>) -> Vec<StageLoad> {
-        let mut loads: BTreeMap<Arc<str>, StageLoad> = BTreeMap::new();
+    /// Returns what is to be said in heartbeats: the backlogs of own services and what was promised, by this node or
+    /// by its failure domain.
+    pub fn described(
+        &self,
+        now: Duration,
+        own: Vec<(Arc<str>, Backlog)>,
+        loads_of: LoadsOf,
+    ) -> Vec<StageLoad> {
+        let mut loads: BTreeMap<u32, StageLoad> = BTreeMap::new();
         for (service, backlog) in own {
-            let load = loads.entry(service).or_default();
+            let load = loads.entry(short_hash(&service)).or_default();
             load.is_owner = true;
             load.rate_per_s = backlog.rate_per_s as f32;
             load.arrivals_per_s = backlog.arrivals_per_s.map(|per_s| per_s as f32).to_vec();
             load.waiting = backlog.waiting.to_vec();
             load.late = backlog.late;
         }
-        for (service, promised) in &*self.promised.borrow() {
-            loads.entry(service.clone()).or_default().promised = promised.to_vec();
+        for (service, promised) in self.promised_by(now, loads_of) {
+            loads.entry(service).or_default().promised = promised.to_vec();
         }
-        let hashed = |(service, load): (Arc<str>, StageLoad)| StageLoad {
-            service: short_hash(&service),
-            ..load
-        };
-        loads.into_iter().map(hashed).collect()
+        loads.into_iter().map(|(service, load)| StageLoad { service, ..load }).collect()
+    }
+
+    fn promised_by(&self, now: Duration, loads_of: LoadsOf) -> HashMap<u32, PiecesByRank> {
+        let own = self.promised.borrow();
+        let mut sums: HashMap<_, _> =
+            own.iter().map(|(s, promised)| (short_hash(s), *promised)).collect();
+        match loads_of {
+            LoadsOf::Sender => *self.told.borrow_mut() = sums.clone(),
+            LoadsOf::Domain => {
+                let peers = self.peers.borrow();
+                let near = peers.values().filter(|peer| !peer.is_sum);
+                for (service, promised) in near.flat_map(|peer| peer.promised(now)) {
+                    let sum = sums.entry(*service).or_default();
+                    sum.iter_mut().zip(promised).for_each(|(sum, more)| *sum += more);
+                }
+            }
+            LoadsOf::Nobody => sums.clear(),
+        }
+        sums
     }
 
-    /// Takes in what a peer says.
-    pub fn heard(&self, now: Duration, peer: SocketAddr, loads: &[StageLoad]) {
+    /// Takes in what a peer says. `contains_own` tells whether the sums of its domain contain what this node promised.
+    pub fn heard(
+        &self,
+        now: Duration,
+        peer: SocketAddr,
+        loads: &[StageLoad],
+        loads_of: LoadsOf,
+        contains_own: bool,
+    ) {
+        let mut peers = self.peers.borrow_mut();
+        let said = peers.entry(peer).or_default();
         let owned = loads.iter().filter(|load| load.is_owner);
-        let said = Peer {
-            said_at: now,
-            backlogs: owned.map(|load| (load.service, backlog_of(load))).collect(),
-            promised: loads.iter().map(|load| (load.service, by_rank(&load.promised))).collect(),
-        };
-        self.peers.borrow_mut().insert(peer, said);
+        said.said_at = now;
+        said.backlogs = owned.map(|load| (load.service, backlog_of(load))).collect();
+        if loads_of == LoadsOf::Nobody {
+            return;
+        }
+        said.promised_at = now;
+        said.is_sum = loads_of == LoadsOf::Domain;
+        said.promised = loads.iter().map(|load| (load.service, by_rank(&load.promised))).collect();
+        if contains_own {
+            for (service, own) in &*self.told.borrow() {
+                let sum = said.promised.entry(*service).or_default();
+                sum.iter_mut().zip(own).for_each(|(sum, own)| *sum = sum.saturating_sub(*own));
+            }
+        }
     }
 
     /// Forgets what a lost peer said.
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod come_back;
 pub mod config;
 pub mod connections;
+pub mod delegates;
 pub mod directory;
 pub mod events;
 pub mod exchange;
--- a/crates/fernring-gateway/src/measures.rs
+++ b/crates/fernring-gateway/src/measures.rs
@@ -5,7 +5,12 @@
 
 use {
     metrics::{counter, gauge, histogram},
-    std::{cell::RefCell, collections::HashSet, sync::Arc, time::Duration},
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Most values of a label that operators' configuration names. Further ones are counted
@@ -90,6 +95,8 @@
     pub(crate) config_age: Option<Duration>,
     /// Live nodes, this one included.
     pub(crate) nodes: usize,
+    /// Whether the node is a delegate of its failure domain.
+    pub(crate) is_delegate: bool,
     /// Upstreams that take work.
     pub(crate) upstreams: usize,
     /// Requests in flight.
@@ -102,6 +109,14 @@
     pub(crate) store_answers: bool,
 }
 
+/// Sets the number of live peers that are heard, by failure domain.
+pub(crate) fn set_heard(by_domain: &BTreeMap<Arc<str>, usize>) {
+    for (domain, count) in by_domain {
+        let domain = bounded(domain).to_string();
+        gauge!("fernring_gateway_heard_nodes", "failure_domain" => domain).set(*count as f64);
+    }
+}
+
 /// Sets the gauges.
 pub(crate) fn set(readings: Readings) {
     gauge!("fernring_gateway_config_version").set(readings.config_version as f64);
@@ -109,6 +124,7 @@
         gauge!("fernring_gateway_config_age_seconds").set(age.as_secs_f64());
     }
     gauge!("fernring_gateway_nodes").set(readings.nodes as f64);
+    gauge!("fernring_gateway_delegate").set(f64::from(u8::from(readings.is_delegate)));
     gauge!("fernring_gateway_upstreams").set(readings.upstreams as f64);
     gauge!("fernring_gateway_requests_in_flight").set(readings.in_flight as f64);
     gauge!("fernring_gateway_connections", "side" => "callers")
--- a/crates/fernring-gateway/src/members.rs
+++ b/crates/fernring-gateway/src/members.rs
@@ -15,9 +15,13 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Silence after which a peer owns nothing: three heartbeats and some delay.
 pub const SILENCE_MAX: Duration = Duration::from_millis(700);
+/// Heartbeats of a slower pace that may be missing.
+const MISSED_MAX: f64 = 3.5;
 /// Silence after which a peer is forgotten and no more connected to, unless it is suggested anew.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
+/// What the delegate is chosen by that tells the loads of its domain.
+const TELLER: &str = "teller of loads";
 /// What the reader of the store is chosen by.
 const READER: &str = "reader of the store";
 
@@ -45,11 +49,53 @@
     pub failure_domain: Arc<str>,
     /// Whether it is shutting down.
     pub is_draining: bool,
+    /// Whether it stands for its failure domain ([`crate::delegates`]); among few nodes all do.
+    pub is_delegate: bool,
+    /// What its link carries, in Mbit/s; 0 if that isn't known.
+    pub link_mbps: u32,
+    /// Live nodes that it knows of, itself included.
+    pub nodes: usize,
+    /// Pause until its next heartbeat.
+    pub interval: Duration,
+}
+
+impl Member {
+    /// Returns a node as it is at its start.
+    pub fn new(address: SocketAddr, failure_domain: Arc<str>) -> Self {
+        Self {
+            incarnation: 0,
+            address,
+            failure_domain,
+            is_draining: false,
+            is_delegate: true,
+            link_mbps: 0,
+            nodes: 1,
+            interval: HEARTBEAT_INTERVAL,
+        }
+    }
+
+    /// Returns a hash of its address.
+    pub fn hash(&self) -> u64 {
+        xxh3_64_with_seed(self.address.to_string().as_bytes(), 0)
+    }
+}
+
+/// A peer that has fallen silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Silent {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it was a delegate of its failure domain.
+    pub is_delegate: bool,
+    /// Time since it was last heard.
+    pub silent_for: Duration,
 }
 
 #[derive(Debug)]
 struct Peer {
     member: Member,
+    /// Invariant: [`Member::hash`] of `member`, which owners are chosen by for each stage of each request.
+    hash: u64,
     heard_at: Duration,
     /// Whether a connection to it has failed since it was heard.
     is_unreachable: bool,
@@ -61,7 +107,7 @@
     }
 
     fn silent_at(&self) -> Duration {
-        self.heard_at + SILENCE_MAX
+        self.heard_at + SILENCE_MAX.max(self.member.interval.mul_f64(MISSED_MAX))
     }
 }
 
@@ -78,7 +124,8 @@
     /// Takes in a heartbeat; tells whether the peer was silent before.
     pub fn heard(&mut self, now: Duration, member: Member) -> bool {
         let address = member.address;
-        let peer = Peer { member, heard_at: now, is_unreachable: false };
+        let hash = self.peers.get(&address).map_or_else(|| member.hash(), |peer| peer.hash);
+        let peer = Peer { member, hash, heard_at: now, is_unreachable: false };
         let before = self.peers.insert(address, peer);
         self.suggested.remove(&address);
         before.is_none_or(|peer| !peer.is_live(now))
@@ -95,11 +142,16 @@
 
     /// Forgets those that were silent for long, and returns those that have just fallen silent
     /// since `before`.
-    pub fn expire(&mut self, before: Duration, now: Duration) -> Vec<SocketAddr> {
+    pub fn expire(&mut self, before: Duration, now: Duration) -> Vec<Silent> {
         self.peers.retain(|_, peer| now < peer.heard_at + FORGET_AFTER);
         self.suggested.retain(|_, until| now < *until);
         let lost = |peer: &Peer| peer.is_live(before) && !peer.is_live(now);
-        self.peers.iter().filter(|(_, peer)| lost(peer)).map(|(address, _)| *address).collect()
+        let silent = |peer: &Peer| Silent {
+            address: peer.member.address,
+            is_delegate: peer.member.is_delegate,
+            silent_for: now.saturating_sub(peer.heard_at),
+        };
+        self.peers.values().filter(|peer| lost(peer)).map(silent).collect()
     }
 
     /// Takes in that a peer can't be reached: it is silent from now on. Tells whether it was live.
@@ -127,40 +179,84 @@
         self.peers.get(&address).is_some_and(|peer| peer.is_live(now))
     }
 
-    /// Tells whether a failure domain has peers here, and all of them are silent.
+    /// Returns the number of live nodes, this one included: those that are heard here, or more if delegates hear more.
+    pub fn nodes(&self, now: Duration) -> usize {
+        let told = self.live(now).filter(|peer| peer.is_delegate).map(|peer| peer.nodes).max();
+        told.unwrap_or(0).max(self.heard_nodes(now))
+    }
+
+    /// Returns the number of live nodes that are heard here, this one included.
+    pub fn heard_nodes(&self, now: Duration) -> usize {
+        self.live(now).count() + 1
+    }
+
+    /// Forgets the peers that are no delegates, but for their addresses, and returns them: a node that is none either
+    /// hears no more of them.
+    pub fn unfollow(&mut self, now: Duration) -> Vec<SocketAddr> {
+        let others = self.peers.iter().filter(|(_, peer)| !peer.member.is_delegate);
+        let others: Vec<_> = others.map(|(address, _)| *address).collect();
+        self.peers.retain(|_, peer| peer.member.is_delegate);
+        self.suggest(now, others.iter().copied());
+        others
+    }
+
+    /// Tells whether a peer is a delegate of a failure domain.
+    pub fn is_delegate_of(&self, address: SocketAddr, failure_domain: &str) -> bool {
+        let peer = self.peers.get(&address).map(|peer| &peer.member);
+        peer.is_some_and(|peer| peer.is_delegate && *peer.failure_domain == *failure_domain)
+    }
+
+    /// Tells whether this node (`me`) is the first of its domain's live delegates.
+    pub fn is_first_delegate(&self, now: Duration, me: &Member) -> bool {
+        let is_near = |other: &Member| other.failure_domain == me.failure_domain;
+        self.first_by_rank(now, me, TELLER, is_near) == Some(me.address)
+    }
+
+    /// Tells whether a failure domain has delegates here, and all of them are silent.
     pub fn is_silent(&self, now: Duration, failure_domain: &str) -> bool {
-        let mut theirs =
-            self.peers.values().filter(|p| *p.member.failure_domain == *failure_domain).peekable();
+        let is_theirs = |peer: &&Peer| {
+            peer.member.is_delegate && *peer.member.failure_domain == *failure_domain
+        };
+        let mut theirs = self.peers.values().filter(is_theirs).peekable();
         theirs.peek().is_some() && theirs.all(|peer| !peer.is_live(now))
     }
 
-    /// Returns the owner of something among the live nodes that stay: this node (`me`) or a peer,
+    /// Returns the owner of something among the live delegates that stay: this node (`me`) or a peer,
     /// the first by rendezvous hashing. Nodes that hear the same peers name the same owner.
     pub fn owner(&self, now: Duration, me: &Member, what: &str) -> SocketAddr {
-        let candidates = self.live(now).chain(std::iter::once(me));
-        first_by_rank(candidates, what).map_or(me.address, |member| member.address)
+        self.first_by_rank(now, me, what, |_| true).unwrap_or(me.address)
     }
 
     /// Returns this node's (`me`) part in reading the store for the others.
     pub fn reader_part(&self, now: Duration, me: &Member) -> ReaderPart {
-        let first = first_by_rank(self.live(now).chain(std::iter::once(me)), READER);
-        let domain = self.live(now).filter(|other| other.failure_domain == me.failure_domain);
-        let of_domain = first_by_rank(domain.chain(std::iter::once(me)), READER);
-        let is_me = |member: Option<&Member>| member.is_some_and(|m| m.address == me.address);
-        match (is_me(of_domain), is_me(first)) {
-            (true, true) if self.live(now).next().is_none() => ReaderPart::Alone,
+        if self.live(now).next().is_none() {
+            return ReaderPart::Alone;
+        }
+        let first = self.first_by_rank(now, me, READER, |_| true);
+        let is_near = |other: &Member| other.failure_domain == me.failure_domain;
+        let of_domain = self.first_by_rank(now, me, READER, is_near);
+        match (of_domain == Some(me.address), first == Some(me.address)) {
             (true, true) => ReaderPart::First,
             (true, false) => ReaderPart::OfDomain,
             (false, _) => ReaderPart::None,
         }
     }
-}
 
-/// Returns the first of some nodes by rendezvous hashing, those that leave after all others.
-fn first_by_rank<'a>(nodes: impl Iterator<Item = &'a Member>, what: &str) -> Option<&'a Member> {
-    let rank = |member: &&Member| {
-        let seed = xxh3_64_with_seed(member.address.to_string().as_bytes(), 0);
-        (!member.is_draining, xxh3_64_with_seed(what.as_bytes(), seed))
-    };
-    nodes.max_by_key(rank)
+    /// Returns the first of the live delegates that fit, by rendezvous hashing, those that leave after all others.
+    fn first_by_rank(
+        &self,
+        now: Duration,
+        me: &Member,
+        what: &str,
+        fits: impl Fn(&Member) -> bool,
+    ) -> Option<SocketAddr> {
+        let peers = self.peers.values().filter(|peer| peer.is_live(now));
+        let peers = peers.map(|peer| (&peer.member, peer.hash));
+        let all = peers.chain(std::iter::once((me, me.hash())));
+        let candidates = all.filter(|(member, _)| member.is_delegate && fits(member));
+        let rank = |(member, hash): &(&Member, u64)| {
+            (!member.is_draining, xxh3_64_with_seed(what.as_bytes(), *hash))
+        };
+        candidates.max_by_key(rank).map(|(member, _)| member.address)
+    }
 }
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -24,7 +24,8 @@
     bytes::Bytes,
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{
-        ConfigBytes, DirectoryRecords, DirectoryRequest, GatewayBody, GatewayHeartbeat, Nothing,
+        ConfigBytes, DirectoryRecords, DirectoryRequest, GatewayBody, GatewayHeartbeat, LoadsOf,
+        Nothing,
     },
     http::{Request, Response, StatusCode},
     http_body_util::Full,
@@ -138,9 +139,7 @@
         let failure_domain: Arc<str> = settings.node.failure_domain.as_str().into();
         let me = Member {
             incarnation: rand::random(),
-            address: settings.node.peer_address,
-            failure_domain: failure_domain.clone(),
-            is_draining: false,
+            ..Member::new(settings.node.peer_address, failure_domain.clone())
         };
         let config = Rc::new(RefCell::new(ConfigState::default()));
         let upstreams = Rc::new(Upstreams::new(failure_domain));
@@ -209,6 +208,7 @@
         for what in [Followed::Config, Followed::Upstreams] {
             self.loops.following(what).borrow_mut().set_link(link);
         }
+        self.peers.set_link(self.settings.borrow().node.link_mbps.round() as u32);
     }
 
     /// Runs the node until `stop` is done, then finishes everything in flight; `settings_path` is
@@ -337,10 +337,12 @@
 
     fn render_metrics(&self) -> String {
         let directory = self.upstreams.directory();
+        measures::set_heard(&self.peers.heard_by_domain());
         measures::set(Readings {
             config_version: self.config.borrow().version(),
             config_age: self.loops.age(Followed::Config),
             nodes: self.peers.nodes(),
+            is_delegate: self.peers.is_delegate(),
             upstreams: directory.iter().filter(|(_, upstream)| upstream.takes_work()).count(),
             in_flight: self.serving.in_flight.get(),
             caller_connections: self.ingress.open(),
@@ -453,11 +455,29 @@
     fn heartbeat(&self, sender: SocketAddr, heartbeat: &GatewayHeartbeat) {
         let loads = heartbeat.load_upstreams.iter().zip(&heartbeat.load_weights);
         let loads = loads.map(|(upstream, weight)| (*upstream, f64::from(*weight))).collect();
-        self.upstreams.set_peer_loads(sender, loads);
-        self.stages.heard(sender, &heartbeat.stage_loads);
+        let now = self.serving.now();
+        let is_near = *heartbeat.failure_domain == *self.settings.borrow().node.failure_domain;
+        let tells_on = self.peers.tells_on();
+        // Delegates hear the nodes of their domain themselves.
+        let loads_of = match heartbeat.loads_of() {
+            LoadsOf::Domain if is_near && tells_on => LoadsOf::Nobody,
+            loads_of => loads_of,
+        };
+        match loads_of {
+            LoadsOf::Sender => self.upstreams.set_peer_loads(sender, loads),
+            LoadsOf::Domain => {
+                self.upstreams.set_peer_loads(sender, Vec::new());
+                let domain = heartbeat.failure_domain.as_str().into();
+                self.upstreams.set_domain_loads(now, &domain, loads);
+            }
+            LoadsOf::Nobody => self.upstreams.set_peer_loads(sender, Vec::new()),
+        }
+        let contains_own = loads_of == LoadsOf::Domain && is_near;
+        self.stages.heard(sender, &heartbeat.stage_loads, loads_of, contains_own);
         // What another domain can't reach may well be reachable here.
-        if *heartbeat.failure_domain == *self.settings.borrow().node.failure_domain {
-            self.upstreams.peer_found_unreachable(self.serving.now(), &heartbeat.unreachable);
+        if is_near {
+            let tells_on = tells_on && heartbeat.is_follower;
+            self.upstreams.peer_found_unreachable(now, &heartbeat.unreachable, tells_on);
         }
         let known = [
             (Followed::Config, heartbeat.config_version, heartbeat.config_age_ms),
@@ -470,15 +490,24 @@
         }
     }
 
-    fn describe(&self, heartbeat: &mut GatewayHeartbeat) {
+    fn describe(&self, heartbeat: &mut GatewayHeartbeat, loads_of: LoadsOf) {
         heartbeat.config_version = self.config.borrow().version();
         heartbeat.directory_end = self.upstreams.directory().end();
         heartbeat.config_age_ms = self.age_ms(Followed::Config);
         heartbeat.directory_age_ms = self.age_ms(Followed::Upstreams);
         heartbeat.unreachable = self.upstreams.unreachable(self.serving.now());
-        heartbeat.stage_loads = self.stages.described();
-        (heartbeat.load_upstreams, heartbeat.load_weights) =
-            self.upstreams.own_loads().into_iter().unzip();
+        heartbeat.stage_loads = self.stages.described(loads_of);
+        let loads = match loads_of {
+            LoadsOf::Sender => self.upstreams.told_loads(),
+            LoadsOf::Domain => self.upstreams.domain_loads(),
+            LoadsOf::Nobody => Vec::new(),
+        };
+        (heartbeat.load_upstreams, heartbeat.load_weights) = loads.into_iter().unzip();
+    }
+
+    fn unfollowed(&self, peer: SocketAddr) {
+        self.upstreams.set_peer_loads(peer, Vec::new());
+        self.stages.unfollowed(peer);
     }
 
     fn lost(&self, peer: SocketAddr) {
--- a/crates/fernring-gateway/src/peers.rs
+++ b/crates/fernring-gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         connections::{CONNECT_TIMEOUT, UNACKNOWLEDGED_MAX, connect},
+        delegates::{Pace, Role},
         log,
         members::{HEARTBEAT_INTERVAL, Member, Members, ReaderPart},
     },
@@ -10,13 +11,18 @@
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::{
         codec,
-        gateway::{GatewayBody, GatewayFrame, GatewayHeartbeat},
+        gateway::{GatewayBody, GatewayFrame, GatewayHeartbeat, LoadsOf},
     },
     futures_util::StreamExt,
     prost::Message,
     rand::seq::IteratorRandom,
     std::{
-        cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
     },
     tokio::{
         io::AsyncWriteExt,
@@ -34,9 +40,15 @@
 /// Messages that wait for a link. More than a second of the heaviest traffic; a peer that takes
 /// none of them is about to be found silent.
 const LINK_QUEUE: usize = 1_024;
-/// Addresses of peers that one heartbeat names, drawn anew for each. Two of eight, five times a
-/// second, tell everybody of everybody within a second or two.
+/// How long a link is kept that carries nothing. A peer that is told once a second keeps its own.
+const LINK_IDLE_MAX: Duration = Duration::from_secs(5);
+/// Addresses of peers that the heartbeats of one round name. Two of eight, five times a second, tell everybody of
+/// everybody within a second or two.
 const NAMED_PEERS: usize = 2;
+/// The same for a delegate among many: fifteen of them name 295 nodes within a second.
+const NAMED_PEERS_MANY: usize = 4;
+/// Rounds of heartbeats after which a delegate tells the loads of its domain again.
+const DOMAIN_LOADS_ROUNDS: u64 = 2;
 /// Addresses that a heartbeat names to a peer that hasn't been heard yet.
 const NAMED_PEERS_FIRST: usize = 16;
 
@@ -48,8 +60,11 @@
     /// Takes in the rest of a heartbeat.
     fn heartbeat(&self, sender: SocketAddr, heartbeat: &GatewayHeartbeat);
 
-    /// Adds what the node says of itself besides who it is.
-    fn describe(&self, heartbeat: &mut GatewayHeartbeat);
+    /// Adds what the node says of itself besides who it is, with the loads that are to be told.
+    fn describe(&self, heartbeat: &mut GatewayHeartbeat, loads_of: LoadsOf);
+
+    /// Says that a peer isn't heard from now on, since delegates add up what it says.
+    fn unfollowed(&self, peer: SocketAddr);
 
     /// Says that a peer is silent or unreachable: what it was asked for is to be asked elsewhere.
     fn lost(&self, peer: SocketAddr);
@@ -57,9 +72,27 @@
 
 type Link = mpsc::Sender<Bytes>;
 
+/// What heartbeats of one round differ in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct HeartbeatKind {
+    pace: Pace,
+    /// Whether the peer hasn't been heard yet.
+    is_first: bool,
+    loads_of: LoadsOf,
+}
+
+/// The heartbeats of one round, encoded.
+#[derive(Debug, Default)]
+struct Round {
+    encoded: Vec<(HeartbeatKind, Bytes)>,
+}
+
 /// The other nodes.
 pub struct Peers {
     me: RefCell<Member>,
+    role: RefCell<Role>,
+    /// Rounds of heartbeats so far.
+    rounds: Cell<u64>,
     members: RefCell<Members>,
     links: RefCell<HashMap<SocketAddr, Link>>,
     handler: RefCell<Option<Rc<dyn PeerHandler>>>,
@@ -71,6 +104,8 @@
     pub fn new(me: Member, clock: Rc<dyn Clock>) -> Self {
         Self {
             me: RefCell::new(me),
+            role: RefCell::new(Role::new(rand::random())),
+            rounds: Cell::new(0),
             members: RefCell::default(),
             links: RefCell::default(),
             handler: RefCell::default(),
@@ -106,9 +141,38 @@
         self.members.borrow().owner(self.now(), &self.me.borrow(), what)
     }
 
+    /// Sets what this node's link carries, in Mbit/s.
+    pub fn set_link(&self, link_mbps: u32) {
+        self.me.borrow_mut().link_mbps = link_mbps;
+    }
+
     /// Returns the number of live nodes, this one included.
     pub fn nodes(&self) -> usize {
-        self.members.borrow().live(self.now()).count() + 1
+        let members = self.members.borrow();
+        match self.role.borrow().is_mesh() {
+            true => members.heard_nodes(self.now()),
+            false => members.nodes(self.now()),
+        }
+    }
+
+    /// Returns the number of live peers that are heard here, by failure domain.
+    pub fn heard_by_domain(&self) -> BTreeMap<Arc<str>, usize> {
+        let mut counts = BTreeMap::new();
+        for peer in self.members.borrow().live(self.now()) {
+            *counts.entry(peer.failure_domain.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Tells whether this node is a delegate of its failure domain.
+    pub fn is_delegate(&self) -> bool {
+        self.role.borrow().is_delegate()
+    }
+
+    /// Tells whether this node is a delegate among many nodes, whose domain depends on what it tells on.
+    pub fn tells_on(&self) -> bool {
+        let role = self.role.borrow();
+        role.is_delegate() && !role.is_mesh()
     }
 
     /// Tells whether all peers of another failure domain are silent.
@@ -159,12 +223,15 @@
         let (sender, receiver) = mpsc::channel(LINK_QUEUE);
         let peers = self.clone();
         spawn_local(async move {
-            let reason = match run_link(peer, receiver).await {
-                Ok(()) => return,
-                Err(reason) => reason,
-            };
-            peers.links.borrow_mut().remove(&peer);
-            peers.link_failed(peer, &reason.to_string());
+            match run_link(peer, receiver).await {
+                Ok(LinkEnd::Dropped) => {}
+                // Nothing was queued since: there is no await in between.
+                Ok(LinkEnd::Idle) => drop(peers.links.borrow_mut().remove(&peer)),
+                Err(reason) => {
+                    peers.links.borrow_mut().remove(&peer);
+                    peers.link_failed(peer, &reason.to_string());
+                }
+            }
         });
         sender
     }
@@ -229,17 +296,30 @@
     }
 
     fn heard(self: &Rc<Self>, sender: SocketAddr, heartbeat: &GatewayHeartbeat) {
+        let interval = match heartbeat.interval_ms {
+            0 => HEARTBEAT_INTERVAL,
+            ms => Duration::from_millis(ms.into()),
+        };
         let member = Member {
             incarnation: heartbeat.incarnation,
             address: sender,
             failure_domain: Arc::from(heartbeat.failure_domain.as_str()),
             is_draining: heartbeat.is_draining,
+            is_delegate: !heartbeat.is_follower,
+            link_mbps: heartbeat.link_mbps,
+            nodes: heartbeat.nodes as usize,
+            interval,
         };
         let is_new = self.members.borrow_mut().heard(self.now(), member);
         self.suggest(heartbeat.peers.iter().filter_map(|peer| peer.parse().ok()));
         if is_new {
             log::info(LogLine::event("peer_joined").with("peer", sender));
-            self.send_heartbeat(sender);
+            let is_delegate = !heartbeat.is_follower;
+            let domain = &heartbeat.failure_domain;
+            let pace = self.role.borrow().answer(&self.me.borrow(), is_delegate, domain);
+            if let Some(pace) = pace {
+                self.send_heartbeat(&mut Round::default(), sender, pace);
+            }
         }
         if let Some(handler) = self.handler() {
             handler.heartbeat(sender, heartbeat);
@@ -250,46 +330,132 @@
     pub async fn run_heartbeats(self: Rc<Self>) {
         let mut before = self.now();
         loop {
+            let round_at = self.now();
             self.send_heartbeats();
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             let now = self.now();
             let lost = self.members.borrow_mut().expire(before, now);
             before = now;
-            for peer in lost {
-                let line = LogLine::event("peer_lost").with("peer", peer).with("reason", "silent");
-                log::warn(line);
-                self.lost(peer);
+            for silent in lost {
+                let line = LogLine::event("peer_lost").with("peer", silent.address);
+                let line =
+                    line.with("reason", "silent").with("silent_ms", silent.silent_for.as_millis());
+                let line = line.with("is_delegate", silent.is_delegate);
+                // A node that stood still itself finds many silent at once.
+                log::warn(line.with("round_ms", (now - round_at).as_millis()));
+                self.lost(silent.address);
             }
         }
     }
 
     fn send_heartbeats(self: &Rc<Self>) {
-        let contacts = self.members.borrow().contacts();
-        for contact in contacts {
-            self.send_heartbeat(contact);
+        self.rounds.set(self.rounds.get() + 1);
+        let has_changed = self.update_role();
+        let now = self.now();
+        let me = self.me.borrow().clone();
+        let members = self.members.borrow();
+        let audience = match has_changed && !me.is_delegate {
+            // Nobody is to wait for the next heartbeat of a node that is no delegate any more.
+            true => members.contacts().into_iter().map(|peer| (peer, Pace::Far)).collect(),
+            false => self.role.borrow().audience(now, &me, &members, self.rounds.get()),
+        };
+        drop(members);
+        let mut round = Round::default();
+        for (peer, pace) in audience {
+            self.send_heartbeat(&mut round, peer, pace);
         }
     }
 
-    fn send_heartbeat(self: &Rc<Self>, peer: SocketAddr) {
+    /// Takes in who is there now, and what follows for this node's own part; tells whether that has changed.
+    fn update_role(&self) -> bool {
         let now = self.now();
+        let mut me = self.me.borrow_mut();
+        let changed = self.role.borrow_mut().update(now, &me, &self.members.borrow());
+        me.is_delegate = self.role.borrow().is_delegate();
+        me.nodes = self.members.borrow().heard_nodes(now);
+        let is_delegate = me.is_delegate;
+        drop(me);
+        if changed {
+            let line = LogLine::event("delegate_changed").with("is_delegate", is_delegate);
+            log::info(line.with("nodes", self.nodes()));
+        }
+        if !is_delegate {
+            let unfollowed = self.members.borrow_mut().unfollow(now);
+            for peer in unfollowed {
+                if let Some(handler) = self.handler() {
+                    handler.unfollowed(peer);
+                }
+            }
+        }
+        changed
+    }
+
+    /// Sends a heartbeat; those of one round that say the same are encoded once for all who get them.
+    fn send_heartbeat(self: &Rc<Self>, round: &mut Round, peer: SocketAddr, pace: Pace) {
+        let is_first = !self.members.borrow().is_live(self.now(), peer);
+        let kind = HeartbeatKind { pace, is_first, loads_of: self.loads_for(peer, pace) };
+        let bytes = match round.encoded.iter().find(|(encoded, _)| *encoded == kind) {
+            Some((_, bytes)) => bytes.clone(),
+            None => {
+                let body = Some(GatewayBody::Heartbeat(self.heartbeat(kind)));
+                let frame = GatewayFrame { sender: self.address().to_string(), body };
+                let bytes: Bytes = frame.encode_to_vec().into();
+                round.encoded.push((kind, bytes.clone()));
+                bytes
+            }
+        };
+        self.send_bytes(peer, bytes);
+    }
+
+    /// Returns whose loads a peer is told of. The first delegate of a domain tells those of the domain to all but the
+    /// domain's other delegates, which hear its nodes themselves.
+    fn loads_for(&self, peer: SocketAddr, pace: Pace) -> LoadsOf {
+        let role = self.role.borrow();
+        if role.is_mesh() || (!role.is_delegate() && pace == Pace::Near) {
+            return LoadsOf::Sender;
+        }
+        if !role.is_delegate() {
+            return LoadsOf::Nobody;
+        }
+        let (me, members) = (self.me.borrow(), self.members.borrow());
+        if members.is_delegate_of(peer, &me.failure_domain) {
+            return LoadsOf::Sender;
+        }
+        let is_due = self.rounds.get().is_multiple_of(DOMAIN_LOADS_ROUNDS);
+        match is_due && members.is_first_delegate(self.now(), &me) {
+            true => LoadsOf::Domain,
+            false => LoadsOf::Nobody,
+        }
+    }
+
+    fn heartbeat(&self, kind: HeartbeatKind) -> GatewayHeartbeat {
+        let is_mesh = self.role.borrow().is_mesh();
+        let named = match (kind.is_first, is_mesh) {
+            (true, _) => NAMED_PEERS_FIRST,
+            (false, true) => NAMED_PEERS,
+            (false, false) => NAMED_PEERS_MANY,
+        };
         let mut heartbeat = {
             let me = self.me.borrow();
             let members = self.members.borrow();
-            let named = if members.is_live(now, peer) { NAMED_PEERS } else { NAMED_PEERS_FIRST };
-            let others = members.live(now).filter(|member| member.address != peer);
-            let others = others.sample(&mut rand::rng(), named);
+            let others = members.live(self.now()).sample(&mut rand::rng(), named);
             GatewayHeartbeat {
                 incarnation: me.incarnation,
                 failure_domain: me.failure_domain.to_string(),
                 is_draining: me.is_draining,
                 peers: others.iter().map(|member| member.address.to_string()).collect(),
+                is_follower: !me.is_delegate,
+                link_mbps: me.link_mbps,
+                nodes: me.nodes as u32,
+                interval_ms: kind.pace.interval().as_millis() as u32,
+                loads_of: kind.loads_of.into(),
                 ..GatewayHeartbeat::default()
             }
         };
         if let Some(handler) = self.handler() {
-            handler.describe(&mut heartbeat);
+            handler.describe(&mut heartbeat, kind.loads_of);
         }
-        self.send(peer, GatewayBody::Heartbeat(heartbeat));
+        heartbeat
     }
 
     fn handler(&self) -> Option<Rc<dyn PeerHandler>> {
@@ -301,19 +467,31 @@
     }
 }
 
-/// Writes the messages of a link until it fails or nobody sends any more.
-async fn run_link(peer: SocketAddr, mut queue: mpsc::Receiver<Bytes>) -> std::io::Result<()> {
+/// Why a link ended that didn't fail.
+enum LinkEnd {
+    /// Nobody sends on it any more.
+    Dropped,
+    /// Nothing was sent for a while.
+    Idle,
+}
+
+/// Writes the messages of a link until it fails, is idle or nobody sends any more.
+async fn run_link(peer: SocketAddr, mut queue: mpsc::Receiver<Bytes>) -> std::io::Result<LinkEnd> {
     let mut stream = timeout(CONNECT_TIMEOUT, connect(peer)).await??;
     let mut codec = codec();
     let mut written = BytesMut::new();
-    while let Some(bytes) = queue.recv().await {
+    loop {
+        let bytes = match timeout(LINK_IDLE_MAX, queue.recv()).await {
+            Ok(Some(bytes)) => bytes,
+            Ok(None) => return Ok(LinkEnd::Dropped),
+            Err(_) => return Ok(LinkEnd::Idle),
+        };
         codec.encode(bytes, &mut written)?;
         while let Ok(bytes) = queue.try_recv() {
             codec.encode(bytes, &mut written)?;
         }
         write_all(&mut stream, &mut written).await?;
     }
-    Ok(())
 }
 
 /// Sends one message over a connection of its own.
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -11,7 +11,7 @@
     },
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{
-        GatewayBody, ReleaseResults, StageDone, StageLoad, StageWork, WorkTicket,
+        GatewayBody, LoadsOf, ReleaseResults, StageDone, StageLoad, StageWork, WorkTicket,
     },
     std::{
         cell::{Cell, RefCell},
@@ -43,6 +43,8 @@
     /// Works of peers that are under way here, by who asked and their number there.
     foreign: RefCell<HashMap<(SocketAddr, u64), u64>>,
     next_ticket: Cell<u64>,
+    /// The owner that each service was last asked of, and since when, for the log.
+    owners: RefCell<HashMap<Arc<str>, (SocketAddr, Duration)>>,
 }
 
 /// Cancels a stage whose request is given up.
@@ -81,9 +83,28 @@
             pending: RefCell::default(),
             foreign: RefCell::default(),
             next_ticket: Cell::new(1),
+            owners: RefCell::default(),
         }
     }
 
+    /// Returns the owner of a service, and says so if it isn't the one of before: nodes that name different ones at the
+    /// same time split the service's calls.
+    fn owner_of(&self, service: &Arc<str>) -> SocketAddr {
+        let owner = self.peers.owner(service);
+        let now = self.clock.now().monotonic;
+        let mut owners = self.owners.borrow_mut();
+        let before = owners.get(service).copied();
+        if before.is_none_or(|(before, _)| before != owner) {
+            owners.insert(service.clone(), (owner, now));
+            let line =
+                LogLine::event("owner_changed").with("service", service).with("owner", owner);
+            let line = line.with_some("before", before.map(|(before, _)| before));
+            let lasted_ms = before.map(|(_, since)| now.saturating_sub(since).as_millis());
+            log::info(line.with_some("lasted_ms", lasted_ms).with("nodes", self.peers.nodes()));
+        }
+        owner
+    }
+
     /// Returns the backlogs that this node knows.
     pub fn backlogs(&self) -> &Rc<Backlogs> {
         &self.backlogs
@@ -97,22 +118,30 @@
     }
 
     /// Returns what is to be said of stage services in heartbeats.
-    pub fn described(&self) -> Vec<StageLoad> {
+    pub fn described(&self, loads_of: LoadsOf) -> Vec<StageLoad> {
         let mut own = self.owner.backlogs();
         own.retain(|(service, _)| self.peers.owner(service) == self.peers.address());
-        self.backlogs.described(own)
+        self.backlogs.described(self.clock.now().monotonic, own, loads_of)
     }
 
-    /// Takes in what a peer says of stage services.
-    pub fn heard(&self, peer: SocketAddr, loads: &[StageLoad]) {
-        self.backlogs.heard(self.clock.now().monotonic, peer, loads);
+    /// Takes in what a peer says of stage services. `contains_own` tells whether sums of its domain contain what
+    /// this node has told.
+    pub fn heard(
+        &self,
+        peer: SocketAddr,
+        loads: &[StageLoad],
+        loads_of: LoadsOf,
+        contains_own: bool,
+    ) {
+        let now = self.clock.now().monotonic;
+        self.backlogs.heard(now, peer, loads, loads_of, contains_own);
     }
 
     /// Has the pieces of a stage made. Dropping the future cancels them.
     pub async fn make(&self, work: Work) -> WorkEnd {
         let started = self.clock.now().monotonic;
         for _ in 0..OWNERS_MAX {
-            let owner = self.peers.owner(&work.service);
+            let owner = self.owner_of(&work.service);
             let (sender, receiver) = oneshot::channel();
             let cancel = self.ask(owner, &work, sender);
             let mut guard = CancelGuard { stages: self, cancel: Some(cancel) };
@@ -159,6 +188,11 @@
         self.peers.send(owner, GatewayBody::Release(release));
     }
 
+    /// Takes in that nothing more is heard of a peer that owns nothing.
+    pub fn unfollowed(&self, peer: SocketAddr) {
+        self.backlogs.lost(peer);
+    }
+
     /// Takes in that a peer is lost: what it owned is to be asked for elsewhere, and nobody
     /// there waits any more.
     pub fn peer_lost(&self, peer: SocketAddr) {
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -31,6 +31,10 @@
 const AVOID_UNREACHABLE: Duration = Duration::from_secs(1);
 /// How long a full upstream is avoided: about the time in which a slot comes free.
 const AVOID_FULL: Duration = Duration::from_millis(60);
+/// Age from which on the sums of a failure domain are of no use: the requests that they counted have ended.
+const DOMAIN_LOADS_MAX: Duration = Duration::from_secs(2);
+/// How long a delegate tells on which upstreams took no connection of a node of its domain: a few heartbeats.
+const TOLD_ON_TIME: Duration = Duration::from_millis(600);
 /// Part of an upstream's connection limit that all nodes together use. The rest is for nodes
 /// that are not counted at the moment.
 const CONNECTIONS_PART: f64 = 0.7;
@@ -41,13 +45,53 @@
     avoid_until: Duration,
     /// Until when this node tells its peers that the upstream takes no connection.
     unreachable_until: Duration,
+    /// Until when it tells on what another node of its domain has found, if it is a delegate.
+    told_on_until: Duration,
+}
+
+/// Whose load was told.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum LoadSource {
+    /// One peer's own.
+    Peer(SocketAddr),
+    /// That of all nodes of a failure domain.
+    Domain(Arc<str>),
 }
 
 #[derive(Debug, Default)]
 struct PeerLoads {
-    by_peer: HashMap<SocketAddr, Vec<(u32, f64)>>,
-    /// Invariant: the sums of `by_peer`.
+    by_source: HashMap<LoadSource, Told>,
+    /// Invariant: the sums of `by_source`.
     totals: HashMap<u32, f64>,
+    /// What this node told its domain's delegates last.
+    told: HashMap<u32, f64>,
+}
+
+#[derive(Debug)]
+struct Told {
+    at: Duration,
+    loads: Vec<(u32, f64)>,
+}
+
+impl PeerLoads {
+    fn replace(&mut self, source: LoadSource, told: Option<Told>) {
+        let before = self.by_source.remove(&source);
+        if before.is_none() && told.is_none() {
+            return;
+        }
+        for (upstream, load) in before.into_iter().flat_map(|before| before.loads) {
+            if let Some(total) = self.totals.get_mut(&upstream) {
+                *total -= load;
+            }
+        }
+        for (upstream, load) in told.iter().flat_map(|told| &told.loads) {
+            *self.totals.entry(*upstream).or_default() += load;
+        }
+        self.totals.retain(|_, total| *total > 0.01);
+        if let Some(told) = told {
+            self.by_source.insert(source, told);
+        }
+    }
 }
 
 /// Returns the address of the maker of a result, which its handle begins with.
@@ -184,6 +228,7 @@
         for (_, pool) in self.pools.borrow().iter() {
             pool.expire();
         }
+        self.forget_old_loads(now);
         let effects = self.directory.borrow_mut().expire(now);
         self.settle(effects)
     }
@@ -276,8 +321,28 @@
         LoadGuard { upstreams: self.clone(), key, weight }
     }
 
-    /// Lists the work of this node on upstreams, by their short hashes.
-    pub fn own_loads(&self) -> Vec<(u32, u32)> {
+    /// Lists the work of this node on upstreams for its domain's delegates, by the hashes of their starts.
+    pub fn told_loads(&self) -> Vec<(u32, u32)> {
+        let loads = self.own_loads();
+        let told = loads.iter().map(|(upstream, load)| (*upstream, f64::from(*load)));
+        self.peer_loads.borrow_mut().told = told.collect();
+        loads
+    }
+
+    /// Lists the work of all nodes of the failure domain, of which this one is a delegate.
+    pub fn domain_loads(&self) -> Vec<(u32, u32)> {
+        let mut sums: HashMap<u32, f64> =
+            self.own_loads().into_iter().map(|(upstream, load)| (upstream, load.into())).collect();
+        let all = self.peer_loads.borrow();
+        let near = all.by_source.iter().filter(|(source, _)| matches!(source, LoadSource::Peer(_)));
+        for (upstream, load) in near.flat_map(|(_, told)| &told.loads) {
+            *sums.entry(*upstream).or_default() += load;
+        }
+        sums.into_iter().map(|(upstream, load)| (upstream, load.round() as u32)).collect()
+    }
+
+    /// Lists the work of this node on upstreams, by the hashes of their starts.
+    fn own_loads(&self) -> Vec<(u32, u32)> {
         let directory = self.directory.borrow();
         let loads = self.own_loads.borrow();
         let named = loads.iter().filter(|(_, load)| **load >= 0.5).filter_map(|(key, load)| {
@@ -289,19 +354,33 @@
 
     /// Takes in the work of a peer on upstreams; an empty list forgets the peer.
     pub fn set_peer_loads(&self, peer: SocketAddr, loads: Vec<(u32, f64)>) {
+        let told = (!loads.is_empty()).then_some(Told { at: Duration::ZERO, loads });
+        self.peer_loads.borrow_mut().replace(LoadSource::Peer(peer), told);
+    }
+
+    /// Takes in the work of all nodes of a failure domain. That of this node's own domain contains what it has told
+    /// itself, which is taken off.
+    pub fn set_domain_loads(&self, now: Duration, domain: &Arc<str>, mut loads: Vec<(u32, f64)>) {
         let mut all = self.peer_loads.borrow_mut();
-        let before = all.by_peer.remove(&peer).unwrap_or_default();
-        for (upstream, load) in before {
-            if let Some(total) = all.totals.get_mut(&upstream) {
-                *total -= load;
+        if *domain == self.failure_domain {
+            for (upstream, load) in &mut loads {
+                let own = all.told.get(upstream).copied().unwrap_or(0.0);
+                *load = (*load - own).max(0.0);
             }
         }
-        for (upstream, load) in &loads {
-            *all.totals.entry(*upstream).or_default() += load;
-        }
-        all.totals.retain(|_, total| *total > 0.01);
-        if !loads.is_empty() {
-            all.by_peer.insert(peer, loads);
+        all.replace(LoadSource::Domain(domain.clone()), Some(Told { at: now, loads }));
+    }
+
+    /// Forgets what was told of failure domains too long ago: nobody there tells it any more.
+    fn forget_old_loads(&self, now: Duration) {
+        let mut all = self.peer_loads.borrow_mut();
+        let is_old = |source: &LoadSource, told: &Told| {
+            matches!(source, LoadSource::Domain(_)) && now > told.at + DOMAIN_LOADS_MAX
+        };
+        let old = all.by_source.iter().filter(|(source, told)| is_old(source, told));
+        let old: Vec<_> = old.map(|(source, _)| source.clone()).collect();
+        for source in old {
+            all.replace(source, None);
         }
     }
 
@@ -351,13 +430,15 @@
     pub fn unreachable(&self, now: Duration) -> Vec<u32> {
         let directory = self.directory.borrow();
         let health = self.health.borrow();
-        let named = health.iter().filter(|(_, health)| now < health.unreachable_until);
+        let until = |health: &Health| health.unreachable_until.max(health.told_on_until);
+        let named = health.iter().filter(|(_, health)| now < until(health));
         let instances = named.filter_map(|(key, _)| directory.get(key));
         instances.map(|upstream| upstream.record.run_hash()).collect()
     }
 
-    /// Takes in the upstreams that took no connection of a peer in the same failure domain.
-    pub fn peer_found_unreachable(&self, now: Duration, upstreams: &[u32]) {
+    /// Takes in the upstreams that took no connection of a peer in the same failure domain. `tells_on` says whether
+    /// others don't hear that peer and depend on this node.
+    pub fn peer_found_unreachable(&self, now: Duration, upstreams: &[u32], tells_on: bool) {
         if upstreams.is_empty() {
             return;
         }
@@ -368,6 +449,9 @@
             if is_named && let Some(entry) = health.entry(key) {
                 let entry = entry.or_default();
                 entry.avoid_until = entry.avoid_until.max(now + AVOID_FIRST * 2);
+                if tells_on {
+                    entry.told_on_until = now + TOLD_ON_TIME;
+                }
             }
         }
     }
--- a/crates/fernring-gateway/tests/testsuite/backlogs.rs
+++ b/crates/fernring-gateway/tests/testsuite/backlogs.rs
@@ -2,6 +2,7 @@
 
 use {
     fernring_gateway::{backlog::Backlog, backlogs::Backlogs},
+    fernring_protocol::gateway::LoadsOf,
     std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
 };
 
@@ -27,8 +28,20 @@
     let service: Arc<str> = "first".into();
     let [owner, other, here] = [(); 3].map(|()| Rc::new(Backlogs::default()));
     let _theirs = other.promise(&service, 0, 5);
-    here.heard(NOW, peer(1), &owner.described(vec![(service.clone(), backlog(20))]));
-    here.heard(NOW, peer(2), &other.described(Vec::new()));
+    here.heard(
+        NOW,
+        peer(1),
+        &owner.described(NOW, vec![(service.clone(), backlog(20))], LoadsOf::Sender),
+        LoadsOf::Sender,
+        false,
+    );
+    here.heard(
+        NOW,
+        peer(2),
+        &other.described(NOW, Vec::new(), LoadsOf::Sender),
+        LoadsOf::Sender,
+        false,
+    );
     assert_eq!(ahead(&here, NOW), Some(25));
     let ours = here.promise(&service, 2, 3);
     assert_eq!(ahead(&here, NOW), Some(28));
@@ -42,7 +55,13 @@
 fn an_owner_that_fell_silent_says_nothing_any_more() {
     let here = Rc::new(Backlogs::default());
     assert_eq!(ahead(&here, NOW), None);
-    here.heard(NOW, peer(1), &here.described(vec![("first".into(), backlog(20))]));
+    here.heard(
+        NOW,
+        peer(1),
+        &here.described(NOW, vec![("first".into(), backlog(20))], LoadsOf::Sender),
+        LoadsOf::Sender,
+        false,
+    );
     assert_eq!(ahead(&here, NOW + Duration::from_millis(500)), Some(20));
     assert_eq!(ahead(&here, NOW + Duration::from_secs(1)), None);
 }
@@ -50,7 +69,38 @@
 #[test]
 fn the_owner_itself_goes_by_its_own_queue() {
     let here = Rc::new(Backlogs::default());
-    here.heard(NOW, peer(1), &here.described(vec![("first".into(), backlog(20))]));
+    here.heard(
+        NOW,
+        peer(1),
+        &here.described(NOW, vec![("first".into(), backlog(20))], LoadsOf::Sender),
+        LoadsOf::Sender,
+        false,
+    );
     let own = here.of(NOW, "first", Some(backlog(7)));
     assert_eq!(own.map(|backlog| backlog.waiting[0]), Some(7));
 }
+
+#[test]
+fn promises_of_a_domain_are_added_up_by_a_delegate_and_counted_once() {
+    let service: Arc<str> = "first".into();
+    let [owner, follower, delegate, far] = [(); 4].map(|()| Rc::new(Backlogs::default()));
+    let owned = owner.described(NOW, vec![(service.clone(), backlog(20))], LoadsOf::Nobody);
+    for node in [&follower, &delegate, &far] {
+        node.heard(NOW, peer(1), &owned, LoadsOf::Nobody, false);
+    }
+    let _theirs = follower.promise(&service, 0, 5);
+    let _ours = delegate.promise(&service, 1, 2);
+    let told = follower.described(NOW, Vec::new(), LoadsOf::Sender);
+    delegate.heard(NOW, peer(2), &told, LoadsOf::Sender, false);
+    assert_eq!(ahead(&delegate, NOW), Some(27));
+    let sums = delegate.described(NOW, Vec::new(), LoadsOf::Domain);
+    far.heard(NOW, peer(3), &sums, LoadsOf::Domain, false);
+    assert_eq!(ahead(&far, NOW), Some(27));
+    follower.heard(NOW, peer(3), &sums, LoadsOf::Domain, true);
+    assert_eq!(ahead(&follower, NOW), Some(27), "what it promised itself isn't counted twice");
+    // Heartbeats in between that tell no loads leave the sums as they are.
+    far.heard(NOW, peer(3), &[], LoadsOf::Nobody, false);
+    assert_eq!(ahead(&far, NOW), Some(27));
+    let passed_on = far.described(NOW, Vec::new(), LoadsOf::Domain);
+    assert!(passed_on.is_empty(), "sums of other domains aren't passed on");
+}
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod come_back;
 mod config;
+mod delegates;
 mod directory;
 mod events;
 mod fleet;
--- a/crates/fernring-gateway/tests/testsuite/members.rs
+++ b/crates/fernring-gateway/tests/testsuite/members.rs
@@ -1,7 +1,7 @@
 //! Live nodes and owners.
 
 use {
-    fernring_gateway::members::{Member, Members, ReaderPart, SILENCE_MAX},
+    fernring_gateway::members::{Member, Members, ReaderPart, SILENCE_MAX, Silent},
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
 };
 
@@ -10,12 +10,7 @@
 }
 
 fn member(number: u16, failure_domain: &str) -> Member {
-    Member {
-        incarnation: u64::from(number),
-        address: address(number),
-        failure_domain: failure_domain.into(),
-        is_draining: false,
-    }
+    Member { incarnation: u64::from(number), ..Member::new(address(number), failure_domain.into()) }
 }
 
 fn knowing(others: &[u16]) -> Members {
@@ -61,7 +56,8 @@
     let mut members = knowing(&[2]);
     let step = SILENCE_MAX / 2;
     assert!(members.expire(Duration::ZERO, step).is_empty());
-    assert_eq!(members.expire(step, step * 2), [address(2)]);
+    let silent = Silent { address: address(2), is_delegate: true, silent_for: step * 2 };
+    assert_eq!(members.expire(step, step * 2), [silent]);
     assert!(members.expire(step * 2, step * 3).is_empty());
     assert!(members.heard(step * 3, member(2, "a")), "it is back");
 }
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -11,13 +11,12 @@
 
 const NOW: Duration = Duration::from_secs(100);
 
-fn upstreams(instances: &[&str]) -> Rc<Upstreams> {
-    let upstreams = Rc::new(Upstreams::new("a".into()));
-    let change = |(number, instance): (usize, &&str)| Change {
-        instance: (*instance).into(),
+fn change(number: usize, instance: &str) -> Change {
+    Change {
+        instance: instance.into(),
         offset: number as u64,
         entry: Entry::Present(UpstreamRecord {
-            instance: (*instance).into(),
+            instance: instance.into(),
             started_ms: None,
             service: "s".into(),
             address: SocketAddr::from(([10, 0, 0, 1], number as u16)),
@@ -25,8 +24,13 @@
             slots: 1,
             state: UpstreamState::Ready,
         }),
-    };
-    upstreams.apply(NOW, instances.iter().enumerate().map(change).collect());
+    }
+}
+
+fn upstreams(instances: &[&str]) -> Rc<Upstreams> {
+    let upstreams = Rc::new(Upstreams::new("a".into()));
+    let changes = instances.iter().enumerate().map(|(number, instance)| change(number, instance));
+    upstreams.apply(NOW, changes.collect());
     upstreams
 }
 
@@ -57,7 +61,7 @@
     let other = upstreams(&["gone", "sound"]);
     one.was_unreachable(NOW, key(&one, "gone"));
     assert_eq!(one.unreachable(NOW), [short_hash("gone")]);
-    other.peer_found_unreachable(NOW, &one.unreachable(NOW));
+    other.peer_found_unreachable(NOW, &one.unreachable(NOW), false);
     assert!(is_avoided(&other, NOW, "gone") && !is_avoided(&other, NOW, "sound"));
     assert!(other.unreachable(NOW).is_empty(), "hearsay is not passed on");
     assert!(one.unreachable(NOW + Duration::from_secs(5)).is_empty());
@@ -102,3 +106,48 @@
         "a peer that read long ago changes nothing"
     );
 }
+
+fn load_of(upstreams: &Upstreams, instance: &str) -> f64 {
+    let key = key(upstreams, instance);
+    let candidates = upstreams.candidates(NOW, "s", |_| false);
+    candidates.iter().find(|candidate| candidate.key == key).unwrap().load
+}
+
+fn as_loads(told: Vec<(u32, u32)>) -> Vec<(u32, f64)> {
+    told.into_iter().map(|(upstream, load)| (upstream, load.into())).collect()
+}
+
+#[test]
+fn a_domains_load_is_added_up_by_a_delegate_and_counted_once() {
+    let [follower, delegate, far] = ["a", "a", "b"].map(|domain| {
+        let upstreams = Rc::new(Upstreams::new(domain.into()));
+        upstreams.apply(NOW, vec![change(0, "i")]);
+        upstreams
+    });
+    let _own = follower.load(key(&follower, "i"), 30.0);
+    let _of_delegate = delegate.load(key(&delegate, "i"), 5.0);
+    delegate.set_peer_loads(SocketAddr::from(([10, 0, 0, 9], 1)), as_loads(follower.told_loads()));
+    assert_eq!(load_of(&delegate, "i"), 35.0);
+    let sums = as_loads(delegate.domain_loads());
+    far.set_domain_loads(NOW, &"a".into(), sums.clone());
+    assert_eq!(load_of(&far, "i"), 35.0);
+    follower.set_domain_loads(NOW, &"a".into(), sums.clone());
+    assert_eq!(load_of(&follower, "i"), 35.0, "what it told itself isn't counted twice");
+    // A second telling replaces the first, and one that isn't repeated is forgotten.
+    far.set_domain_loads(NOW, &"a".into(), sums);
+    assert_eq!(load_of(&far, "i"), 35.0);
+    far.expire(NOW + Duration::from_secs(3));
+    assert_eq!(load_of(&far, "i"), 0.0);
+}
+
+#[test]
+fn a_delegate_tells_on_what_a_node_of_its_domain_found_unreachable_and_no_further() {
+    let [found, delegate, other] = [(); 3].map(|()| upstreams(&["gone"]));
+    found.was_unreachable(NOW, key(&found, "gone"));
+    delegate.peer_found_unreachable(NOW, &found.unreachable(NOW), true);
+    assert_eq!(delegate.unreachable(NOW), [short_hash("gone")]);
+    other.peer_found_unreachable(NOW, &delegate.unreachable(NOW), false);
+    assert!(is_avoided(&other, NOW, "gone"));
+    assert!(other.unreachable(NOW).is_empty(), "it goes no further");
+    assert!(delegate.unreachable(NOW + Duration::from_secs(1)).is_empty(), "nor on for ever");
+}
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Messages between gateway nodes. Each goes one way; an answer is a message of its own. Field
 //! numbers are stable: never reused, never changed.
 
-use prost::{Message, Oneof};
+use prost::{Enumeration, Message, Oneof};
 
 /// One message.
 #[derive(Clone, PartialEq, Message)]
@@ -95,6 +95,33 @@
     /// What waits at the stage services that the node owns, and what it has promised.
     #[prost(message, repeated, tag = "12")]
     pub stage_loads: Vec<StageLoad>,
+    /// Whether the node is no delegate of its failure domain. Nodes that don't know of delegates are ones.
+    #[prost(bool, tag = "13")]
+    pub is_follower: bool,
+    /// What its link carries, in Mbit/s.
+    #[prost(uint32, tag = "14")]
+    pub link_mbps: u32,
+    /// Live nodes that it hears, itself included.
+    #[prost(uint32, tag = "15")]
+    pub nodes: u32,
+    /// Pause until its next heartbeat to this peer, in milliseconds; 0 for the usual one.
+    #[prost(uint32, tag = "16")]
+    pub interval_ms: u32,
+    /// Whose loads and promises it tells.
+    #[prost(enumeration = "LoadsOf", tag = "17")]
+    pub loads_of: i32,
+}
+
+/// Whose loads and promises a heartbeat tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum LoadsOf {
+    /// The sender's own.
+    Sender = 0,
+    /// Those of all nodes of its failure domain, added up.
+    Domain = 1,
+    /// Nobody's: what was told before holds on.
+    Nobody = 2,
 }
 
 /// What a node says of one stage service.
