--- a/crates/fernring-gateway/src/freshness.rs
+++ b/crates/fernring-gateway/src/freshness.rs
@@ -29,11 +29,6 @@
 const FIRST_READ_WAIT: Range<Duration> = Duration::from_millis(600)..Duration::from_millis(850);
 /// Wait of one read of another reader: as long as the calls to the store that it saves are worth it.
 const READ_WAIT: Range<Duration> = Duration::from_millis(3_000)..Duration::from_millis(4_000);
-/// Pause between two reads of the upstreams' records. Well below the time after which a leaving upstream may get no
-/// new work.
-const GATHER_PAUSE: Duration = Duration::from_millis(600);
-/// The same for a reader that only stands by: as long as one of its reads waits.
-const DOMAIN_GATHER_PAUSE: Duration = Duration::from_secs(3);
 /// Age from which on a reader doesn't wait any more for the first one: the longest wait of that
 /// one, two heartbeats, and a little.
 pub const DOUBT_AFTER: Duration = Duration::from_millis(1_150);
@@ -105,16 +100,6 @@
     }
 }
 
-/// Returns the pause after a read that brought records of upstreams, so that the heartbeats of all of them don't cost a
-/// call each. A reader that others don't depend on while the first one confirms what is known pauses longer, until it
-/// is in doubt.
-pub fn gather_pause(part: ReaderPart) -> Duration {
-    match part {
-        ReaderPart::OfDomain => DOMAIN_GATHER_PAUSE,
-        ReaderPart::First | ReaderPart::Alone | ReaderPart::None => GATHER_PAUSE,
-    }
-}
-
 /// Returns how long a read waits for a record.
 pub fn read_wait(part: ReaderPart) -> Range<Duration> {
     match part {
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -8,7 +8,7 @@
         config::ConfigState,
         directory::{Change, Effect, Entry},
         following::Following,
-        freshness::{DOUBT_AFTER, gather_pause, read_wait},
+        freshness::{DOUBT_AFTER, read_wait},
         log, measures,
         members::ReaderPart,
         owner::Owner,
@@ -39,6 +39,9 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the start in which a node doesn't know its peers yet, so that it takes nobody's part.
 const START_TIME: Duration = Duration::from_secs(1);
+/// Pause between two reads of the upstreams' records, so that the heartbeats of all of them don't
+/// cost a call each. Well below the time after which a leaving upstream may get no new work.
+const GATHER_PAUSE: Duration = Duration::from_millis(600);
 /// How often the upstreams whose records lapsed are looked through.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Tries to remove this node's own record when it shuts down.
@@ -104,7 +107,7 @@
 impl StoreLoops {
     /// Follows the configuration.
     pub async fn follow_config(self: Rc<Self>) {
-        self.follow(Followed::Config, |page, _| {
+        self.follow(Followed::Config, Duration::ZERO, |page, _| {
             for record in page.records {
                 if let Some(value) = record.value {
                     self.take_config(&value, pack(&value), record.offset + 1, "store");
@@ -116,14 +119,14 @@
 
     /// Follows the upstreams' records.
     pub async fn follow_upstreams(self: Rc<Self>) {
-        self.follow(Followed::Upstreams, |page, is_whole| {
+        self.follow(Followed::Upstreams, GATHER_PAUSE, |page, is_whole| {
             self.take_upstreams(page, is_whole);
         })
         .await;
     }
 
     /// Reads a topic whole, then follows it whenever this node has to.
-    async fn follow(&self, what: Followed, take: impl Fn(Page, bool)) {
+    async fn follow(&self, what: Followed, gather: Duration, take: impl Fn(Page, bool)) {
         let topic = what.topic();
         let mut from = None;
         let mut pause = PAUSE_FIRST;
@@ -163,8 +166,8 @@
                     if !went_back {
                         self.following(what).borrow_mut().was_read(read_at, part);
                     }
-                    if has_records && what == Followed::Upstreams {
-                        self.gather(part).await;
+                    if has_records && !gather.is_zero() {
+                        sleep(gather).await;
                     }
                 }
                 Err(StoreError::Expired) => {
@@ -182,17 +185,6 @@
         }
     }
 
-    /// Lets records of upstreams gather before the next read, for as long as what is known is confirmed by others.
-    async fn gather(&self, part: ReaderPart) {
-        let end = self.now() + gather_pause(part);
-        sleep(gather_pause(ReaderPart::First)).await;
-        while self.now() < end
-            && !self.following(Followed::Upstreams).borrow().freshness().is_in_doubt(self.now())
-        {
-            sleep(WATCH_INTERVAL).await;
-        }
-    }
-
     /// Returns the number to read on from: peers may have told more than this node has read.
     fn known_to(&self, what: Followed, from: u64) -> u64 {
         match what {
