--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -3,7 +3,7 @@
 
 use {
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
-    xxhash_rust::xxh3::xxh3_64,
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 slotmap::new_key_type! {
@@ -222,10 +222,7 @@
     /// Returns a short hash of this run of the upstream's process, by which nodes tell each other of it: two starts
     /// of one instance have different ones, so that load of the first isn't counted for the second.
     pub fn run_hash(&self) -> u32 {
-        match self.started_ms {
-            Some(started_ms) => short_hash(&format!("{}@{started_ms}", self.instance)),
-            None => short_hash(&self.instance),
-        }
+        xxh3_64_with_seed(self.instance.as_bytes(), self.started_ms.unwrap_or(0)) as u32
     }
 }
 
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -151,3 +151,26 @@
     assert!(other.unreachable(NOW).is_empty(), "it goes no further");
     assert!(delegate.unreachable(NOW + Duration::from_secs(1)).is_empty(), "nor on for ever");
 }
+
+#[test]
+fn load_of_a_process_of_before_is_not_counted_for_the_one_that_started_again() {
+    let upstreams = upstreams(&[]);
+    let started = |offset, started_ms| {
+        let Change { instance, entry: Entry::Present(record), .. } = change(0, "i") else {
+            panic!("a record");
+        };
+        let record = UpstreamRecord { started_ms: Some(started_ms), ..record };
+        Change { instance, offset, entry: Entry::Present(record) }
+    };
+    upstreams.apply(NOW, vec![started(0, 10)]);
+    let before = key(&upstreams, "i");
+    let _load = upstreams.load(before, 7.0);
+    let hash = upstreams.directory().get(before).unwrap().record.run_hash();
+    upstreams.set_peer_loads(SocketAddr::from(([10, 0, 0, 9], 1)), vec![(hash, 20.0)]);
+    upstreams.failed(NOW, before);
+    assert_eq!(load_of(&upstreams, "i"), 27.0);
+    upstreams.apply(NOW, vec![started(1, 20)]);
+    assert_eq!(load_of(&upstreams, "i"), 0.0);
+    assert!(!is_avoided(&upstreams, NOW, "i"), "nor are its failures");
+    assert!(upstreams.target(before).is_none());
+}
