What counts as a crowd at a stage service grows with its makers

Cause: with two calls' worth of waiting pieces every maker took whatever waited, so that nothing is late in a crowd. That was measured with five makers.

--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -25,8 +25,11 @@
 /// another maker, less than one that a whole rank would starve in. Measured against 1 and 7.
 const RANK_CALLS: f64 = 2.0;
 /// Calls' worth of waiting pieces from which on every maker takes whatever waits. Lateness costs
-/// most of a request's worth, what crosses between domains a few hundredths. Measured against 1 and 3.
-const CROWDED_CALLS: usize = 2;
+/// most of a request's worth, what crosses between domains a few hundredths. Measured against 1 and 3, with five makers.
+const CROWDED_CALLS: f64 = 2.0;
+/// The same for each maker, where there are more: with 41, two calls' worth wait in calm, and all large results were
+/// made far from their readers (35 of 36 GB).
+const CROWDED_CALLS_A_MAKER: f64 = CROWDED_CALLS / 5.0;
 /// Head start of pieces whose results are read in the maker's own domain, in full calls: what another maker
 /// would have to be waited for.
 const FAR_CALLS: f64 = 1.0;
@@ -75,6 +78,17 @@
     }
 }
 
+/// The maker that a call is filled for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Taker<'a> {
+    /// Its failure domain.
+    pub failure_domain: &'a str,
+    /// Bytes of results that it has room for.
+    pub room_bytes: u64,
+    /// Makers of its service that take work, itself included.
+    pub makers: usize,
+}
+
 /// What ended the filling of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Bound {
@@ -187,19 +201,19 @@
         self.tasks.extract_if(.., expired).collect()
     }
 
-    /// Takes out the pieces of the next call of a maker in `failure_domain`: the most urgent that
-    /// fit into a call and into `room_bytes`. Those that can still be in time go before those that
+    /// Takes out the pieces of the next call of a maker: the most urgent that
+    /// fit into a call and into its room. Those that can still be in time go before those that
     /// can't, and the rest of what was begun before all. A result that will be read in another
     /// domain is left to the makers there if they can make it in time; `makers_in` tells of them.
     pub fn take(
         &mut self,
         now: Duration,
         shape: &BatchShape,
-        room_bytes: u64,
-        failure_domain: &str,
+        taker: Taker<'_>,
         rules: &DecideSettings,
         makers_in: impl Fn(&str) -> Option<Makers>,
     ) -> Batch {
+        let Taker { failure_domain, mut room_bytes, makers } = taker;
         let full_call = usual_time(shape, shape.pieces_max);
         let begun = &self.begun;
         let far = |task: &Task| task.near.as_ref().is_some_and(|near| **near != *failure_domain);
@@ -209,7 +223,8 @@
             (!begun.contains(&task.work), misses(task, now, shape), turn, task.work)
         };
         self.tasks.sort_by_cached_key(order);
-        let is_crowded = self.tasks.len() > CROWDED_CALLS * shape.pieces_max;
+        let crowded_calls = CROWDED_CALLS.max(CROWDED_CALLS_A_MAKER * makers as f64);
+        let is_crowded = self.tasks.len() as f64 > crowded_calls * shape.pieces_max as f64;
         // Pieces that will be read in each domain, among those looked at so far.
         let mut ahead: HashMap<Arc<str>, usize> = HashMap::new();
         let mut sizes: HashMap<u64, usize> = HashMap::new();
@@ -219,7 +234,6 @@
         // The work that was looked at last, and whether it is left whole to another call.
         let mut looked_at = None;
         let mut is_left_whole = false;
-        let mut room_bytes = room_bytes;
         let mut taken = 0;
         let mut bound = Bound::Empty;
         let fits = |task: &mut Task| {
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -12,7 +12,7 @@
 use {
     crate::{
         backlog::{Backlog, rank},
-        batching::{BatchQueue, Makers, Task},
+        batching::{BatchQueue, Makers, Taker, Task},
         config::ConfigState,
         directory::Effect,
         flow::Flow,
@@ -298,14 +298,12 @@
             let batch = match self.queues.borrow_mut().get_mut(service_name) {
                 Some(queue) => {
                     let makers_in = |domain: &str| self.makers_in(service_name, domain);
-                    queue.take(
-                        now,
-                        &shape,
-                        room,
-                        &target.failure_domain,
-                        &self.rules.get(),
-                        makers_in,
-                    )
+                    let taker = Taker {
+                        failure_domain: &target.failure_domain,
+                        room_bytes: room,
+                        makers: makers.len(),
+                    };
+                    queue.take(now, &shape, taker, &self.rules.get(), makers_in)
                 }
                 None => return,
             };
--- a/crates/fernring-gateway/tests/testsuite/batching.rs
+++ b/crates/fernring-gateway/tests/testsuite/batching.rs
@@ -3,7 +3,7 @@
 use {
     fernring_gateway::{
         backlog::{Backlog, RANKS},
-        batching::{BatchQueue, Bound, Makers, Task},
+        batching::{BatchQueue, Bound, Makers, Taker, Task},
         model::{BatchShape, Piece, PieceInput},
         settings::DecideSettings,
     },
@@ -55,6 +55,11 @@
     }
 }
 
+/// A maker of a service that has no other.
+fn at(failure_domain: &str, room_bytes: u64) -> Taker<'_> {
+    Taker { failure_domain, room_bytes, makers: 1 }
+}
+
 fn queue(tasks: impl IntoIterator<Item = Task>) -> BatchQueue {
     let mut queue = BatchQueue::default();
     tasks.into_iter().for_each(|task| queue.push(task));
@@ -66,7 +71,7 @@
 }
 
 fn take(queue: &mut BatchQueue, room_bytes: u64) -> Vec<u64> {
-    let taken = queue.take(NOW, &shape(), room_bytes, "a", &RULES, no_makers);
+    let taken = queue.take(NOW, &shape(), at("a", room_bytes), &RULES, no_makers);
     taken.tasks.iter().map(|task| task.work).collect()
 }
 
@@ -83,8 +88,13 @@
 #[test]
 fn what_can_be_in_time_goes_before_what_cannot() {
     let mut queue = queue([task(1, 50), task(2, 900)]);
-    let taken =
-        queue.take(NOW, &BatchShape { pieces_max: 1, ..shape() }, 10_000, "a", &RULES, no_makers);
+    let taken = queue.take(
+        NOW,
+        &BatchShape { pieces_max: 1, ..shape() },
+        at("a", 10_000),
+        &RULES,
+        no_makers,
+    );
     assert_eq!(taken.tasks[0].work, 2);
 }
 
@@ -92,8 +102,13 @@
 fn a_request_of_higher_rank_goes_first_when_due_at_the_same_time() {
     let low = Task { priority: 2, ..task(1, 900) };
     let mut queue = queue([low, task(2, 900)]);
-    let taken =
-        queue.take(NOW, &BatchShape { pieces_max: 1, ..shape() }, 10_000, "a", &RULES, no_makers);
+    let taken = queue.take(
+        NOW,
+        &BatchShape { pieces_max: 1, ..shape() },
+        at("a", 10_000),
+        &RULES,
+        no_makers,
+    );
     assert_eq!(taken.tasks[0].work, 2);
 }
 
@@ -122,13 +137,13 @@
         (domain == "b").then_some(Makers { count: 1, free_at: NOW + Duration::from_millis(100) })
     };
     let mut patient = queue([far(900)]);
-    assert!(patient.take(NOW, &shape(), 10_000, "a", &RULES, makers).tasks.is_empty());
-    assert_eq!(patient.take(NOW, &shape(), 10_000, "b", &RULES, makers).tasks.len(), 1);
+    assert!(patient.take(NOW, &shape(), at("a", 10_000), &RULES, makers).tasks.is_empty());
+    assert_eq!(patient.take(NOW, &shape(), at("b", 10_000), &RULES, makers).tasks.len(), 1);
     let mut urgent = queue([far(200)]);
-    assert_eq!(urgent.take(NOW, &shape(), 10_000, "a", &RULES, makers).tasks.len(), 1);
+    assert_eq!(urgent.take(NOW, &shape(), at("a", 10_000), &RULES, makers).tasks.len(), 1);
     let mut alone = queue([far(900)]);
     assert_eq!(
-        alone.take(NOW, &shape(), 10_000, "a", &RULES, no_makers).tasks.len(),
+        alone.take(NOW, &shape(), at("a", 10_000), &RULES, no_makers).tasks.len(),
         1,
         "no maker is there"
     );
@@ -152,10 +167,10 @@
         |work, domain: &str, due_ms| Task { near: Some(domain.into()), ..task(work, due_ms) };
     let one = BatchShape { pieces_max: 1, ..shape() };
     let mut queue_at_hand = queue([read_in(1, "b", 900), read_in(2, "a", 1_050)]);
-    assert_eq!(queue_at_hand.take(NOW, &one, 10_000, "a", &RULES, no_makers).tasks[0].work, 2);
+    assert_eq!(queue_at_hand.take(NOW, &one, at("a", 10_000), &RULES, no_makers).tasks[0].work, 2);
     let mut urgent = queue([read_in(1, "b", 900), read_in(2, "a", 3_000)]);
     assert_eq!(
-        urgent.take(NOW, &one, 10_000, "a", &RULES, no_makers).tasks[0].work,
+        urgent.take(NOW, &one, at("a", 10_000), &RULES, no_makers).tasks[0].work,
         1,
         "unless that is urgent"
     );
@@ -170,7 +185,7 @@
     };
     let mut queue = queue([piece(0), piece(1)]);
     queue.drop_piece(1, 0);
-    let left = queue.take(NOW, &shape(), 10_000, "a", &RULES, no_makers);
+    let left = queue.take(NOW, &shape(), at("a", 10_000), &RULES, no_makers);
     assert_eq!(left.tasks.iter().map(|task| task.piece.number).collect::<Vec<_>>(), [1]);
 }
 
@@ -184,15 +199,15 @@
         batch.tasks.iter().map(|task| task.work).collect()
     };
     let mut roomy = crowd();
-    let call = roomy.take(NOW, &eight, 700, "a", &RULES, no_makers);
+    let call = roomy.take(NOW, &eight, at("a", 700), &RULES, no_makers);
     assert_eq!(works(&call), [1, 1, 1, 2, 2, 2], "one place of seven stays empty");
     assert_eq!(call.bound, Bound::Places);
     let mut narrow = crowd();
-    let call = narrow.take(NOW, &eight, 500, "a", &RULES, no_makers);
+    let call = narrow.take(NOW, &eight, at("a", 500), &RULES, no_makers);
     assert_eq!(works(&call), [1, 1, 1, 2, 2], "two of five would stay empty");
     let mut split = crowd();
     let rules = DecideSettings { whole_works: false, ..RULES };
-    let call = split.take(NOW, &eight, 700, "a", &rules, no_makers);
+    let call = split.take(NOW, &eight, at("a", 700), &rules, no_makers);
     assert_eq!(works(&call), [1, 1, 1, 2, 2, 2, 3]);
 }
 
@@ -200,14 +215,14 @@
 fn a_call_says_what_ended_its_filling() {
     let bound = |room_bytes, works: u64| {
         let mut queue = queue((1..=works).map(|work| task(work, 900)));
-        queue.take(NOW, &shape(), room_bytes, "a", &RULES, no_makers).bound
+        queue.take(NOW, &shape(), at("a", room_bytes), &RULES, no_makers).bound
     };
     assert_eq!(bound(10_000, 3), Bound::Empty);
     assert_eq!(bound(10_000, 9), Bound::Places);
     assert_eq!(bound(200, 9), Bound::Room);
     let far = Task { near: Some("b".into()), ..task(1, 900) };
     let there = |_: &str| Some(Makers { count: 1, free_at: NOW });
-    let call = queue([far]).take(NOW, &shape(), 10_000, "a", &RULES, there);
+    let call = queue([far]).take(NOW, &shape(), at("a", 10_000), &RULES, there);
     assert_eq!(call.bound, Bound::Domain);
 }
 
@@ -243,3 +258,20 @@
     assert_eq!(in_time[..3], [1, 0, 2]);
     assert_eq!(late, 1);
 }
+
+/// Replays the calm of a large service: dozens of pieces wait at any moment, since dozens of makers are at work.
+#[test]
+fn what_counts_as_a_crowd_grows_with_the_makers() {
+    let near_b = |work| Task { near: Some("b".into()), ..task(work, 60_000) };
+    let waiting = 3 * shape().pieces_max as u64;
+    let makers_in = |_: &str| Some(Makers { count: 8, free_at: NOW });
+    let taken_far = |makers| {
+        let mut queue = queue((0..waiting).map(near_b));
+        queue
+            .take(NOW, &shape(), Taker { makers, ..at("a", 1_000_000) }, &RULES, makers_in)
+            .tasks
+            .len()
+    };
+    assert_eq!(taken_far(41), 0, "makers near the readers have time for all");
+    assert!(taken_far(5) > 0, "five makers have three calls' worth before them");
+}
