--- a/crates/fernring-gateway/src/peers.rs
+++ b/crates/fernring-gateway/src/peers.rs
@@ -84,6 +84,8 @@
 /// The heartbeats of one round, encoded.
 #[derive(Debug, Default)]
 struct Round {
+    /// Whether this node tells the loads of its domain in this round.
+    tells_domain: bool,
     encoded: Vec<(HeartbeatKind, Bytes)>,
 }
 
@@ -360,7 +362,9 @@
             false => self.role.borrow().audience(now, &me, &members, self.rounds.get()),
         };
         drop(members);
-        let mut round = Round::default();
+        let is_due = self.rounds.get().is_multiple_of(DOMAIN_LOADS_ROUNDS);
+        let tells_domain = is_due && self.members.borrow().is_first_delegate(now, &me);
+        let mut round = Round { tells_domain, ..Round::default() };
         for (peer, pace) in audience {
             self.send_heartbeat(&mut round, peer, pace);
         }
@@ -393,7 +397,8 @@
     /// Sends a heartbeat; those of one round that say the same are encoded once for all who get them.
     fn send_heartbeat(self: &Rc<Self>, round: &mut Round, peer: SocketAddr, pace: Pace) {
         let is_first = !self.members.borrow().is_live(self.now(), peer);
-        let kind = HeartbeatKind { pace, is_first, loads_of: self.loads_for(peer, pace) };
+        let loads_of = self.loads_for(peer, pace, round.tells_domain);
+        let kind = HeartbeatKind { pace, is_first, loads_of };
         let bytes = match round.encoded.iter().find(|(encoded, _)| *encoded == kind) {
             Some((_, bytes)) => bytes.clone(),
             None => {
@@ -409,7 +414,7 @@
 
     /// Returns whose loads a peer is told of. The first delegate of a domain tells those of the domain to all but the
     /// domain's other delegates, which hear its nodes themselves.
-    fn loads_for(&self, peer: SocketAddr, pace: Pace) -> LoadsOf {
+    fn loads_for(&self, peer: SocketAddr, pace: Pace, tells_domain: bool) -> LoadsOf {
         let role = self.role.borrow();
         if role.is_mesh() || (!role.is_delegate() && pace == Pace::Near) {
             return LoadsOf::Sender;
@@ -417,15 +422,10 @@
         if !role.is_delegate() {
             return LoadsOf::Nobody;
         }
-        let (me, members) = (self.me.borrow(), self.members.borrow());
-        if members.is_delegate_of(peer, &me.failure_domain) {
+        if self.members.borrow().is_delegate_of(peer, &self.me.borrow().failure_domain) {
             return LoadsOf::Sender;
         }
-        let is_due = self.rounds.get().is_multiple_of(DOMAIN_LOADS_ROUNDS);
-        match is_due && members.is_first_delegate(self.now(), &me) {
-            true => LoadsOf::Domain,
-            false => LoadsOf::Nobody,
-        }
+        if tells_domain { LoadsOf::Domain } else { LoadsOf::Nobody }
     }
 
     fn heartbeat(&self, kind: HeartbeatKind) -> GatewayHeartbeat {
