The first reader confirms what is known before others doubt it, also after a pause

Cause: after a change of upstreams records gather for 0.6 s, then the first reader's read waited up to 0.85 s more: its answer came when what all nodes knew was 1.45 s old, the very age at which each reads by itself, and goes on for 3 s. A reader that stands by looked at its doubt only when the wait of its read or 1.15 s was over.

Change: the first reader's wait ends at the age of doubt, 1.15 s; others are woken by it.

--- a/crates/fernring-gateway/src/freshness.rs
+++ b/crates/fernring-gateway/src/freshness.rs
@@ -89,6 +89,21 @@
         self.age(now).is_none_or(|age| age >= self.patience)
     }
 
+    /// Returns the time until a reader is in doubt.
+    pub fn sure_for(&self, now: Duration) -> Duration {
+        self.age(now).map_or(Duration::ZERO, |age| DOUBT_AFTER.saturating_sub(age))
+    }
+
+    /// Returns how long a read waits for a record, of what was drawn from [`read_wait`]. The first reader has to say
+    /// again that nothing is new before others doubt it: after a pause in which records gathered, a whole wait ended
+    /// when what all nodes knew was 1.45 s old, and each of them read by itself for three seconds.
+    pub fn wait_of_read(&self, now: Duration, part: ReaderPart, drawn: Duration) -> Duration {
+        match part {
+            ReaderPart::First => drawn.min(self.sure_for(now)),
+            ReaderPart::OfDomain | ReaderPart::Alone | ReaderPart::None => drawn,
+        }
+    }
+
     /// Tells whether a reader doesn't wait any longer for others to confirm what is known.
     pub fn is_in_doubt(&self, now: Duration) -> bool {
         self.age(now).is_none_or(|age| age >= DOUBT_AFTER)
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -8,7 +8,7 @@
         config::ConfigState,
         directory::{Change, Effect, Entry},
         following::Following,
-        freshness::{DOUBT_AFTER, read_wait},
+        freshness::read_wait,
         log, measures,
         members::ReaderPart,
         owner::Owner,
@@ -37,6 +37,8 @@
 const STAND_IN_PAUSE_MAX: Duration = Duration::from_secs(2);
 /// How often a node that doesn't read looks whether it has to.
 const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest pause between two looks whether a read has lasted too long.
+const SILENCE_CHECK_MIN: Duration = Duration::from_millis(20);
 /// Time after the start in which a node doesn't know its peers yet, so that it takes nobody's part.
 const START_TIME: Duration = Duration::from_secs(1);
 /// Pause between two reads of the upstreams' records, so that the heartbeats of all of them don't
@@ -197,24 +199,27 @@
     /// Returns how long the next read waits for a record. After a failure the question is whether
     /// the store is back, and after silence what it holds; these have no time.
     fn read_wait(&self, what: Followed, part: ReaderPart, has_failed: bool) -> Duration {
-        let is_in_doubt = self.following(what).borrow().freshness().is_in_doubt(self.now());
-        match has_failed || (is_in_doubt && part != ReaderPart::Alone) {
-            true => Duration::ZERO,
-            false => rand::rng().random_range(read_wait(part)),
+        let following = self.following(what).borrow();
+        let is_in_doubt = following.freshness().is_in_doubt(self.now());
+        if has_failed || (is_in_doubt && part != ReaderPart::Alone) {
+            return Duration::ZERO;
         }
+        let drawn = rand::rng().random_range(read_wait(part));
+        following.freshness().wait_of_read(self.now(), part, drawn)
     }
 
-    /// Waits until a read that was to last for `wait` has lasted too long: nothing has confirmed
+    /// Waits until a read that was to wait for `wait` has lasted too long: nothing has confirmed
     /// for a while what is known, though others could. The read of a lone node ends by itself, and
     /// so does one whose answer is coming: a large one may take longer than that.
     async fn silence(&self, what: Followed, wait: Duration) {
-        sleep(DOUBT_AFTER.min(wait)).await;
-        while wait.is_zero()
-            || self.part() == ReaderPart::Alone
-            || self.store.receives(what.topic())
-            || !self.following(what).borrow().freshness().is_in_doubt(self.now())
-        {
-            sleep(WATCH_INTERVAL).await;
+        loop {
+            let sure_for = self.following(what).borrow().freshness().sure_for(self.now());
+            sleep(sure_for.max(SILENCE_CHECK_MIN)).await;
+            let is_in_doubt = self.following(what).borrow().freshness().is_in_doubt(self.now());
+            let has_time = wait.is_zero() || self.part() == ReaderPart::Alone;
+            if is_in_doubt && !has_time && !self.store.receives(what.topic()) {
+                return;
+            }
         }
     }
 
--- a/crates/fernring-gateway/tests/testsuite/freshness.rs
+++ b/crates/fernring-gateway/tests/testsuite/freshness.rs
@@ -3,7 +3,7 @@
 use {
     fernring_gateway::{
         freshness::{DOUBT_AFTER, Freshness, STALE_AFTER, read_wait},
-        members::ReaderPart,
+        members::{HEARTBEAT_INTERVAL, ReaderPart},
     },
     std::time::Duration,
 };
@@ -60,3 +60,28 @@
     assert!(!freshness.is_in_doubt(NOW + DOUBT_AFTER - MS));
     assert!(freshness.is_in_doubt(NOW + DOUBT_AFTER));
 }
+
+/// Replays a change of upstreams with silence after it: records gather for 0.6 s, then the first reader waits for the
+/// next one. Its answer, and a heartbeat, have to be there before anybody reads in its place.
+#[test]
+fn the_first_reader_confirms_in_time_after_a_pause() {
+    let gathered_for = MS * 600;
+    let heartbeat = HEARTBEAT_INTERVAL + MS * 50;
+    let freshness = known();
+    let longest = read_wait(ReaderPart::First).end;
+    let wait = freshness.wait_of_read(NOW + gathered_for, ReaderPart::First, longest);
+    assert!(gathered_for + wait + heartbeat < STALE_AFTER, "{wait:?}");
+    let wait = freshness.wait_of_read(NOW, ReaderPart::First, longest);
+    assert_eq!(wait, longest, "without a pause it waits as long as it may");
+    let by = freshness.wait_of_read(NOW + gathered_for, ReaderPart::OfDomain, MS * 3_500);
+    assert_eq!(by, MS * 3_500, "a reader that stands by is woken by its doubt");
+}
+
+#[test]
+fn a_reader_is_sure_until_it_is_in_doubt() {
+    let freshness = known();
+    let sure_for = freshness.sure_for(NOW + MS * 300);
+    assert!(!freshness.is_in_doubt(NOW + MS * 300 + sure_for - MS));
+    assert!(freshness.is_in_doubt(NOW + MS * 300 + sure_for));
+    assert!(Freshness::new(0.0).sure_for(NOW).is_zero(), "nothing is known yet");
+}
