--- a/crates/fernring-gateway/src/delegates.rs
+++ b/crates/fernring-gateway/src/delegates.rs
@@ -40,7 +40,7 @@
 /// Pause between heartbeats of a node that is no delegate to the delegates of other domains, which only count it.
 pub const FAR_INTERVAL: Duration = Duration::from_secs(1);
 /// Addresses that a node tries in one round that hears no delegate of its domain.
-pub const TRIED_ADDRESSES: usize = 8;
+const TRIED_ADDRESSES: usize = 8;
 
 /// How often a peer hears of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -144,7 +144,7 @@
 pub struct Target {
     /// The upstream.
     pub key: UpstreamKey,
-    /// Its run.
+    /// Its identity; `key` tells its runs apart.
     pub instance: Arc<str>,
     /// Its address.
     pub address: SocketAddr,
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -193,7 +193,7 @@
 /// The record of one upstream.
 #[derive(Clone, PartialEq, Message)]
 pub struct DirectoryRecord {
-    /// This run of its process.
+    /// Its identity, which a process that starts again may keep.
     #[prost(string, tag = "1")]
     pub instance: String,
     /// Its number in the store.
