Sight: lines name what a request asks, and what a broken connection meant

Cause: of the hypotheses on requests under which upstreams end, logs couldn't tell one content under many ids from a busy workspace, nor an end of a process from a reset or an answer broken off. Change: a digest of caller, path and body in the lines of sends and ends; after a connection was closed, a look at the address (upstream_probed), and one line for each content that an upstream ended under (upstream_ended). Nothing is decided by them yet.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -2,6 +2,7 @@
 //! anything odd.
 
 use {
+    crate::endings::Break,
     bytes::Bytes,
     http::{Request, Response, response::Parts},
     http_body_util::Full,
@@ -48,7 +49,45 @@
     NotSent(String),
     /// It may have been written, in whole or in part.
     #[error("no answer: {0}")]
-    Broken(String),
+    Broken(BreakOff),
+}
+
+/// That a connection broke off, and how.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{reason}")]
+pub struct BreakOff {
+    /// What was seen.
+    pub reason: String,
+    /// How, if it was the connection that broke and not an answer that can't be read.
+    pub how: Option<Break>,
+}
+
+impl BreakOff {
+    /// Nothing came any more.
+    pub fn silent(reason: &str) -> Self {
+        Self { reason: reason.to_owned(), how: Some(Break::Silent) }
+    }
+}
+
+impl From<&hyper::Error> for BreakOff {
+    fn from(error: &hyper::Error) -> Self {
+        Self { reason: describe(error), how: how_broken(error) }
+    }
+}
+
+/// Tells how a connection broke; `None` if it is the answer that can't be read.
+fn how_broken(error: &hyper::Error) -> Option<Break> {
+    use std::io::ErrorKind;
+    let sources = std::iter::successors(std::error::Error::source(error), |error| error.source());
+    let kind = sources.filter_map(|source| source.downcast_ref::<std::io::Error>()).next();
+    match kind.map(std::io::Error::kind) {
+        Some(ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable) => {
+            Some(Break::Silent)
+        }
+        Some(ErrorKind::InvalidData | ErrorKind::InvalidInput) => None,
+        None if error.is_parse() => None,
+        _ => Some(Break::Closed),
+    }
 }
 
 /// Ends a connection's task when dropped, which closes the connection.
@@ -152,7 +191,7 @@
             match self.exchange(connection, request).await {
                 Ok(answer) => return Ok(answer),
                 Err(Unsent::Returned(unsent)) => request = *unsent,
-                Err(Unsent::Lost(error)) => return Err(SendFailure::Broken(error)),
+                Err(Unsent::Lost(broke)) => return Err(SendFailure::Broken(broke)),
             }
         }
         if self.open() >= open_max.max(1) {
@@ -162,7 +201,7 @@
         match self.exchange(connection, request).await {
             Ok(answer) => Ok(answer),
             Err(Unsent::Returned(_)) => Err(SendFailure::NotSent("closed at once".to_owned())),
-            Err(Unsent::Lost(error)) => Err(SendFailure::Broken(error)),
+            Err(Unsent::Lost(broke)) => Err(SendFailure::Broken(broke)),
         }
     }
 
@@ -207,7 +246,7 @@
             Ok(response) => Ok(answer(open, response)),
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(Unsent::Returned(Box::new(request))),
-                None => Err(Unsent::Lost(describe(error.error()))),
+                None => Err(Unsent::Lost(error.error().into())),
             },
         }
     }
@@ -226,7 +265,7 @@
     /// Nothing was written; here it is back.
     Returned(Box<Request<Full<Bytes>>>),
     /// It may have been written.
-    Lost(String),
+    Lost(BreakOff),
 }
 
 /// Describes an error with its cause, since hyper's own text leaves the cause out.
--- /dev/null
+++ b/crates/fernring-gateway/src/endings.rs
@@ -0,0 +1,221 @@
+//! Whether an upstream's process has ended under what it had in hand. No I/O.
+//!
+//! A connection that breaks says little: it may have been reset, an answer broken off by an upstream that lives on, or
+//! the way cut. What tells them apart comes before or after: the address takes no connection any more, a later start is
+//! known, or the record goes. An upstream that was leaving ends as it said it would.
+//!
+//! ```
+//! use {
+//!     fernring_gateway::{
+//!         content::ContentKey,
+//!         endings::{Break, Endings, Probe, Run},
+//!         model::UpstreamKey,
+//!     },
+//!     std::time::Duration,
+//! };
+//!
+//! let (now, key) = (Duration::ZERO, UpstreamKey::default());
+//! let run = Run { instance: "i-1".into(), started_ms: None };
+//! let asked = ContentKey::of(None, "/x", b"");
+//! let mut endings = Endings::default();
+//! assert!(endings.broke(now, key, &run, Break::Closed, asked).is_none(), "not known yet");
+//! let ended = endings.probed(key, Probe::Refused).unwrap();
+//! assert_eq!(ended.contents, [asked]);
+//! ```
+
+use {
+    crate::{content::ContentKey, model::UpstreamKey},
+    std::{collections::HashMap, fmt, sync::Arc, time::Duration},
+};
+
+/// How long after a break its cause may still be found out. A record goes three heartbeats of an upstream after its
+/// end (3.6 s where these come every 1.2 s), and a start again takes some seconds.
+pub const CAUSE_MAX: Duration = Duration::from_secs(10);
+/// How long it is kept that an upstream went, and how: longer than a request lasts that it served on with.
+const FATE_MAX: Duration = Duration::from_secs(120);
+/// Pause between two looks whether the same upstream takes connections.
+const PROBE_PAUSE: Duration = Duration::from_millis(200);
+
+/// One start of an upstream's process.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Run {
+    /// Its identity, which a process that starts again may keep.
+    pub instance: Arc<str>,
+    /// When it started, in Unix milliseconds, if that is known.
+    pub started_ms: Option<u64>,
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.started_ms {
+            Some(started_ms) => write!(f, "{}@{started_ms}", self.instance),
+            None => write!(f, "{}", self.instance),
+        }
+    }
+}
+
+/// How a send broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Break {
+    /// The other side closed or reset the connection.
+    Closed,
+    /// Nothing came any more.
+    Silent,
+}
+
+/// What a look at an upstream's address found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// Nothing listens there.
+    Refused,
+    /// Somebody takes connections.
+    Accepted,
+    /// No answer.
+    Silent,
+}
+
+impl Probe {
+    /// Returns the name used in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Accepted => "accepted",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+/// A start that has ended, with what it had in hand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// The start.
+    pub run: Run,
+    /// What ran or waited there, each once.
+    pub contents: Vec<ContentKey>,
+}
+
+/// What became of an upstream's record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Removed,
+    Restarted,
+}
+
+/// An upstream at which sends broke off.
+#[derive(Debug)]
+struct Broken {
+    run: Run,
+    last_at: Duration,
+    /// Whether any of the sends was closed by the other side.
+    was_closed: bool,
+    probe: Option<Probe>,
+    probed_at: Option<Duration>,
+    fate: Option<Fate>,
+    /// Those whose upstream isn't known to have ended.
+    contents: Vec<ContentKey>,
+}
+
+impl Broken {
+    fn has_ended(&self) -> bool {
+        let is_restarted = self.fate == Some(Fate::Restarted);
+        let is_removed = self.fate == Some(Fate::Removed);
+        match self.probe {
+            Some(Probe::Refused) => true,
+            Some(Probe::Accepted) => is_restarted,
+            Some(Probe::Silent) => self.was_closed || is_restarted || is_removed,
+            None => is_restarted || (is_removed && !self.was_closed),
+        }
+    }
+
+    fn take_ended(&mut self) -> Option<Ended> {
+        if self.contents.is_empty() || !self.has_ended() {
+            return None;
+        }
+        let contents = std::mem::take(&mut self.contents);
+        Some(Ended { run: self.run.clone(), contents })
+    }
+}
+
+/// The upstreams at which sends broke off of late.
+#[derive(Debug, Default)]
+pub struct Endings {
+    broken: HashMap<UpstreamKey, Broken>,
+    /// Upstreams that went of late, and how.
+    fates: HashMap<UpstreamKey, (Duration, Fate)>,
+}
+
+impl Endings {
+    /// Takes in that a send broke off at an upstream that wasn't leaving; returns what is known to have ended with it.
+    pub fn broke(
+        &mut self,
+        now: Duration,
+        key: UpstreamKey,
+        run: &Run,
+        how: Break,
+        content: ContentKey,
+    ) -> Option<Ended> {
+        let fate = self.fates.get(&key).map(|(_, fate)| *fate);
+        if fate == Some(Fate::Removed) && !self.broken.contains_key(&key) {
+            // Its record went while it served on: it left without saying so before.
+            return None;
+        }
+        let broken = self.broken.entry(key).or_insert_with(|| Broken {
+            run: run.clone(),
+            last_at: now,
+            was_closed: false,
+            probe: None,
+            probed_at: None,
+            fate,
+            contents: Vec::new(),
+        });
+        broken.last_at = now;
+        broken.was_closed |= how == Break::Closed;
+        if !broken.contents.contains(&content) {
+            broken.contents.push(content);
+        }
+        broken.take_ended()
+    }
+
+    /// Tells whether to look now whether an upstream takes connections; if so, it is taken as being looked at.
+    pub fn shall_probe(&mut self, now: Duration, key: UpstreamKey) -> bool {
+        let Some(broken) = self.broken.get_mut(&key) else {
+            return false;
+        };
+        let is_due = broken.probed_at.is_none_or(|at| now >= at + PROBE_PAUSE);
+        let shall = broken.was_closed && is_due && !broken.contents.is_empty();
+        if shall {
+            broken.probed_at = Some(now);
+        }
+        shall
+    }
+
+    /// Takes in what a look at an upstream's address found.
+    pub fn probed(&mut self, key: UpstreamKey, found: Probe) -> Option<Ended> {
+        let broken = self.broken.get_mut(&key)?;
+        broken.probe = Some(found);
+        broken.take_ended()
+    }
+
+    /// Takes in that an upstream's record is gone.
+    pub fn removed(&mut self, now: Duration, key: UpstreamKey) -> Option<Ended> {
+        self.went(now, key, Fate::Removed)
+    }
+
+    /// Takes in that an upstream's process has started again.
+    pub fn restarted(&mut self, now: Duration, key: UpstreamKey) -> Option<Ended> {
+        self.went(now, key, Fate::Restarted)
+    }
+
+    fn went(&mut self, now: Duration, key: UpstreamKey, fate: Fate) -> Option<Ended> {
+        self.fates.insert(key, (now, fate));
+        let broken = self.broken.get_mut(&key)?;
+        broken.fate = Some(fate);
+        broken.take_ended()
+    }
+
+    /// Forgets what is too old for its cause to be found out.
+    pub fn expire(&mut self, now: Duration) {
+        self.broken.retain(|_, broken| now < broken.last_at + CAUSE_MAX);
+        self.fates.retain(|_, (at, _)| now < *at + FATE_MAX);
+    }
+}
--- a/crates/fernring-gateway/src/exchange/mod.rs
+++ b/crates/fernring-gateway/src/exchange/mod.rs
@@ -12,6 +12,7 @@
         backlogs::Promise,
         come_back::come_back,
         connections::AnswerBody,
+        content::ContentKey,
         log, measures,
         model::{Repeat, RequestFields, Route, UpstreamKey, Workspace},
         refusal::Refusal,
@@ -45,6 +46,8 @@
     pub fields: RequestFields,
     /// Its identity.
     pub id: Arc<str>,
+    /// What it asks.
+    pub content: ContentKey,
 }
 
 /// An answer whose head is good.
@@ -54,9 +57,8 @@
     pub head: Parts,
     /// Its body.
     pub body: AnswerBody,
-    /// The upstream's run.
-    pub instance: Arc<str>,
-    key: UpstreamKey,
+    /// The upstream.
+    target: Target,
     load: LoadGuard,
     /// What a model engine reads before its first event, until that has come.
     reads: Option<Reads>,
@@ -217,6 +219,11 @@
         &self.request.id
     }
 
+    /// Returns what it asks.
+    pub fn content(&self) -> ContentKey {
+        self.request.content
+    }
+
     /// Returns what may be repeated.
     pub fn repeat(&self) -> Repeat {
         self.route.repeat
@@ -310,6 +317,7 @@
         measures::request_ended(&self.route.name, end.name(), took);
         let line = LogLine::event("request_ended")
             .with("request", &self.request.id)
+            .with("content", self.request.content)
             .with("pipeline", &self.route.name)
             .with_some("workspace", self.workspace.as_ref().map(|workspace| &workspace.name))
             .with("outcome", end.name())
@@ -338,7 +346,12 @@
 impl Opened {
     /// Returns the upstream.
     pub fn key(&self) -> UpstreamKey {
-        self.key
+        self.target.key
+    }
+
+    /// Returns the identity of the upstream.
+    pub fn instance(&self) -> &Arc<str> {
+        &self.target.instance
     }
 
     /// Tells whether the upstream answered with a failure of its own.
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -4,7 +4,7 @@
     super::{Exchange, GENERATION_LOAD_TOKENS, Opened, Reads},
     crate::{
         attempts::SendEnd,
-        connections::SendFailure,
+        connections::{BreakOff, SendFailure},
         log, measures,
         model::{UpstreamFields, UpstreamKey},
         refusal::Refusal,
@@ -35,6 +35,18 @@
     tokens: Option<f64>,
 }
 
+/// A send that brought no answer to pass on.
+struct Unanswered {
+    end: SendEnd,
+    why: BreakOff,
+}
+
+impl Unanswered {
+    fn without_break(end: SendEnd, reason: String) -> Self {
+        Self { end, why: BreakOff { reason, how: None } }
+    }
+}
+
 impl Exchange {
     /// Sends the request until the head of a good answer comes.
     ///
@@ -66,11 +78,12 @@
                     measures::send_ended(&self.service, "answered");
                     return Ok(opened);
                 }
-                Err((end, why)) => {
-                    self.log_send(&target, end, &why);
+                Err(Unanswered { end, why }) => {
+                    self.log_send(&target, end, &why.reason);
                     self.attempts.ended(end);
                     self.judge(&target, end);
-                    reason = why;
+                    self.note_break(&target, &why);
+                    reason = why.reason;
                 }
             }
         }
@@ -81,9 +94,22 @@
     }
 
     /// Takes in that a send brought a head but no whole answer.
-    pub fn send_ended(&mut self, opened: &Opened, end: SendEnd) {
-        self.attempts.ended(end);
-        self.serving.upstreams.failed(self.serving.now(), opened.key);
+    pub fn send_broke(&mut self, opened: &Opened, why: &BreakOff) {
+        self.attempts.ended(SendEnd::Unknown);
+        self.serving.upstreams.failed(self.serving.now(), opened.key());
+        self.note_break(&opened.target, why);
+    }
+
+    fn note_break(&self, target: &Target, why: &BreakOff) {
+        if let Some(how) = why.how {
+            self.serving.blame.broke(target, how, self.request.content);
+        }
+    }
+
+    /// Takes in that an upstream began to answer with a failure of its own, which can't be passed on.
+    pub fn answered_with_failure_head(&mut self, opened: &Opened) {
+        self.answered_with_failure();
+        self.serving.upstreams.failed(self.serving.now(), opened.key());
     }
 
     /// Takes in that an upstream answered, though with a failure of its own.
@@ -131,6 +157,7 @@
             .with("request", &self.request.id)
             .with("pipeline", &self.route.name)
             .with_some("workspace", self.workspace.as_ref().map(|workspace| &workspace.name))
+            .with("content", self.request.content)
             .with("service", &self.service)
             .with("upstream", &target.instance)
             .with("record", target.offset)
@@ -178,28 +205,34 @@
         }
     }
 
-    async fn send(&self, target: &Target, left: Duration) -> Result<Opened, (SendEnd, String)> {
+    async fn send(&self, target: &Target, left: Duration) -> Result<Opened, Unanswered> {
         let load = self.serving.upstreams.load(target.key, self.weight());
         let connections_max = self.serving.config.borrow().connections_max(&self.service);
         let request = self.upstream_request(target, left);
         let sent = self.serving.upstreams.send(target, connections_max, request);
         let answer = match timeout(left, sent).await {
-            Err(_) => return Err((SendEnd::Unknown, "no answer in time".to_owned())),
-            Ok(Err(SendFailure::NotSent(why))) => return Err((SendEnd::NotSent, why)),
-            Ok(Err(SendFailure::Broken(why))) => return Err((SendEnd::Unknown, why)),
+            Err(_) => {
+                let why = BreakOff::silent("no answer in time");
+                return Err(Unanswered { end: SendEnd::Unknown, why });
+            }
+            Ok(Err(SendFailure::NotSent(why))) => {
+                return Err(Unanswered::without_break(SendEnd::NotSent, why));
+            }
+            Ok(Err(SendFailure::Broken(why))) => {
+                return Err(Unanswered { end: SendEnd::Unknown, why });
+            }
             Ok(Ok(answer)) => answer,
         };
         let mut opened = Opened {
             head: answer.head,
             body: answer.body,
-            instance: target.instance.clone(),
-            key: target.key,
+            target: target.clone(),
             load,
             reads: None,
         };
         match self.check_head(&mut opened) {
             None => Ok(opened),
-            Some(failure) => Err(failure),
+            Some((end, why)) => Err(Unanswered::without_break(end, why)),
         }
     }
 
@@ -257,6 +290,7 @@
         measures::send_ended(&self.service, end.name());
         let line = LogLine::event("send_failed")
             .with("request", &self.request.id)
+            .with("content", self.request.content)
             .with("upstream", &target.instance)
             .with("address", target.address)
             .with("end", end.name())
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        blame::Blame,
         config::ConfigState,
         following::{Following, Reply},
         ingress::{Ingress, Phase},
@@ -155,6 +156,7 @@
             rules.clone(),
         ));
         let stages = Rc::new(Stages::new(clock.clone(), peers.clone(), owner.clone()));
+        let blame = Rc::new(Blame::new(clock.clone(), upstreams.clone()));
         let serving = Rc::new(Serving {
             clock: clock.clone(),
             wire: wire.clone(),
@@ -165,6 +167,7 @@
             reading: ReadingSpeeds::default(),
             rules,
             retries: retries.clone(),
+            blame: blame.clone(),
             in_flight: Cell::new(0),
         });
         let ingress = Rc::new(Ingress::new(serving.clone(), config.clone()));
@@ -176,6 +179,7 @@
             config: config.clone(),
             upstreams: upstreams.clone(),
             owner: owner.clone(),
+            blame,
             peers: peers.clone(),
             following: [(); 2].map(|()| RefCell::new(Following::new(rand::random()))),
             started_at,
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -181,7 +181,7 @@
         let connections_max = self.connections_max(key);
         let work = async {
             let answer = self.upstreams.send(&target, connections_max, request).await?;
-            answer.body.collect().await.map_err(|e| SendFailure::Broken(e.to_string()))
+            answer.body.collect().await.map_err(|e| SendFailure::Broken((&e).into()))
         };
         if let Ok(Err(error)) = timeout(CALL_GRACE, work).await {
             // The results lapse by themselves; until then they take room.
@@ -209,7 +209,7 @@
     fn from(failure: SendFailure) -> Self {
         match failure {
             SendFailure::NotSent(reason) => Self::NotSent(reason),
-            SendFailure::Broken(reason) => Self::Failed(reason),
+            SendFailure::Broken(broke) => Self::Failed(broke.reason),
         }
     }
 }
--- a/crates/fernring-gateway/src/relay.rs
+++ b/crates/fernring-gateway/src/relay.rs
@@ -2,8 +2,7 @@
 
 use {
     crate::{
-        attempts::SendEnd,
-        connections::AnswerBody,
+        connections::{AnswerBody, BreakOff},
         events::{EventSplitter, last_number},
         exchange::Ended,
         log,
@@ -93,7 +92,7 @@
             Ok(None) => Ok(None),
             Ok(Some(Err(error))) => self.resume(error).await,
             Err(_) if self.exchange.time_left().is_zero() => Err(RelayError::TimedOut),
-            Err(_) => self.resume("silent".to_owned()).await,
+            Err(_) => self.resume(BreakOff::silent("silent")).await,
         }
     }
 
@@ -108,16 +107,17 @@
         Ok(whole)
     }
 
-    async fn resume(&mut self, reason: String) -> Result<Option<Bytes>, RelayError> {
+    async fn resume(&mut self, why: BreakOff) -> Result<Option<Bytes>, RelayError> {
         let line = LogLine::event("stream_broken").with("request", self.exchange.request_id());
-        let line = line.with("upstream", &self.opened.instance).with("reason", &reason);
+        let line = line.with("content", self.exchange.content());
+        let line = line.with("upstream", self.opened.instance()).with("reason", &why.reason);
         log::warn(line.with_some("last_event", self.last_event));
         self.splitter.discard();
         // Closed before another upstream is asked, so that two never work on it.
         self.opened.body.close();
-        self.exchange.send_ended(&self.opened, SendEnd::Unknown);
+        self.exchange.send_broke(&self.opened, &why);
         if !self.is_resumable {
-            return Err(RelayError::Broken(reason));
+            return Err(RelayError::Broken(why.reason));
         }
         loop {
             match self.exchange.reopen(self.last_event).await {
@@ -126,21 +126,21 @@
                     return Ok(Some(Bytes::new()));
                 }
                 // A failure's body is no event: it must not reach the caller.
-                Ok(failed) => self.exchange.send_ended(&failed, SendEnd::Unknown),
-                Err(_) => return Err(RelayError::Broken(reason)),
+                Ok(failed) => self.exchange.answered_with_failure_head(&failed),
+                Err(_) => return Err(RelayError::Broken(why.reason)),
             }
         }
     }
 }
 
-async fn next_bytes(body: &mut AnswerBody) -> Option<Result<Bytes, String>> {
+async fn next_bytes(body: &mut AnswerBody) -> Option<Result<Bytes, BreakOff>> {
     loop {
         match body.frame().await? {
             Ok(frame) => match frame.into_data() {
                 Ok(bytes) => return Some(Ok(bytes)),
                 Err(_trailers) => {}
             },
-            Err(error) => return Some(Err(error.to_string())),
+            Err(error) => return Some(Err((&error).into())),
         }
     }
 }
--- a/crates/fernring-gateway/src/serve.rs
+++ b/crates/fernring-gateway/src/serve.rs
@@ -2,8 +2,11 @@
 
 use {
     crate::{
-        attempts::{NotRun, SendEnd},
+        attempts::NotRun,
+        blame::Blame,
         config::{ConfigState, HeldConfig},
+        connections::BreakOff,
+        content::ContentKey,
         exchange::{CallerRequest, Ended, InFlight},
         ingress::RequestGuard,
         log, measures,
@@ -70,6 +73,8 @@
     pub rules: Rc<Cell<DecideSettings>>,
     /// The retry budget.
     pub retries: Rc<Retries>,
+    /// The upstreams that ended, and what ran there.
+    pub blame: Rc<Blame>,
     /// Requests in flight.
     pub in_flight: Cell<isize>,
 }
@@ -154,15 +159,17 @@
         let left = (arrived_at + route.wait(fields.remaining)).saturating_sub(self.now());
         let body = read_body(body, held.config.limits.body_bytes_max, left).await;
         let body = body.map_err(refuse)?;
-        let uri = head.uri.path_and_query().map(|path| path.as_str()).unwrap_or("/");
-        let uri = uri.parse().map_err(|_| {
+        let path = head.uri.path_and_query().map(|path| path.as_str()).unwrap_or("/");
+        let uri = path.parse().map_err(|_| {
             refuse(Refusal::incorrect(ResultCode::BadRequest, "the path can't be read"))
         })?;
         let mut headers = head.headers;
         strip_connection_headers(&mut headers);
         headers.remove(CONTENT_LENGTH);
         let method = head.method;
-        let request = CallerRequest { method, uri, headers, body, fields, id: request_id };
+        let caller = workspace.as_ref().map(|workspace| &*workspace.name);
+        let content = ContentKey::of(caller, path, &body);
+        let request = CallerRequest { method, uri, headers, body, fields, id: request_id, content };
         Ok(Accepted { route, workspace, request })
     }
 
@@ -213,16 +220,19 @@
         mut opened: Opened,
     ) -> Result<Response<CallerBody>, String> {
         let collecting = Limited::new(&mut opened.body, WHOLE_ANSWER_BYTES_MAX).collect();
-        let reason = match timeout(exchange.time_left(), collecting).await {
+        let why = match timeout(exchange.time_left(), collecting).await {
             Ok(Ok(whole)) => {
                 let body = CallerBody::whole(Full::new(whole.to_bytes()));
                 return Ok(response(&opened, body, true));
             }
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "the answer was not whole in time".to_owned(),
+            Ok(Err(error)) => match error.downcast_ref::<hyper::Error>() {
+                Some(error) => error.into(),
+                None => BreakOff { reason: error.to_string(), how: None },
+            },
+            Err(_) => BreakOff::silent("the answer was not whole in time"),
         };
-        exchange.send_ended(&opened, SendEnd::Unknown);
-        Err(reason)
+        exchange.send_broke(&opened, &why);
+        Err(why.reason)
     }
 
     async fn stream(&self, mut exchange: Exchange) -> Response<CallerBody> {
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        blame::Blame,
         config::ConfigState,
         directory::{Change, Effect, Entry},
         following::Following,
@@ -63,6 +64,8 @@
     pub upstreams: Rc<Upstreams>,
     /// The owner of stages, who wants to know of changes among upstreams.
     pub owner: Rc<Owner>,
+    /// What is to be known of upstreams that ended.
+    pub blame: Rc<Blame>,
     /// The other nodes.
     pub peers: Rc<Peers>,
     /// How well the configuration and the upstreams' records are known, in the order of [`Followed`].
@@ -407,6 +410,7 @@
             let started_ms = upstream.and_then(|upstream| upstream.record.started_ms);
             log::info(line.with_some("started_ms", started_ms));
         }
+        self.blame.upstreams_changed(effects);
         self.owner.upstreams_changed(effects);
     }
 
@@ -416,6 +420,7 @@
             sleep(EXPIRY_INTERVAL).await;
             let effects = self.upstreams.expire(self.now());
             self.upstreams_changed(&effects);
+            self.blame.expire();
             self.upstreams.set_nodes(self.peers.nodes());
         }
     }
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -4,6 +4,7 @@
     crate::{
         connections::{Answer, Pool, SendFailure},
         directory::{Change, Directory, Effect},
+        endings::Run,
         model::UpstreamKey,
         selection::Candidate,
     },
@@ -99,6 +100,13 @@
     handle.split('/').next()?.parse().ok()
 }
 
+impl Target {
+    /// Returns the start that is meant.
+    pub fn run(&self) -> Run {
+        Run { instance: self.instance.clone(), started_ms: self.started_ms }
+    }
+}
+
 /// The upstreams of a node.
 #[derive(Debug)]
 pub struct Upstreams {
@@ -146,6 +154,8 @@
     pub key: UpstreamKey,
     /// Its identity; `key` tells its runs apart.
     pub instance: Arc<str>,
+    /// When its process started, in Unix milliseconds, if that is known.
+    pub started_ms: Option<u64>,
     /// Its address.
     pub address: SocketAddr,
     /// Its failure domain.
@@ -294,12 +304,19 @@
         Some(Target {
             key,
             instance: record.instance.clone(),
+            started_ms: record.started_ms,
             address: record.address,
             failure_domain: record.failure_domain.clone(),
             offset: upstream.offset,
         })
     }
 
+    /// Tells whether an upstream has said that it leaves.
+    pub fn is_leaving(&self, key: UpstreamKey) -> bool {
+        let directory = self.directory.borrow();
+        directory.get(key).is_some_and(|upstream| !upstream.takes_work())
+    }
+
     /// Returns the failure domain where most of some results lie, by their handles.
     pub fn domain_of(&self, handles: &[Arc<str>]) -> Option<Arc<str>> {
         let directory = self.directory.borrow();
