A request under which three upstreams ended is turned away by all nodes

Cause: a node knew a request by its id, and its account of sends ended with it. Nothing linked two requests of one content, and a send that ended unknown didn't say whether its upstream lived on; so each repeat was a new request at each node. Class: a limit that is kept by one request, where what it guards against comes as many. Ruled out: sends of our own after a refused connection or in resumed streams (no id has two unknown ends), and upstreams that end by themselves (each had that content in hand). Change: contents are charged with the starts that end while they are in hand, by signs that tell an end from a reset, a cut or an upstream that leaves (endings); the third end turns a content away (suspects), at once and with a code of its own. Nodes tell each other of ends and whole answers as they see them, tell a newcomer all, and one peer a second again what matters; who is turned away is kept among the nodes' records in the store. It is asked at arrival, before each send, on resuming, and at owners of stages before each call; a send that waits for its first byte is given up. A call with pieces of several requests under which a maker ends is split by request. A whole answer clears an account; ends that a request that is turned away explains are taken off all others'.

--- a/crates/fernring-core/src/code.rs
+++ b/crates/fernring-core/src/code.rs
@@ -129,6 +129,8 @@
     ExpiredInQueue = 3008, NotRun, 503;
     /// The node holds as many requests as its settings allow.
     NodeFull = 3009, NotRun, 503;
+    /// Upstreams ended under this request, whatever id it came under; it is not sent to another.
+    EndsUpstreams = 3010, NotRun, 429;
 
     /// A stage failed and no retry was possible within the window or the retry budget.
     StageFailed = 4000, Failed, 502;
@@ -185,7 +187,8 @@
             | Self::BadWindow
             | Self::BadRequest
             | Self::KeyMismatch
-            | Self::UnknownKeyHolder => Some(Advice::Correct),
+            | Self::UnknownKeyHolder
+            | Self::EndsUpstreams => Some(Advice::Correct),
             Self::KeySpent | Self::KeyEnded => Some(Advice::NewKey),
             Self::StageFailed | Self::AnswerTruncated | Self::WindowEnded => Some(Advice::NewKey),
             Self::UnknownKey | Self::ClaimUnsettledRan => Some(Advice::SameKey),
--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         backlog::{Backlog, PiecesByRank, RANKS, rank},
+        content::ContentKey,
         makers::usual_time,
         model::{BatchShape, Piece},
         settings::DecideSettings,
@@ -41,6 +42,11 @@
 pub struct Task {
     /// The work that it belongs to.
     pub work: u64,
+    /// What its request asks.
+    pub content: ContentKey,
+    /// Whether a maker ended under a call that it was in with pieces of other requests: it goes into calls of its own, so that
+    /// the request shows that ends makers, and the others go on.
+    pub is_apart: bool,
     /// The piece. Its `remaining` is set when its call is sent.
     pub piece: Piece,
     /// When its result is due for its request to be on time.
@@ -100,6 +106,8 @@
     Room,
     /// What waits is left to makers in the failure domain that reads its results.
     Domain,
+    /// A request's pieces go into a call of their own.
+    Apart,
 }
 
 impl Bound {
@@ -110,6 +118,7 @@
             Self::Places => "places",
             Self::Room => "room",
             Self::Domain => "domain",
+            Self::Apart => "apart",
         }
     }
 }
@@ -233,6 +242,8 @@
         }
         // The work that was looked at last, and whether it is left whole to another call.
         let mut looked_at = None;
+        // The first piece's request, and whether it keeps others out.
+        let mut company: Option<(ContentKey, bool)> = None;
         let mut is_left_whole = false;
         let mut taken = 0;
         let mut bound = Bound::Empty;
@@ -256,12 +267,17 @@
                     && places * LEFT_PLACES <= taken + places
                     && !begun.contains(&task.work);
             }
+            let is_kept_apart = company.is_some_and(|(content, is_apart)| {
+                content != task.content && (is_apart || task.is_apart)
+            });
             let kept_out = match () {
+                () if is_kept_apart => Bound::Apart,
                 () if taken == shape.pieces_max => Bound::Places,
                 () if left_to_others => Bound::Domain,
                 () if task.result_bytes > room_bytes => Bound::Room,
                 () if is_left_whole => Bound::Places,
                 () => {
+                    company.get_or_insert((task.content, task.is_apart));
                     taken += 1;
                     room_bytes -= task.result_bytes;
                     return true;
--- a/crates/fernring-gateway/src/content.rs
+++ b/crates/fernring-gateway/src/content.rs
@@ -40,6 +40,13 @@
         bytes.try_into().ok().map(Self)
     }
 
+    /// Reads a digest as it is displayed.
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_hex = text.len() == 2 * KEY_BYTES && text.bytes().all(|c| c.is_ascii_hexdigit());
+        let number = is_hex.then(|| u128::from_str_radix(text, 16).ok())??;
+        Some(Self(number.to_be_bytes()))
+    }
+
     /// Returns the bytes of the digest.
     pub fn bytes(&self) -> &[u8] {
         &self.0
--- a/crates/fernring-gateway/src/endings.rs
+++ b/crates/fernring-gateway/src/endings.rs
@@ -18,7 +18,7 @@
 //! let run = Run { instance: "i-1".into(), started_ms: None };
 //! let asked = ContentKey::of(None, "/x", b"");
 //! let mut endings = Endings::default();
-//! assert!(endings.broke(now, key, &run, Break::Closed, asked).is_none(), "not known yet");
+//! assert!(endings.broke(now, key, &run, Break::Closed, Some(asked)).is_none(), "not known yet");
 //! let ended = endings.probed(key, Probe::Refused).unwrap();
 //! assert_eq!(ended.contents, [asked]);
 //! ```
@@ -97,7 +97,11 @@
 /// What became of an upstream's record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fate {
+    /// It said that it leaves.
+    Leaving,
+    /// Its record is gone.
     Removed,
+    /// Its process has started again.
     Restarted,
 }
 
@@ -123,10 +127,14 @@
             Some(Probe::Refused) => true,
             Some(Probe::Accepted) => is_restarted,
             Some(Probe::Silent) => self.was_closed || is_restarted || is_removed,
-            None => is_restarted || (is_removed && !self.was_closed),
+            None => is_restarted,
         }
     }
 
+    fn lives_on(&self) -> bool {
+        self.probe == Some(Probe::Accepted) && self.fate != Some(Fate::Restarted)
+    }
+
     fn take_ended(&mut self) -> Option<Ended> {
         if self.contents.is_empty() || !self.has_ended() {
             return None;
@@ -145,19 +153,22 @@
 }
 
 impl Endings {
-    /// Takes in that a send broke off at an upstream that wasn't leaving; returns what is known to have ended with it.
+    /// Takes in that a send broke off; returns what is known to have ended with it. `content` is what is to be charged if
+    /// the upstream has ended, if anything is.
     pub fn broke(
         &mut self,
         now: Duration,
         key: UpstreamKey,
         run: &Run,
         how: Break,
-        content: ContentKey,
+        content: Option<ContentKey>,
     ) -> Option<Ended> {
         let fate = self.fates.get(&key).map(|(_, fate)| *fate);
-        if fate == Some(Fate::Removed) && !self.broken.contains_key(&key) {
+        match fate {
+            Some(Fate::Leaving) => return None,
             // Its record went while it served on: it left without saying so before.
-            return None;
+            Some(Fate::Removed) if !self.broken.contains_key(&key) => return None,
+            _ => {}
         }
         let broken = self.broken.entry(key).or_insert_with(|| Broken {
             run: run.clone(),
@@ -170,7 +181,9 @@
         });
         broken.last_at = now;
         broken.was_closed |= how == Break::Closed;
-        if !broken.contents.contains(&content) {
+        if let Some(content) = content
+            && !broken.contents.contains(&content)
+        {
             broken.contents.push(content);
         }
         broken.take_ended()
@@ -182,7 +195,8 @@
             return false;
         };
         let is_due = broken.probed_at.is_none_or(|at| now >= at + PROBE_PAUSE);
-        let shall = broken.was_closed && is_due && !broken.contents.is_empty();
+        let is_in_doubt = broken.was_closed || broken.fate == Some(Fate::Removed);
+        let shall = is_in_doubt && is_due && !broken.has_ended();
         if shall {
             broken.probed_at = Some(now);
         }
@@ -196,6 +210,20 @@
         broken.take_ended()
     }
 
+    /// Tells whether an upstream at which a send broke off has ended; `None` if that isn't known yet.
+    pub fn verdict(&self, key: UpstreamKey) -> Option<bool> {
+        let broken = self.broken.get(&key)?;
+        match broken.has_ended() {
+            true => Some(true),
+            false => broken.lives_on().then_some(false),
+        }
+    }
+
+    /// Takes in that an upstream has said that it leaves.
+    pub fn leaving(&mut self, now: Duration, key: UpstreamKey) {
+        self.fates.insert(key, (now, Fate::Leaving));
+    }
+
     /// Takes in that an upstream's record is gone.
     pub fn removed(&mut self, now: Duration, key: UpstreamKey) -> Option<Ended> {
         self.went(now, key, Fate::Removed)
@@ -207,7 +235,10 @@
     }
 
     fn went(&mut self, now: Duration, key: UpstreamKey, fate: Fate) -> Option<Ended> {
-        self.fates.insert(key, (now, fate));
+        let before = self.fates.get(&key).map(|(_, fate)| *fate);
+        if before != Some(Fate::Leaving) {
+            self.fates.insert(key, (now, fate));
+        }
         let broken = self.broken.get_mut(&key)?;
         broken.fate = Some(fate);
         broken.take_ended()
--- a/crates/fernring-gateway/src/exchange/mod.rs
+++ b/crates/fernring-gateway/src/exchange/mod.rs
@@ -10,6 +10,7 @@
         attempts::Attempts,
         backlog::rank,
         backlogs::Promise,
+        blame::Held,
         come_back::come_back,
         connections::AnswerBody,
         content::ContentKey,
@@ -60,6 +61,7 @@
     /// The upstream.
     target: Target,
     load: LoadGuard,
+    _held: Held,
     /// What a model engine reads before its first event, until that has come.
     reads: Option<Reads>,
 }
@@ -297,7 +299,18 @@
         detail: &str,
         drained_after: Option<Duration>,
     ) -> Refusal {
-        let Some(not_run) = self.attempts.not_run() else {
+        let not_run = self.attempts.not_run();
+        let content = self.request.content;
+        if self.serving.blame.is_turned_away(content) {
+            return match not_run {
+                Some(not_run) => self.serving.blame.refusal(not_run, content),
+                None => {
+                    let reason = self.serving.blame.reason(content);
+                    Refusal::may_have_run(ResultCode::StageFailed, reason)
+                }
+            };
+        }
+        let Some(not_run) = not_run else {
             return match code {
                 ResultCode::WindowEnded => Refusal::may_have_run(code, detail),
                 _ => Refusal::may_have_run(ResultCode::StageFailed, detail),
@@ -311,6 +324,11 @@
     /// Takes in the request's end: writes its line and counts it.
     pub fn finished(&mut self, end: Ended<'_>) {
         self.is_ended = true;
+        if let Ended::Answered { status } = end
+            && !status.is_server_error()
+        {
+            self.serving.blame.answered(self.request.content);
+        }
         let took = self.serving.now().saturating_sub(self.arrived_at);
         let first_ms =
             self.passed_on.map(|p| p.first_at.saturating_sub(self.arrived_at).as_millis());
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -60,7 +60,7 @@
             if left.is_zero() {
                 return Err(self.give_up(ResultCode::WindowEnded, &reason));
             }
-            if !self.attempts.may_send() {
+            if !self.may_send() {
                 break;
             }
             let Some(Chosen { target, tokens }) = self.choose() else {
@@ -102,7 +102,7 @@
 
     fn note_break(&self, target: &Target, why: &BreakOff) {
         if let Some(how) = why.how {
-            self.serving.blame.broke(target, how, self.request.content);
+            self.serving.blame.broke(target, how, Some(self.request.content));
         }
     }
 
@@ -124,7 +124,8 @@
 
     /// Tells whether another upstream may be asked.
     pub fn may_send(&self) -> bool {
-        self.attempts.may_send() && !self.time_left().is_zero()
+        let is_turned_away = self.serving.blame.is_turned_away(self.request.content);
+        self.attempts.may_send() && !is_turned_away && !self.time_left().is_zero()
     }
 
     fn take_budget(&self) -> bool {
@@ -209,8 +210,17 @@
         let load = self.serving.upstreams.load(target.key, self.weight());
         let connections_max = self.serving.config.borrow().connections_max(&self.service);
         let request = self.upstream_request(target, left);
+        let held = self.serving.blame.hold(target, self.request.content);
         let sent = self.serving.upstreams.send(target, connections_max, request);
-        let answer = match timeout(left, sent).await {
+        let sent = tokio::select! {
+            sent = timeout(left, sent) => sent,
+            // It hasn't begun to answer there: the upstream may be spared.
+            () = self.serving.blame.until_turned_away(self.request.content) => {
+                let why = "turned away meanwhile".to_owned();
+                return Err(Unanswered::without_break(SendEnd::Unknown, why));
+            }
+        };
+        let answer = match sent {
             Err(_) => {
                 let why = BreakOff::silent("no answer in time");
                 return Err(Unanswered { end: SendEnd::Unknown, why });
@@ -228,6 +238,7 @@
             body: answer.body,
             target: target.clone(),
             load,
+            _held: held,
             reads: None,
         };
         match self.check_head(&mut opened) {
--- a/crates/fernring-gateway/src/exchange/staging.rs
+++ b/crates/fernring-gateway/src/exchange/staging.rs
@@ -27,6 +27,9 @@
     /// # Errors
     /// If they could not be made in time; the request itself has not run.
     pub async fn make_stages(&mut self) -> Result<(), Refusal> {
+        if self.serving.blame.is_turned_away(self.request.content) {
+            return Err(self.give_up(ResultCode::EndsUpstreams, ""));
+        }
         self.admit()?;
         self.make_admitted().await
     }
@@ -46,6 +49,9 @@
                     let counts = &self.request.fields.piece_counts;
                     self.plan = StagePlan::new(&self.route.stages, counts);
                 }
+                WorkEnd::TurnedAway => {
+                    return Err(self.give_up(ResultCode::NoUpstream, "a stage failed"));
+                }
                 WorkEnd::Late => return Err(self.give_up(ResultCode::ExpiredInQueue, "stage")),
                 WorkEnd::Failed | WorkEnd::OwnerLost => {
                     return Err(self.give_up(ResultCode::NoUpstream, "a stage failed"));
@@ -103,6 +109,7 @@
         Work {
             service: spec.service.clone(),
             request_id: self.request.id.clone(),
+            content: self.request.content,
             stage: stage as u32,
             pieces: self.plan.count(stage),
             input,
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -58,5 +58,6 @@
 pub mod stage_plan;
 pub mod stages;
 pub mod store_loops;
+pub mod suspects;
 pub mod upstreams;
 pub mod wire;
--- a/crates/fernring-gateway/src/measures.rs
+++ b/crates/fernring-gateway/src/measures.rs
@@ -80,6 +80,11 @@
     counter!("fernring_gateway_records_refused_total", "topic" => topic).increment(1);
 }
 
+/// Counts an upstream that ended with requests in hand.
+pub(crate) fn upstream_ended() {
+    counter!("fernring_gateway_upstreams_ended_total").increment(1);
+}
+
 /// Counts a send that the retry budget did not allow.
 pub(crate) fn budget_spent(service: &Arc<str>) {
     let service = bounded(service).to_string();
@@ -101,6 +106,8 @@
     pub(crate) upstreams: usize,
     /// Requests in flight.
     pub(crate) in_flight: isize,
+    /// Contents that are turned away, since upstreams ended under them.
+    pub(crate) turned_away: usize,
     /// Connections of callers.
     pub(crate) caller_connections: usize,
     /// Connections to upstreams.
@@ -127,6 +134,7 @@
     gauge!("fernring_gateway_delegate").set(f64::from(u8::from(readings.is_delegate)));
     gauge!("fernring_gateway_upstreams").set(readings.upstreams as f64);
     gauge!("fernring_gateway_requests_in_flight").set(readings.in_flight as f64);
+    gauge!("fernring_gateway_turned_away").set(readings.turned_away as f64);
     gauge!("fernring_gateway_connections", "side" => "callers")
         .set(readings.caller_connections as f64);
     gauge!("fernring_gateway_connections", "side" => "upstreams")
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -147,16 +147,18 @@
         let peers = Rc::new(Peers::new(me, clock.clone()));
         let retries = Rc::new(Retries::new(settings.retries.allowance(), peers.clone()));
         let rules = Rc::new(Cell::new(settings.decide));
+        let blame =
+            Rc::new(Blame::new(clock.clone(), store.clone(), upstreams.clone(), peers.clone()));
         let owner = Rc::new(Owner::new(
             clock.clone(),
             wire.clone(),
             config.clone(),
             upstreams.clone(),
             peers.clone(),
+            blame.clone(),
             rules.clone(),
         ));
         let stages = Rc::new(Stages::new(clock.clone(), peers.clone(), owner.clone()));
-        let blame = Rc::new(Blame::new(clock.clone(), upstreams.clone()));
         let serving = Rc::new(Serving {
             clock: clock.clone(),
             wire: wire.clone(),
@@ -179,7 +181,7 @@
             config: config.clone(),
             upstreams: upstreams.clone(),
             owner: owner.clone(),
-            blame,
+            blame: blame.clone(),
             peers: peers.clone(),
             following: [(); 2].map(|()| RefCell::new(Following::new(rand::random()))),
             started_at,
@@ -187,6 +189,7 @@
         });
         spawn_local(owner.clone().run());
         spawn_local(owner.run_releases());
+        spawn_local(blame.run());
         let settings = RefCell::new(settings);
         let node = Rc::new(Self {
             settings,
@@ -349,6 +352,7 @@
             is_delegate: self.peers.is_delegate(),
             upstreams: directory.iter().filter(|(_, upstream)| upstream.takes_work()).count(),
             in_flight: self.serving.in_flight.get(),
+            turned_away: self.serving.blame.turned_away(),
             caller_connections: self.ingress.open(),
             upstream_connections: self.upstreams.open_connections(),
             store_answers: self.loops.store_answers.get(),
@@ -453,6 +457,7 @@
             GatewayBody::WorkDone(done) => self.stages.done(sender, done),
             GatewayBody::WorkCancel(ticket) => self.stages.cancel(sender, ticket.ticket),
             GatewayBody::Release(release) => self.stages.released(release),
+            GatewayBody::Ends(reports) => self.serving.blame.told(reports),
         }
     }
 
@@ -509,6 +514,10 @@
         (heartbeat.load_upstreams, heartbeat.load_weights) = loads.into_iter().unzip();
     }
 
+    fn joined(&self, peer: SocketAddr) {
+        self.serving.blame.joined(peer);
+    }
+
     fn unfollowed(&self, peer: SocketAddr) {
         self.upstreams.set_peer_loads(peer, Vec::new());
         self.stages.unfollowed(peer);
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -4,7 +4,8 @@
     super::{Owner, outcomes::has_further_call},
     crate::{
         batching::{Batch, BatchQueue, Bound, Task},
-        connections::SendFailure,
+        connections::{BreakOff, SendFailure},
+        endings::Break,
         log,
         makers::{Maker, overdue_after, usual_time},
         measures,
@@ -63,11 +64,26 @@
                 let mut flows = owner.flows.borrow_mut();
                 flows.entry(service.clone()).or_default().called(&shape, tasks.len(), took);
             }
-            owner.call_ended(&service, &target, tasks, end, was_overdue);
+            let has_ended = match &end {
+                Err(CallFailure::Broken(why)) => owner.has_ended(&target, &tasks, why).await,
+                _ => false,
+            };
+            owner.call_ended(&service, &target, tasks, end, was_overdue, has_ended);
             owner.pump(&service);
         });
     }
 
+    /// Finds out whether a call broke off because its maker has ended.
+    async fn has_ended(&self, target: &Target, tasks: &[Task], why: &BreakOff) -> bool {
+        let Some(how) = why.how else {
+            return false;
+        };
+        let first = tasks.first().map(|task| task.content);
+        let is_alone = tasks.iter().all(|task| Some(task.content) == first);
+        self.blame.broke(target, how, first.filter(|_| is_alone));
+        how == Break::Closed && self.blame.has_upstream_ended(target.key).await
+    }
+
     /// Waits for a call's end; once it is overdue, its pieces are given to another maker as well.
     /// Tells whether that was so.
     async fn watched<T>(
@@ -144,7 +160,7 @@
                 return Err(CallFailure::Failed(format!("status {}", answer.head.status)));
             }
             let body = http_body_util::Limited::new(answer.body, ANSWER_BYTES_MAX);
-            let body = body.collect().await.map_err(|e| CallFailure::Failed(e.to_string()))?;
+            let body = body.collect().await.map_err(|error| broken_body(&*error))?;
             let outcomes = self.wire.decode_batch(&body.to_bytes());
             outcomes.map_err(|error| CallFailure::Failed(error.to_string()))
         };
@@ -200,16 +216,27 @@
     /// The upstream refused it.
     #[error("refused")]
     Refused,
+    /// Its connection broke off.
+    #[error("{0}")]
+    Broken(BreakOff),
     /// Anything else.
     #[error("{0}")]
     Failed(String),
 }
 
+/// Tells why the body of an answer didn't come whole.
+fn broken_body(error: &(dyn std::error::Error + 'static)) -> CallFailure {
+    match error.downcast_ref::<hyper::Error>() {
+        Some(error) => CallFailure::Broken(error.into()),
+        None => CallFailure::Failed(error.to_string()),
+    }
+}
+
 impl From<SendFailure> for CallFailure {
     fn from(failure: SendFailure) -> Self {
         match failure {
             SendFailure::NotSent(reason) => Self::NotSent(reason),
-            SendFailure::Broken(broke) => Self::Failed(broke.reason),
+            SendFailure::Broken(broke) => Self::Broken(broke),
         }
     }
 }
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -13,7 +13,9 @@
     crate::{
         backlog::{Backlog, rank},
         batching::{BatchQueue, Makers, Taker, Task},
+        blame::Blame,
         config::ConfigState,
+        content::ContentKey,
         directory::Effect,
         flow::Flow,
         makers::{Maker, MakerSet},
@@ -50,6 +52,8 @@
     pub service: Arc<str>,
     /// The request.
     pub request_id: Arc<str>,
+    /// What the request asks.
+    pub content: ContentKey,
     /// Index of the stage.
     pub stage: u32,
     /// Number of pieces.
@@ -83,6 +87,8 @@
     Failed,
     /// Their owner can't be reached.
     OwnerLost,
+    /// Upstreams ended under their request.
+    TurnedAway,
 }
 
 impl WorkEnd {
@@ -94,6 +100,7 @@
             Self::InputGone => "input_gone",
             Self::Failed => "failed",
             Self::OwnerLost => "owner_lost",
+            Self::TurnedAway => "turned_away",
         }
     }
 }
@@ -106,6 +113,7 @@
     reply: Reply,
     handles: Vec<Option<Arc<str>>>,
     service: Arc<str>,
+    content: ContentKey,
 }
 
 /// The stage services that this node owns, or did.
@@ -115,6 +123,7 @@
     config: Rc<RefCell<ConfigState>>,
     upstreams: Rc<Upstreams>,
     peers: Rc<Peers>,
+    blame: Rc<Blame>,
     rules: Rc<Cell<DecideSettings>>,
     queues: RefCell<BTreeMap<Arc<str>, BatchQueue>>,
     flows: RefCell<BTreeMap<Arc<str>, Flow>>,
@@ -132,6 +141,7 @@
         config: Rc<RefCell<ConfigState>>,
         upstreams: Rc<Upstreams>,
         peers: Rc<Peers>,
+        blame: Rc<Blame>,
         rules: Rc<Cell<DecideSettings>>,
     ) -> Self {
         Self {
@@ -140,6 +150,7 @@
             config,
             upstreams,
             peers,
+            blame,
             rules,
             queues: RefCell::default(),
             flows: RefCell::default(),
@@ -155,7 +166,12 @@
         let id = self.next_work.get();
         self.next_work.set(id + 1);
         let pieces = work.pieces as usize;
-        let open = OpenWork { reply, handles: vec![None; pieces], service: work.service.clone() };
+        let open = OpenWork {
+            reply,
+            handles: vec![None; pieces],
+            service: work.service.clone(),
+            content: work.content,
+        };
         self.works.borrow_mut().insert(id, open);
         let mut queues = self.queues.borrow_mut();
         let queue = queues.entry(work.service.clone()).or_default();
@@ -292,6 +308,7 @@
             return;
         }
         let makers = self.usable_makers(service_name);
+        self.drop_turned_away();
         self.drop_expired(service_name, &shape, makers.len());
         for (target, room) in self.free_makers(&makers, &shape) {
             let now = self.now();
@@ -336,6 +353,20 @@
         }
     }
 
+    /// Drops the pieces of requests that are turned away: no call is to hold one.
+    fn drop_turned_away(&self) {
+        if !self.blame.turns_any_away() {
+            return;
+        }
+        let works = self.works.borrow();
+        let is_turned_away = |work: &&u64| self.blame.is_turned_away(works[*work].content);
+        let turned_away: Vec<_> = works.keys().filter(is_turned_away).copied().collect();
+        drop(works);
+        for work in turned_away {
+            self.end_work(work, WorkEnd::TurnedAway);
+        }
+    }
+
     fn drop_expired(&self, service: &Arc<str>, shape: &BatchShape, makers: usize) {
         let now = self.now();
         let backlog = self.backlog_before(service, shape, makers);
@@ -394,6 +425,8 @@
 fn task(work_id: u64, work: &Work, number: u32) -> Task {
     Task {
         work: work_id,
+        content: work.content,
+        is_apart: false,
         piece: Piece {
             request_id: work.request_id.clone(),
             stage: work.stage,
--- a/crates/fernring-gateway/src/owner/outcomes.rs
+++ b/crates/fernring-gateway/src/owner/outcomes.rs
@@ -21,6 +21,7 @@
         tasks: Vec<Task>,
         end: Result<Vec<PieceOutcome>, CallFailure>,
         was_overdue: bool,
+        has_ended: bool,
     ) {
         let now = self.now();
         // Of these, another copy waits or is in a call already.
@@ -34,7 +35,7 @@
                 match &failure {
                     CallFailure::Refused => self.upstreams.was_full(now, target.key),
                     CallFailure::NotSent(_) => self.upstreams.was_unreachable(now, target.key),
-                    CallFailure::Failed(_) => {
+                    CallFailure::Failed(_) | CallFailure::Broken(_) => {
                         self.upstreams.failed(now, target.key);
                     }
                 }
@@ -44,8 +45,14 @@
                     .with("pieces", tasks.len())
                     .with("error", &failure);
                 log::warn(line);
+                let first = tasks.first().map(|task| task.content);
+                let has_company = tasks.iter().any(|task| Some(task.content) != first);
+                let is_company_ended = has_ended && has_company;
+                // What another request did to the maker doesn't count among the calls of a piece.
+                let counts = !matches!(failure, CallFailure::NotSent(_)) && !is_company_ended;
                 for task in tasks.into_iter().filter(|task| !goes_on(task)) {
-                    self.retry(service, task, !matches!(failure, CallFailure::NotSent(_)));
+                    let is_apart = task.is_apart || is_company_ended;
+                    self.retry(service, Task { is_apart, ..task }, counts);
                 }
                 return;
             }
--- a/crates/fernring-gateway/src/peers.rs
+++ b/crates/fernring-gateway/src/peers.rs
@@ -63,6 +63,9 @@
     /// Adds what the node says of itself besides who it is, with the loads that are to be told.
     fn describe(&self, heartbeat: &mut GatewayHeartbeat, loads_of: LoadsOf);
 
+    /// Says that a peer is heard that was silent before.
+    fn joined(&self, peer: SocketAddr);
+
     /// Says that a peer isn't heard from now on, since delegates add up what it says.
     fn unfollowed(&self, peer: SocketAddr);
 
@@ -194,6 +197,37 @@
         self.send_bytes(peer, frame.encode_to_vec().into());
     }
 
+    /// Sends a message to all peers that are heard here: among few nodes all, among many each node's delegates.
+    pub fn send_all(self: &Rc<Self>, body: GatewayBody) {
+        self.send_where(body, |_| true);
+    }
+
+    /// Sends a message on to the nodes that depend on this one, if any do.
+    pub fn send_on(self: &Rc<Self>, body: GatewayBody) {
+        if self.tells_on() {
+            let domain = self.me.borrow().failure_domain.clone();
+            self.send_where(body, |peer| !peer.is_delegate && peer.failure_domain == domain);
+        }
+    }
+
+    fn send_where(self: &Rc<Self>, body: GatewayBody, fits: impl Fn(&Member) -> bool) {
+        let members = self.members.borrow();
+        let peers = members.live(self.now()).filter(|peer| fits(peer));
+        let peers: Vec<_> = peers.map(|peer| peer.address).collect();
+        drop(members);
+        let frame = GatewayFrame { sender: self.address().to_string(), body: Some(body) };
+        let bytes: Bytes = frame.encode_to_vec().into();
+        for peer in peers {
+            self.send_bytes(peer, bytes.clone());
+        }
+    }
+
+    /// Returns one of the live peers, drawn at random.
+    pub fn any_peer(&self) -> Option<SocketAddr> {
+        let members = self.members.borrow();
+        members.live(self.now()).choose(&mut rand::rng()).map(|peer| peer.address)
+    }
+
     /// Sends a record, which may be large and is asked for again if it is lost.
     pub fn send_record(self: &Rc<Self>, peer: SocketAddr, body: GatewayBody) {
         let frame = GatewayFrame { sender: self.address().to_string(), body: Some(body) };
@@ -324,6 +358,9 @@
             }
         }
         if let Some(handler) = self.handler() {
+            if is_new {
+                handler.joined(sender);
+            }
             handler.heartbeat(sender, heartbeat);
         }
     }
--- a/crates/fernring-gateway/src/refusal.rs
+++ b/crates/fernring-gateway/src/refusal.rs
@@ -56,6 +56,14 @@
         Self { code, detail: detail.into(), status, retry_after: Some(after), closes: false }
     }
 
+    /// Turns away a request that has not run and that upstreams end under. There is no time to come back at: it would be
+    /// refused again.
+    pub fn turned_away(_: NotRun, detail: impl Into<String>) -> Self {
+        let code = ResultCode::EndsUpstreams;
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        Self { code, detail: detail.into(), status, retry_after: None, closes: false }
+    }
+
     /// Gives up a request that may have run.
     pub fn may_have_run(code: ResultCode, detail: impl Into<String>) -> Self {
         let status = match code {
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -4,11 +4,13 @@
     crate::{
         backlog::Backlog,
         backlogs::Backlogs,
+        content::ContentKey,
         log, measures,
         model::PieceInput,
         owner::{Owner, Work, WorkEnd},
         peers::Peers,
     },
+    bytes::Bytes,
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{
         GatewayBody, LoadsOf, ReleaseResults, StageDone, StageLoad, StageWork, WorkTicket,
@@ -252,6 +254,7 @@
             0 => WorkEnd::Made(handles),
             1 => WorkEnd::Late,
             2 => WorkEnd::InputGone,
+            4 => WorkEnd::TurnedAway,
             _ => WorkEnd::Failed,
         };
         drop(pending.reply.send(end));
@@ -297,6 +300,7 @@
             priority: work.priority,
             result_bytes: work.result_bytes,
             near: work.near.as_deref().unwrap_or_default().to_owned(),
+            content: Bytes::copy_from_slice(work.content.bytes()),
         }
     }
 
@@ -311,7 +315,7 @@
         let due_ms = now.as_millis() as i64 + i64::from(message.due_ms);
         Work {
             service: message.service.into(),
-            request_id: message.request_id.into(),
+            request_id: message.request_id.as_str().into(),
             stage: message.stage,
             pieces: message.pieces,
             input,
@@ -320,6 +324,9 @@
             priority: message.priority,
             result_bytes: message.result_bytes,
             asker: sender,
+            // A node of before says nothing; what it asks for is alike to nobody's.
+            content: ContentKey::from_bytes(&message.content)
+                .unwrap_or_else(|| ContentKey::of(None, "", message.request_id.as_bytes())),
             near: (!message.near.is_empty()).then(|| message.near.into()),
         }
     }
@@ -331,6 +338,7 @@
         WorkEnd::Late => (1, Vec::new()),
         WorkEnd::InputGone => (2, Vec::new()),
         WorkEnd::Failed | WorkEnd::OwnerLost => (3, Vec::new()),
+        WorkEnd::TurnedAway => (4, Vec::new()),
     };
     StageDone { ticket, outcome, handles: handles.iter().map(|h| h.to_string()).collect() }
 }
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -420,7 +420,6 @@
             sleep(EXPIRY_INTERVAL).await;
             let effects = self.upstreams.expire(self.now());
             self.upstreams_changed(&effects);
-            self.blame.expire();
             self.upstreams.set_nodes(self.peers.nodes());
         }
     }
@@ -431,6 +430,7 @@
         loop {
             match self.store.newest(Topic::Nodes).await {
                 Ok(page) => {
+                    self.blame.learn(&page.records);
                     let addresses = page.records.iter().filter(|record| record.value.is_some());
                     self.peers.suggest(addresses.filter_map(|record| record.key.parse().ok()));
                     break;
--- a/crates/fernring-gateway/tests/testsuite/batching.rs
+++ b/crates/fernring-gateway/tests/testsuite/batching.rs
@@ -4,6 +4,7 @@
     fernring_gateway::{
         backlog::{Backlog, RANKS},
         batching::{BatchQueue, Bound, Makers, Taker, Task},
+        content::ContentKey,
         model::{BatchShape, Piece, PieceInput},
         settings::DecideSettings,
     },
@@ -38,6 +39,8 @@
 fn task(work: u64, due_ms: u64) -> Task {
     Task {
         work,
+        content: ContentKey::of(None, &work.to_string(), b""),
+        is_apart: false,
         piece: Piece {
             request_id: work.to_string().into(),
             stage: 0,
@@ -275,3 +278,21 @@
     assert_eq!(taken_far(41), 0, "makers near the readers have time for all");
     assert!(taken_far(5) > 0, "five makers have three calls' worth before them");
 }
+
+/// A maker ended under a call with pieces of three requests. Sent again together, they would end the next one, and nobody
+/// would learn under which; so each goes into a call of its own.
+#[test]
+fn pieces_that_are_to_be_apart_go_into_calls_of_their_own() {
+    let apart = |work, number| {
+        let mut task = Task { is_apart: true, ..task(work, 1_000 + work) };
+        task.piece.number = number;
+        task
+    };
+    let mut queue = queue([apart(1, 0), apart(1, 1), apart(2, 0), task(3, 1_003), apart(4, 0)]);
+    assert_eq!(take(&mut queue, 10_000), [1, 1], "both of one request");
+    assert_eq!(take(&mut queue, 10_000), [2]);
+    let batch = queue.take(NOW, &shape(), at("a", 10_000), &RULES, no_makers);
+    assert_eq!(batch.tasks.iter().map(|task| task.work).collect::<Vec<_>>(), [3]);
+    assert_eq!(batch.bound, Bound::Apart);
+    assert_eq!(take(&mut queue, 10_000), [4]);
+}
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -22,4 +22,5 @@
 mod selection;
 mod settings;
 mod stage_plan;
+mod suspects;
 mod upstreams;
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -10,7 +10,7 @@
     #[prost(string, tag = "1")]
     pub sender: String,
     /// What is said.
-    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<GatewayBody>,
 }
 
@@ -50,6 +50,9 @@
     /// The same of the upstreams' records.
     #[prost(message, tag = "12")]
     DirectoryPutOff(Nothing),
+    /// Upstreams that ended, and what they had in hand.
+    #[prost(message, tag = "13")]
+    Ends(EndReports),
 }
 
 /// A message without content.
@@ -265,6 +268,9 @@
     /// Failure domain in which the results will be read; empty if that doesn't matter.
     #[prost(string, tag = "12")]
     pub near: String,
+    /// Digest of what the request asks.
+    #[prost(bytes = "bytes", tag = "13")]
+    pub content: bytes::Bytes,
 }
 
 /// What became of the pieces of one stage.
@@ -273,7 +279,7 @@
     /// The asking node's number for them.
     #[prost(uint64, tag = "1")]
     pub ticket: u64,
-    /// 0 made, 1 late, 2 an input is gone, 3 failed.
+    /// 0 made, 1 late, 2 an input is gone, 3 failed, 4 turned away.
     #[prost(uint32, tag = "2")]
     pub outcome: u32,
     /// Handles of the results, in the order of the pieces.
@@ -289,6 +295,45 @@
     pub ticket: u64,
 }
 
+/// Upstreams that ended, and requests that got whole answers after some had ended under them.
+#[derive(Clone, PartialEq, Message)]
+pub struct EndReports {
+    /// The ends.
+    #[prost(message, repeated, tag = "1")]
+    pub ends: Vec<EndReport>,
+    /// The answers.
+    #[prost(message, repeated, tag = "2")]
+    pub cleared: Vec<ClearReport>,
+}
+
+/// The end of one start of an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct EndReport {
+    /// Its identity.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// When its process had started, in Unix milliseconds, if that is known.
+    #[prost(uint64, optional, tag = "2")]
+    pub started_ms: Option<u64>,
+    /// Time since it ended, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// Digests of what it had in hand.
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    pub contents: Vec<bytes::Bytes>,
+}
+
+/// A whole answer to a request.
+#[derive(Clone, PartialEq, Message)]
+pub struct ClearReport {
+    /// Digest of what the request asks.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub content: bytes::Bytes,
+    /// Time since the answer, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
 /// Results that are not needed any more.
 #[derive(Clone, PartialEq, Message)]
 pub struct ReleaseResults {
