--- a/crates/fernring-gateway/src/blame/mod.rs
+++ b/crates/fernring-gateway/src/blame/mod.rs
@@ -120,6 +120,11 @@
         self.suspects.borrow().is_turned_away(content)
     }
 
+    /// Tells whether an upstream has ended under a request since it last got a whole answer.
+    pub fn is_suspect(&self, content: ContentKey) -> bool {
+        self.suspects.borrow().is_suspect(content)
+    }
+
     /// Tells whether any request is turned away.
     pub fn turns_any_away(&self) -> bool {
         let suspects = self.suspects.borrow();
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -248,6 +248,11 @@
         &self.upstreams
     }
 
+    /// Returns the number of contents that are turned away, since upstreams ended under them.
+    pub fn turned_away(&self) -> usize {
+        self.serving.blame.turned_away()
+    }
+
     /// Finishes everything in flight, then returns.
     async fn shut_down(&self) {
         let shutdown = self.settings.borrow().shutdown;
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -181,8 +181,10 @@
             let flow = flows.entry(work.service.clone()).or_default();
             flow.came(now, rank(work.priority), work.pieces);
         }
+        // A suspect has no company that would have to share the blame.
+        let is_apart = self.blame.is_suspect(work.content);
         for number in 0..work.pieces {
-            queue.push(task(id, &work, number));
+            queue.push(task(id, &work, number, is_apart));
         }
         drop(queues);
         self.pump(&work.service);
@@ -422,11 +424,11 @@
     drop(reply.send(end));
 }
 
-fn task(work_id: u64, work: &Work, number: u32) -> Task {
+fn task(work_id: u64, work: &Work, number: u32, is_apart: bool) -> Task {
     Task {
         work: work_id,
         content: work.content,
-        is_apart: false,
+        is_apart,
         piece: Piece {
             request_id: work.request_id.clone(),
             stage: work.stage,
--- a/crates/fernring-gateway/src/suspects.rs
+++ b/crates/fernring-gateway/src/suspects.rs
@@ -127,6 +127,11 @@
         self.accounts.is_empty()
     }
 
+    /// Tells whether a request is charged with any end.
+    pub fn is_suspect(&self, content: ContentKey) -> bool {
+        self.accounts.get(&content).is_some_and(|account| !account.ends.is_empty())
+    }
+
     /// Tells whether a request is turned away.
     pub fn is_turned_away(&self, content: ContentKey) -> bool {
         self.accounts.get(&content).is_some_and(Account::is_turned_away)
