What ages counts the time of a suspension; waits for deadlines are asked again on waking

Cause: the monotonic clock was the steady one, which stands still while a VM is suspended, and the runtime's timers run on it. On waking records, configuration, promises, windows of the retry budget and ejections were as young as before, idle connections were used that the other side had long closed, upstreams were told more time than was left, and waits ended late by the whole suspension. Change: the one clock reads the time since boot. Idle connections, callers' connections, the age of the store's answers and the grace of a shutdown go by it. Waits for the end of a request's time are asked again when the clock is found to have jumped (Alarm, a look each 200 ms). What comes in the first 100 ms after the process stood still for a second confirms no age. Waits of two seconds at most stay on the timers. In fernring serve timers are looked at again after 200 ms at most. Before: two tests failed (a request answered only by a timer that stood still, an idle connection used again). After: six tests with a VM that is suspended pass.

--- a/crates/fernring-core/src/clock.rs
+++ b/crates/fernring-core/src/clock.rs
@@ -1,14 +1,19 @@
 //! The time that decisions are given.
 
-use std::{
-    sync::{Mutex, PoisonError},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+use {
+    nix::time::{ClockId, clock_gettime},
+    std::{
+        fmt,
+        sync::{Mutex, PoisonError},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
 };
 
 /// One reading of both clocks of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Now {
-    /// Time since the process started. Never goes backwards; used for every timeout.
+    /// Time since the process started, with what its VM was suspended. Never goes backwards; used for every age and
+    /// deadline.
     pub monotonic: Duration,
     /// Calendar time. May jump; used only to judge the age of keys and the start of events.
     pub wall: SystemTime,
@@ -33,21 +38,51 @@
 }
 
 /// A source of time. Decisions never hold one: the shell reads it and passes [`Now`] in.
-pub trait Clock: Send + Sync {
+pub trait Clock: fmt::Debug + Send + Sync {
     /// Reads both clocks.
     fn now(&self) -> Now;
 }
 
 /// The clocks of the operating system.
+///
+/// The monotonic one is that of the time since boot: the steady clock that `Instant` reads stands still while a VM is
+/// suspended, and whatever is kept would be that much younger than it is.
 #[derive(Debug)]
 pub struct SystemClock {
-    started: Instant,
+    started: Reading,
+}
+
+/// A reading of the clock that counts suspensions, or of the steady one where a system has no other.
+#[derive(Debug, Clone, Copy)]
+enum Reading {
+    SinceBoot(Duration),
+    Steady(Instant),
+}
+
+impl Reading {
+    fn take() -> Self {
+        match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+            Ok(time) => Self::SinceBoot(time.into()),
+            // Ages are then too low after a suspension; there is no clock that says more.
+            Err(_) => Self::Steady(Instant::now()),
+        }
+    }
+
+    /// Returns the time since this reading, by the same clock.
+    fn elapsed(self) -> Duration {
+        match (self, Self::take()) {
+            (Self::SinceBoot(then), Self::SinceBoot(now)) => now.saturating_sub(then),
+            (Self::Steady(then), _) => then.elapsed(),
+            // The clock was there once and is there always.
+            (Self::SinceBoot(_), Self::Steady(_)) => Duration::ZERO,
+        }
+    }
 }
 
 impl SystemClock {
     /// Creates a clock whose monotonic time starts at zero now.
     pub fn new() -> Self {
-        Self { started: Instant::now() }
+        Self { started: Reading::take() }
     }
 }
 
--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -4,6 +4,7 @@
 use {
     crate::endings::Break,
     bytes::Bytes,
+    fernring_core::clock::Clock,
     http::{Request, Response, response::Parts},
     http_body_util::Full,
     hyper::{
@@ -23,7 +24,7 @@
     tokio::{
         net::{TcpSocket, TcpStream},
         task::AbortHandle,
-        time::{Instant, timeout},
+        time::timeout,
     },
 };
 
@@ -109,7 +110,7 @@
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
-    until: Instant,
+    until: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -124,6 +125,7 @@
 #[derive(Debug, Clone)]
 pub struct Pool {
     address: SocketAddr,
+    clock: Rc<dyn Clock>,
     shared: Rc<RefCell<Shared>>,
 }
 
@@ -138,8 +140,12 @@
 
 impl Pool {
     /// Creates the pool of an upstream.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, shared: Rc::default() }
+    pub fn new(address: SocketAddr, clock: Rc<dyn Clock>) -> Self {
+        Self { address, clock, shared: Rc::default() }
+    }
+
+    fn now(&self) -> Duration {
+        self.clock.now().monotonic
     }
 
     /// Returns the address that it connects to.
@@ -154,7 +160,7 @@
 
     /// Closes idle connections whose time is over.
     pub fn expire(&self) {
-        let now = Instant::now();
+        let now = self.now();
         let mut shared = self.shared.borrow_mut();
         let before = shared.idle.len();
         shared.idle.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
@@ -252,12 +258,13 @@
     }
 
     fn put_idle(&self, connection: Connection, keep: Duration) {
+        let until = self.now() + keep;
         let mut shared = self.shared.borrow_mut();
         if shared.idle.len() >= IDLE_MAX || connection.sender.is_closed() || keep.is_zero() {
             shared.open -= 1;
             return;
         }
-        shared.idle.push(Idle { connection, until: Instant::now() + keep });
+        shared.idle.push(Idle { connection, until });
     }
 }
 
--- a/crates/fernring-gateway/src/exchange/mod.rs
+++ b/crates/fernring-gateway/src/exchange/mod.rs
@@ -236,6 +236,22 @@
         self.end_at.saturating_sub(self.serving.now())
     }
 
+    /// Returns when its time is over.
+    pub fn end_at(&self) -> Duration {
+        self.end_at
+    }
+
+    /// Waits for work for no longer than `patience` and the time left; `None` if it isn't done by then.
+    pub async fn wait_for<T>(
+        &self,
+        patience: Option<Duration>,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        let patient_at = patience.map(|patience| self.serving.now() + patience);
+        let at = patient_at.map_or(self.end_at, |at| at.min(self.end_at));
+        self.serving.alarm.within(at, work).await
+    }
+
     /// Returns the number of the event that the stream goes on after.
     pub fn resume_after(&self) -> Option<u64> {
         self.resume_after
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -16,7 +16,6 @@
     http::Request,
     http_body_util::Full,
     std::time::Duration,
-    tokio::time::timeout,
 };
 
 /// Most upstreams that one request is offered to, those included that take no connection. A
@@ -213,7 +212,7 @@
         let held = self.serving.blame.hold(target, self.request.content);
         let sent = self.serving.upstreams.send(target, connections_max, request);
         let sent = tokio::select! {
-            sent = timeout(left, sent) => sent,
+            sent = self.wait_for(None, sent) => sent,
             // It hasn't begun to answer there: the upstream may be spared.
             () = self.serving.blame.until_turned_away(self.request.content) => {
                 let why = "turned away meanwhile".to_owned();
@@ -221,17 +220,17 @@
             }
         };
         let answer = match sent {
-            Err(_) => {
+            None => {
                 let why = BreakOff::silent("no answer in time");
                 return Err(Unanswered { end: SendEnd::Unknown, why });
             }
-            Ok(Err(SendFailure::NotSent(why))) => {
+            Some(Err(SendFailure::NotSent(why))) => {
                 return Err(Unanswered::without_break(SendEnd::NotSent, why));
             }
-            Ok(Err(SendFailure::Broken(why))) => {
+            Some(Err(SendFailure::Broken(why))) => {
                 return Err(Unanswered { end: SendEnd::Unknown, why });
             }
-            Ok(Ok(answer)) => answer,
+            Some(Ok(answer)) => answer,
         };
         let mut opened = Opened {
             head: answer.head,
--- a/crates/fernring-gateway/src/ingress.rs
+++ b/crates/fernring-gateway/src/ingress.rs
@@ -7,7 +7,7 @@
         model::CallerLimits,
         serve::{CallerBody, Serving},
     },
-    fernring_core::text::LogLine,
+    fernring_core::{clock::Clock, text::LogLine},
     http::{HeaderValue, Request, Response, header::CONNECTION},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -26,7 +26,6 @@
         net::{TcpListener, TcpStream},
         sync::watch,
         task::spawn_local,
-        time::{Instant, sleep_until},
     },
 };
 
@@ -50,9 +49,9 @@
 #[derive(Debug, Clone, Copy)]
 enum Doing {
     /// Nothing, since then.
-    Idle(Instant),
+    Idle(Duration),
     /// Reading a head, since its first byte.
-    Head(Instant),
+    Head(Duration),
     /// Carrying a request; its own limits hold.
     Request,
 }
@@ -61,16 +60,21 @@
 #[derive(Debug)]
 pub struct ConnectionState {
     doing: Cell<Doing>,
+    clock: Rc<dyn Clock>,
 }
 
 impl ConnectionState {
+    fn now(&self) -> Duration {
+        self.clock.now().monotonic
+    }
+
     fn started_head(&self) {
         if let Doing::Idle(_) = self.doing.get() {
-            self.doing.set(Doing::Head(Instant::now()));
+            self.doing.set(Doing::Head(self.now()));
         }
     }
 
-    fn deadline(&self, limits: &CallerLimits) -> Option<Instant> {
+    fn deadline(&self, limits: &CallerLimits) -> Option<Duration> {
         match self.doing.get() {
             Doing::Idle(since) => Some(since + limits.idle_timeout),
             Doing::Head(since) => Some(since + limits.head_timeout),
@@ -85,7 +89,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.doing.set(Doing::Idle(Instant::now()));
+        self.0.doing.set(Doing::Idle(self.0.now()));
     }
 }
 
@@ -197,7 +201,8 @@
         stream.set_nodelay(true)?;
         socket2::SockRef::from(&stream)
             .set_tcp_user_timeout(Some(crate::connections::UNACKNOWLEDGED_MAX))?;
-        let state = Rc::new(ConnectionState { doing: Cell::new(Doing::Idle(Instant::now())) });
+        let doing = Cell::new(Doing::Idle(self.serving.now()));
+        let state = Rc::new(ConnectionState { doing, clock: self.serving.clock.clone() });
         let limits = self.limits();
         let buffer_bytes = limits.head_bytes_max.max(BUFFER_BYTES_MIN);
         let stream = TokioIo::new(WatchedStream { stream, state: state.clone() });
@@ -211,7 +216,10 @@
             drop(phase.wait_for(|phase| *phase == Phase::Closing).await);
         });
         let mut is_closing = false;
-        let mut timer = pin!(sleep_until(Instant::now() + limits.idle_timeout));
+        // Reset to what the connection is doing each time that it is looked at.
+        let alarm = &self.serving.alarm;
+        let mut timer_at = self.serving.now() + limits.idle_timeout;
+        let mut timer = Box::pin(alarm.until(timer_at));
         poll_fn(|context| {
             if !is_closing && closing.as_mut().poll(context).is_ready() {
                 is_closing = true;
@@ -223,8 +231,9 @@
             let Some(deadline) = state.deadline(&self.limits()) else {
                 return Poll::Pending;
             };
-            if timer.deadline() != deadline {
-                timer.as_mut().reset(deadline);
+            if timer_at != deadline {
+                timer_at = deadline;
+                timer.set(alarm.until(deadline));
             }
             match timer.as_mut().poll(context) {
                 Poll::Ready(()) => Poll::Ready(Ok(())),
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 
 pub mod admission;
+pub mod alarm;
 pub mod attempts;
 pub mod backlog;
 pub mod backlogs;
@@ -57,6 +58,7 @@
 pub mod settings;
 pub mod stage_plan;
 pub mod stages;
+pub mod stillness;
 pub mod store_loops;
 pub mod suspects;
 pub mod upstreams;
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        alarm::Alarm,
         blame::Blame,
         config::ConfigState,
         following::{Following, Reply},
@@ -46,7 +47,7 @@
         net::{TcpListener, TcpStream},
         signal::unix::{SignalKind, signal},
         task::spawn_local,
-        time::{Instant, sleep, sleep_until},
+        time::sleep,
     },
 };
 
@@ -143,7 +144,7 @@
             ..Member::new(settings.node.peer_address, failure_domain.clone())
         };
         let config = Rc::new(RefCell::new(ConfigState::default()));
-        let upstreams = Rc::new(Upstreams::new(failure_domain));
+        let upstreams = Rc::new(Upstreams::new(failure_domain, clock.clone()));
         let peers = Rc::new(Peers::new(me, clock.clone()));
         let retries = Rc::new(Retries::new(settings.retries.allowance(), peers.clone()));
         let rules = Rc::new(Cell::new(settings.decide));
@@ -159,8 +160,10 @@
             rules.clone(),
         ));
         let stages = Rc::new(Stages::new(clock.clone(), peers.clone(), owner.clone()));
+        let alarm = Rc::new(Alarm::new(clock.clone()));
         let serving = Rc::new(Serving {
             clock: clock.clone(),
+            alarm: alarm.clone(),
             wire: wire.clone(),
             config: config.clone(),
             upstreams: upstreams.clone(),
@@ -176,6 +179,7 @@
         let started_at = clock.now().monotonic;
         let loops = Rc::new(StoreLoops {
             clock,
+            alarm,
             wire: wire.clone(),
             store,
             config: config.clone(),
@@ -248,6 +252,16 @@
         &self.upstreams
     }
 
+    /// Returns the version of the configuration in force.
+    pub fn config_version(&self) -> u64 {
+        self.config.borrow().version()
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> isize {
+        self.serving.in_flight.get()
+    }
+
     /// Returns the number of contents that are turned away, since upstreams ended under them.
     pub fn turned_away(&self) -> usize {
         self.serving.blame.turned_away()
@@ -256,15 +270,16 @@
     /// Finishes everything in flight, then returns.
     async fn shut_down(&self) {
         let shutdown = self.settings.borrow().shutdown;
-        let started = Instant::now();
+        let started = self.serving.now();
         let end = started + Duration::from_secs_f64(shutdown.grace_s).saturating_sub(GRACE_MARGIN);
         log::info(LogLine::event("stopping").with("in_flight", self.serving.in_flight.get()));
         self.ingress.set_phase(Phase::Leaving);
         self.peers.set_draining();
         self.loops.leave().await;
-        sleep_until(started + Duration::from_secs_f64(shutdown.leave_s)).await;
+        let leave = Duration::from_secs_f64(shutdown.leave_s);
+        self.serving.alarm.until(started + leave).await;
         self.ingress.set_phase(Phase::Closing);
-        while self.ingress.open() > 0 && Instant::now() < end {
+        while self.ingress.open() > 0 && self.serving.now() < end {
             sleep(DRAIN_INTERVAL).await;
         }
         log::info(LogLine::event("stopped").with("in_flight", self.serving.in_flight.get()));
--- a/crates/fernring-gateway/src/peers.rs
+++ b/crates/fernring-gateway/src/peers.rs
@@ -6,6 +6,7 @@
         delegates::{Pace, Role},
         log,
         members::{HEARTBEAT_INTERVAL, Member, Members, ReaderPart},
+        stillness::Stillness,
     },
     bytes::{Buf, Bytes, BytesMut},
     fernring_core::{clock::Clock, text::LogLine},
@@ -98,6 +99,7 @@
     role: RefCell<Role>,
     /// Rounds of heartbeats so far.
     rounds: Cell<u64>,
+    stillness: Cell<Stillness>,
     members: RefCell<Members>,
     links: RefCell<HashMap<SocketAddr, Link>>,
     handler: RefCell<Option<Rc<dyn PeerHandler>>>,
@@ -111,6 +113,7 @@
             me: RefCell::new(me),
             role: RefCell::new(Role::new(rand::random())),
             rounds: Cell::new(0),
+            stillness: Cell::new(Stillness::new(clock.now().monotonic)),
             members: RefCell::default(),
             links: RefCell::default(),
             handler: RefCell::default(),
@@ -321,9 +324,21 @@
             log::warn(LogLine::event("peer_frame_malformed").with("sender", frame.sender));
             return;
         };
+        let is_leftover = self.stillness.get().hears_leftovers(self.now());
         match body {
-            GatewayBody::Heartbeat(heartbeat) => self.heard(sender, &heartbeat),
-            body => {
+            GatewayBody::Heartbeat(mut heartbeat) => {
+                if is_leftover {
+                    // It would confirm what may have changed while this process stood still.
+                    (heartbeat.config_age_ms, heartbeat.directory_age_ms) = (None, None);
+                }
+                self.heard(sender, &heartbeat);
+            }
+            mut body => {
+                if let GatewayBody::Directory(records) = &mut body
+                    && is_leftover
+                {
+                    records.age_ms = None;
+                }
                 if let Some(handler) = self.handler() {
                     handler.message(sender, body);
                 }
@@ -370,6 +385,7 @@
         let mut before = self.now();
         loop {
             let round_at = self.now();
+            self.note_stillness(round_at);
             self.send_heartbeats();
             tokio::time::sleep(HEARTBEAT_INTERVAL).await;
             let now = self.now();
@@ -387,6 +403,14 @@
         }
     }
 
+    fn note_stillness(&self, now: Duration) {
+        let mut stillness = self.stillness.get();
+        if let Some(gap) = stillness.round(now) {
+            log::warn(LogLine::event("stood_still").with("for_ms", gap.as_millis()));
+        }
+        self.stillness.set(stillness);
+    }
+
     fn send_heartbeats(self: &Rc<Self>) {
         self.rounds.set(self.rounds.get() + 1);
         let has_changed = self.update_role();
--- a/crates/fernring-gateway/src/relay.rs
+++ b/crates/fernring-gateway/src/relay.rs
@@ -14,7 +14,6 @@
     http_body_util::BodyExt,
     std::time::Duration,
     thiserror::Error,
-    tokio::time::timeout,
 };
 
 /// Silence after which a stream that may go on elsewhere does. Objectives for pauses lie around a
@@ -79,20 +78,20 @@
     }
 
     async fn step(&mut self) -> Result<Option<Bytes>, RelayError> {
-        let left = self.exchange.time_left();
-        if left.is_zero() {
+        if self.exchange.time_left().is_zero() {
             return Err(RelayError::TimedOut);
         }
-        let patience = if self.is_resumable { left.min(SILENCE_MAX) } else { left };
-        match timeout(patience, next_bytes(&mut self.opened.body)).await {
-            Ok(Some(Ok(bytes))) => {
+        let patience = self.is_resumable.then_some(SILENCE_MAX);
+        let next = next_bytes(&mut self.opened.body);
+        match self.exchange.wait_for(patience, next).await {
+            Some(Some(Ok(bytes))) => {
                 self.exchange.got_bytes(&mut self.opened);
                 Ok(Some(self.take(bytes)?))
             }
-            Ok(None) => Ok(None),
-            Ok(Some(Err(error))) => self.resume(error).await,
-            Err(_) if self.exchange.time_left().is_zero() => Err(RelayError::TimedOut),
-            Err(_) => self.resume(BreakOff::silent("silent")).await,
+            Some(None) => Ok(None),
+            Some(Some(Err(error))) => self.resume(error).await,
+            None if self.exchange.time_left().is_zero() => Err(RelayError::TimedOut),
+            None => self.resume(BreakOff::silent("silent")).await,
         }
     }
 
--- a/crates/fernring-gateway/src/serve.rs
+++ b/crates/fernring-gateway/src/serve.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        alarm::Alarm,
         attempts::NotRun,
         blame::Blame,
         config::{ConfigState, HeldConfig},
@@ -57,6 +58,8 @@
 pub struct Serving {
     /// The clock.
     pub clock: Rc<dyn Clock>,
+    /// Waits for its points.
+    pub alarm: Rc<Alarm>,
     /// The platform's formats.
     pub wire: Rc<dyn Wire>,
     /// The configuration in force.
@@ -156,8 +159,10 @@
         let Some(request_id) = id.clone() else {
             return Err(refuse(Refusal::incorrect(ResultCode::BadRequest, "no request id")));
         };
-        let left = (arrived_at + route.wait(fields.remaining)).saturating_sub(self.now());
-        let body = read_body(body, held.config.limits.body_bytes_max, left).await;
+        let end_at = arrived_at + route.wait(fields.remaining);
+        let reading = read_body(body, held.config.limits.body_bytes_max);
+        let body = self.alarm.within(end_at, reading).await;
+        let body = body.unwrap_or_else(|| Err(Refusal::slow_body()));
         let body = body.map_err(refuse)?;
         let path = head.uri.path_and_query().map(|path| path.as_str()).unwrap_or("/");
         let uri = path.parse().map_err(|_| {
@@ -220,16 +225,16 @@
         mut opened: Opened,
     ) -> Result<Response<CallerBody>, String> {
         let collecting = Limited::new(&mut opened.body, WHOLE_ANSWER_BYTES_MAX).collect();
-        let why = match timeout(exchange.time_left(), collecting).await {
-            Ok(Ok(whole)) => {
+        let why = match self.alarm.within(exchange.end_at(), collecting).await {
+            Some(Ok(whole)) => {
                 let body = CallerBody::whole(Full::new(whole.to_bytes()));
                 return Ok(response(&opened, body, true));
             }
-            Ok(Err(error)) => match error.downcast_ref::<hyper::Error>() {
+            Some(Err(error)) => match error.downcast_ref::<hyper::Error>() {
                 Some(error) => error.into(),
                 None => BreakOff { reason: error.to_string(), how: None },
             },
-            Err(_) => BreakOff::silent("the answer was not whole in time"),
+            None => BreakOff::silent("the answer was not whole in time"),
         };
         exchange.send_broke(&opened, &why);
         Err(why.reason)
@@ -297,23 +302,17 @@
     Ok(found)
 }
 
-async fn read_body(
-    mut body: Incoming,
-    bytes_max: usize,
-    time_max: Duration,
-) -> Result<Bytes, Refusal> {
+async fn read_body(mut body: Incoming, bytes_max: usize) -> Result<Bytes, Refusal> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
     if body.size_hint().lower() > bytes_max as u64 {
         return Err(too_long(body, bytes_max).await);
     }
-    let read = timeout(time_max, Limited::new(&mut body, bytes_max).collect()).await;
-    match read {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_long(body, bytes_max).await),
-        Ok(Err(error)) => Err(Refusal::incorrect(ResultCode::BadRequest, error.to_string())),
-        Err(_) => Err(Refusal::slow_body()),
+    match Limited::new(&mut body, bytes_max).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(too_long(body, bytes_max).await),
+        Err(error) => Err(Refusal::incorrect(ResultCode::BadRequest, error.to_string())),
     }
 }
 
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        alarm::Alarm,
         blame::Blame,
         config::ConfigState,
         directory::{Change, Effect, Entry},
@@ -54,6 +55,8 @@
 pub struct StoreLoops {
     /// The clock.
     pub clock: Rc<dyn Clock>,
+    /// Wakes those who wait for its points.
+    pub alarm: Rc<Alarm>,
     /// The platform's formats.
     pub wire: Rc<dyn Wire>,
     /// The platform's store.
@@ -418,6 +421,7 @@
     pub async fn expire(self: Rc<Self>) {
         loop {
             sleep(EXPIRY_INTERVAL).await;
+            self.alarm.look();
             let effects = self.upstreams.expire(self.now());
             self.upstreams_changed(&effects);
             self.upstreams.set_nodes(self.peers.nodes());
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -9,6 +9,7 @@
         selection::Candidate,
     },
     bytes::Bytes,
+    fernring_core::clock::Clock,
     http::Request,
     http_body_util::Full,
     slotmap::SecondaryMap,
@@ -111,6 +112,7 @@
 #[derive(Debug)]
 pub struct Upstreams {
     failure_domain: Arc<str>,
+    clock: Rc<dyn Clock>,
     directory: RefCell<Directory>,
     pools: RefCell<SecondaryMap<UpstreamKey, Pool>>,
     health: RefCell<SecondaryMap<UpstreamKey, Health>>,
@@ -166,9 +168,10 @@
 
 impl Upstreams {
     /// Creates the upstreams of a node of a failure domain, none so far.
-    pub fn new(failure_domain: Arc<str>) -> Self {
+    pub fn new(failure_domain: Arc<str>, clock: Rc<dyn Clock>) -> Self {
         Self {
             failure_domain,
+            clock,
             directory: RefCell::default(),
             pools: RefCell::default(),
             health: RefCell::default(),
@@ -495,10 +498,10 @@
         let mut pools = self.pools.borrow_mut();
         let entry = pools.entry(target.key);
         let entry = entry.ok_or_else(|| SendFailure::NotSent("the upstream is gone".to_owned()))?;
-        let pool = entry.or_insert_with(|| Pool::new(target.address));
+        let pool = entry.or_insert_with(|| Pool::new(target.address, self.clock.clone()));
         if pool.address() != target.address {
             // Its record names another address now; what runs at the old one may end.
-            *pool = Pool::new(target.address);
+            *pool = Pool::new(target.address, self.clock.clone());
         }
         Ok(pool.clone())
     }
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -1,6 +1,7 @@
 //! What a node knows of its upstreams besides their records.
 
 use {
+    fernring_core::clock::ManualClock,
     fernring_gateway::{
         directory::{Change, Entry},
         model::{UpstreamKey, UpstreamRecord, UpstreamState, short_hash},
@@ -28,7 +29,7 @@
 }
 
 fn upstreams(instances: &[&str]) -> Rc<Upstreams> {
-    let upstreams = Rc::new(Upstreams::new("a".into()));
+    let upstreams = Rc::new(Upstreams::new("a".into(), Rc::new(ManualClock::at_unix_ms(0))));
     let changes = instances.iter().enumerate().map(|(number, instance)| change(number, instance));
     upstreams.apply(NOW, changes.collect());
     upstreams
@@ -120,7 +121,7 @@
 #[test]
 fn a_domains_load_is_added_up_by_a_delegate_and_counted_once() {
     let [follower, delegate, far] = ["a", "a", "b"].map(|domain| {
-        let upstreams = Rc::new(Upstreams::new(domain.into()));
+        let upstreams = Rc::new(Upstreams::new(domain.into(), Rc::new(ManualClock::at_unix_ms(0))));
         upstreams.apply(NOW, vec![change(0, "i")]);
         upstreams
     });
--- a/crates/fernring/src/cmd/gateway.rs
+++ b/crates/fernring/src/cmd/gateway.rs
@@ -57,10 +57,11 @@
         .build()
         .context("could not start the runtime")?;
     let recorder = metrics_recorder()?;
+    let clock = Rc::new(SystemClock::new());
     let foundation = Foundation {
-        clock: Rc::new(SystemClock::new()),
+        clock: clock.clone(),
         wire: Rc::new(PlatformWire),
-        store: Rc::new(PlatformStore::new(settings.store.address)),
+        store: Rc::new(PlatformStore::new(settings.store.address, clock)),
         render: Box::new(move || recorder.render()),
     };
     LocalSet::new().block_on(&runtime, async {
--- a/crates/fernring/src/node/actions.rs
+++ b/crates/fernring/src/node/actions.rs
@@ -60,6 +60,7 @@
     let mut sink = |parts| node.handle(Event::Parts { attempt, parts });
     let grace_ms = if dispatch.effect { node.settings.limits.effect_grace_ms } else { 0 };
     let longest = Duration::from_millis(dispatch.remaining_ms + grace_ms);
+    // The steady timer is the last resort only: the dispatcher ends a request by its own clock, which cancels this.
     let run = timeout(longest, node.upstream.run(&dispatch, &mut sink));
     let end = tokio::select! {
         end = run => end.unwrap_or(AttemptEnd::Failed),
--- a/crates/fernring/src/node/state.rs
+++ b/crates/fernring/src/node/state.rs
@@ -41,6 +41,9 @@
     uuid::Uuid,
 };
 
+/// Longest wait for a timer before the clock is asked again: it counts what the VM was suspended, and the runtime's timers don't.
+const TIMER_LOOK_MAX: Duration = Duration::from_millis(200);
+
 /// What a waiter is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WaiterEvent {
@@ -418,7 +421,7 @@
                 Some(at) if at <= now => self.handle(Event::Tick),
                 Some(at) => {
                     tokio::select! {
-                        () = tokio::time::sleep(at - now) => {}
+                        () = tokio::time::sleep((at - now).min(TIMER_LOOK_MAX)) => {}
                         () = self.timer_changed.notified() => {}
                     }
                 }
