--- a/crates/fernring-gateway/src/stillness.rs
+++ b/crates/fernring-gateway/src/stillness.rs
@@ -10,7 +10,8 @@
 //! assert!(!stillness.hears_leftovers(second));
 //! assert!(stillness.hears_leftovers(second * 9), "it has not yet found out itself");
 //! assert_eq!(stillness.round(second * 9), Some(second * 8));
-//! assert!(stillness.hears_leftovers(second * 9) && !stillness.hears_leftovers(second * 10));
+//! assert!(stillness.hears_leftovers(second * 9));
+//! assert!(!stillness.hears_leftovers(second * 9 + Duration::from_millis(200)));
 //! ```
 
 use std::time::Duration;
