--- a/crates/fernring-gateway/src/blame/mod.rs
+++ b/crates/fernring-gateway/src/blame/mod.rs
@@ -185,7 +185,7 @@
             return;
         }
         let (now, run) = (self.now(), target.run());
-        let ended = self.endings.borrow_mut().broke(now, target.key, &run, how, content);
+        let ended = self.endings.borrow_mut().broke(now, place(target), &run, how, content);
         self.has_ended(ended);
         self.look(target);
     }
@@ -225,6 +225,7 @@
             match effect {
                 Effect::Draining(key) => self.endings.borrow_mut().leaving(now, *key),
                 Effect::Gone(key) => self.went(*key),
+                Effect::Appeared(key) => self.appeared(*key),
                 Effect::Restarted { old, .. } => {
                     let ended = self.endings.borrow_mut().restarted(now, *old);
                     self.has_ended(ended);
@@ -234,6 +235,20 @@
         }
     }
 
+    fn appeared(&self, key: UpstreamKey) {
+        let Some(target) = self.upstreams.target(key) else {
+            return;
+        };
+        let ended = self.endings.borrow_mut().appeared(self.now(), key, target.address);
+        ended.into_iter().for_each(|ended| self.has_ended(Some(ended)));
+    }
+
+    /// Takes in that another instance than was meant answers at an upstream's address.
+    pub fn replaced(&self, key: UpstreamKey) {
+        let ended = self.endings.borrow_mut().restarted(self.now(), key);
+        self.has_ended(ended);
+    }
+
     /// Takes in that an upstream's record is gone: what it has in hand may be lost, or served on.
     fn went(self: &Rc<Self>, key: UpstreamKey) {
         let now = self.now();
@@ -244,7 +259,7 @@
         let mut endings = self.endings.borrow_mut();
         if let Some((target, contents)) = &there {
             for content in contents {
-                endings.broke(now, key, &target.run(), Break::Silent, Some(*content));
+                endings.broke(now, place(target), &target.run(), Break::Silent, Some(*content));
             }
         }
         let ended = endings.removed(now, key);
@@ -386,6 +401,10 @@
     }
 }
 
+fn place(target: &Target) -> (UpstreamKey, SocketAddr) {
+    (target.key, target.address)
+}
+
 fn names(runs: &[Run]) -> String {
     let names: Vec<_> = runs.iter().map(Run::to_string).collect();
     names.join(",")
--- a/crates/fernring-gateway/src/endings.rs
+++ b/crates/fernring-gateway/src/endings.rs
@@ -16,16 +16,17 @@
 //!
 //! let (now, key) = (Duration::ZERO, UpstreamKey::default());
 //! let run = Run { instance: "i-1".into(), started_ms: None };
+//! let address = "10.0.0.1:8080".parse().unwrap();
 //! let asked = ContentKey::of(None, "/x", b"");
 //! let mut endings = Endings::default();
-//! assert!(endings.broke(now, key, &run, Break::Closed, Some(asked)).is_none(), "not known yet");
+//! assert!(endings.broke(now, (key, address), &run, Break::Closed, Some(asked)).is_none(), "not known yet");
 //! let ended = endings.probed(key, Probe::Refused).unwrap();
 //! assert_eq!(ended.contents, [asked]);
 //! ```
 
 use {
     crate::{content::ContentKey, model::UpstreamKey},
-    std::{collections::HashMap, fmt, sync::Arc, time::Duration},
+    std::{collections::HashMap, fmt, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// How long after a break its cause may still be found out. A record goes three heartbeats of an upstream after its
@@ -101,7 +102,7 @@
     Leaving,
     /// Its record is gone.
     Removed,
-    /// Its process has started again.
+    /// Its process has started again, or another has taken its address.
     Restarted,
 }
 
@@ -109,6 +110,7 @@
 #[derive(Debug)]
 struct Broken {
     run: Run,
+    address: SocketAddr,
     last_at: Duration,
     /// Whether any of the sends was closed by the other side.
     was_closed: bool,
@@ -158,7 +160,7 @@
     pub fn broke(
         &mut self,
         now: Duration,
-        key: UpstreamKey,
+        (key, address): (UpstreamKey, SocketAddr),
         run: &Run,
         how: Break,
         content: Option<ContentKey>,
@@ -172,6 +174,7 @@
         }
         let broken = self.broken.entry(key).or_insert_with(|| Broken {
             run: run.clone(),
+            address,
             last_at: now,
             was_closed: false,
             probe: None,
@@ -229,6 +232,16 @@
         self.went(now, key, Fate::Removed)
     }
 
+    /// Takes in that another upstream has appeared at an address: whoever had it before has ended, though it takes
+    /// connections there.
+    pub fn appeared(&mut self, now: Duration, key: UpstreamKey, address: SocketAddr) -> Vec<Ended> {
+        let others = self.broken.iter().filter(|(other, broken)| {
+            **other != key && broken.address == address && broken.fate != Some(Fate::Leaving)
+        });
+        let others: Vec<_> = others.map(|(other, _)| *other).collect();
+        others.into_iter().filter_map(|other| self.restarted(now, other)).collect()
+    }
+
     /// Takes in that an upstream's process has started again.
     pub fn restarted(&mut self, now: Duration, key: UpstreamKey) -> Option<Ended> {
         self.went(now, key, Fate::Restarted)
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -290,7 +290,11 @@
         match end {
             SendEnd::Refused => self.serving.upstreams.was_full(now, target.key),
             SendEnd::NotSent => self.serving.upstreams.was_unreachable(now, target.key),
-            SendEnd::WrongInstance | SendEnd::Unknown => {
+            SendEnd::WrongInstance => {
+                self.serving.upstreams.failed(now, target.key);
+                self.serving.blame.replaced(target.key);
+            }
+            SendEnd::Unknown => {
                 self.serving.upstreams.failed(now, target.key);
             }
         }
--- a/crates/fernring-gateway/tests/testsuite/endings.rs
+++ b/crates/fernring-gateway/tests/testsuite/endings.rs
@@ -6,7 +6,8 @@
         endings::{Break, CAUSE_MAX, Endings, Probe, Run},
         model::UpstreamKey,
     },
-    std::time::Duration,
+    slotmap::SlotMap,
+    std::{net::SocketAddr, time::Duration},
 };
 
 const NOW: Duration = Duration::from_secs(100);
@@ -15,6 +16,10 @@
     Run { instance: "i-1".into(), started_ms: Some(7) }
 }
 
+fn address() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 8080))
+}
+
 fn content(name: &str) -> ContentKey {
     ContentKey::of(None, name, b"")
 }
@@ -23,7 +28,7 @@
 fn broken(how: Break) -> (Endings, UpstreamKey) {
     let mut endings = Endings::default();
     let key = UpstreamKey::default();
-    let found = endings.broke(NOW, key, &run(), how, Some(content("a")));
+    let found = endings.broke(NOW, (key, address()), &run(), how, Some(content("a")));
     assert_eq!(found, None, "a break alone");
     (endings, key)
 }
@@ -49,6 +54,18 @@
     assert!(endings.restarted(NOW, key).is_some());
 }
 
+/// A node that stood still finds the break when another process has long taken the address.
+#[test]
+fn another_upstream_at_the_address_is_an_end_though_it_takes_connections() {
+    let mut keys = SlotMap::<UpstreamKey, ()>::with_key();
+    let next = keys.insert(());
+    let (mut endings, key) = broken(Break::Closed);
+    assert_eq!((endings.probed(key, Probe::Accepted), endings.removed(NOW, key)), (None, None));
+    let elsewhere = SocketAddr::from(([10, 0, 0, 2], 8080));
+    assert!(endings.appeared(NOW, next, elsewhere).is_empty());
+    assert_eq!(endings.appeared(NOW, next, address())[0].contents, [content("a")]);
+}
+
 #[test]
 fn silence_is_an_end_only_beside_another_sign() {
     let (mut endings, key) = broken(Break::Silent);
@@ -74,7 +91,10 @@
     let mut endings = Endings::default();
     let key = UpstreamKey::default();
     assert_eq!(endings.removed(NOW, key), None);
-    assert_eq!(endings.broke(NOW, key, &run(), Break::Closed, Some(content("a"))), None);
+    assert_eq!(
+        endings.broke(NOW, (key, address()), &run(), Break::Closed, Some(content("a"))),
+        None
+    );
     assert_eq!(endings.probed(key, Probe::Refused), None);
 }
 
@@ -84,7 +104,10 @@
     let key = UpstreamKey::default();
     endings.leaving(NOW, key);
     endings.removed(NOW, key);
-    assert_eq!(endings.broke(NOW, key, &run(), Break::Closed, Some(content("a"))), None);
+    assert_eq!(
+        endings.broke(NOW, (key, address()), &run(), Break::Closed, Some(content("a"))),
+        None
+    );
     assert_eq!(endings.probed(key, Probe::Refused), None);
 }
 
@@ -92,11 +115,14 @@
 fn what_breaks_after_the_end_is_known_belongs_to_it() {
     let (mut endings, key) = broken(Break::Closed);
     endings.probed(key, Probe::Refused);
-    let later = endings.broke(NOW, key, &run(), Break::Closed, Some(content("b"))).unwrap();
+    let later =
+        endings.broke(NOW, (key, address()), &run(), Break::Closed, Some(content("b"))).unwrap();
     assert_eq!(later.contents, [content("b")], "each is said once");
     let mut endings = Endings::default();
     assert_eq!(endings.restarted(NOW, key), None);
-    assert!(endings.broke(NOW, key, &run(), Break::Closed, Some(content("c"))).is_some());
+    assert!(
+        endings.broke(NOW, (key, address()), &run(), Break::Closed, Some(content("c"))).is_some()
+    );
 }
 
 #[test]
@@ -104,7 +130,7 @@
     let mut endings = Endings::default();
     let key = UpstreamKey::default();
     assert_eq!(endings.verdict(key), None);
-    assert_eq!(endings.broke(NOW, key, &run(), Break::Closed, None), None);
+    assert_eq!(endings.broke(NOW, (key, address()), &run(), Break::Closed, None), None);
     assert_eq!(endings.verdict(key), None);
     assert_eq!((endings.probed(key, Probe::Accepted), endings.verdict(key)), (None, Some(false)));
     assert_eq!(endings.probed(key, Probe::Refused), None, "nothing is to be charged");
