--- a/crates/fernring-gateway/src/delegates.rs
+++ b/crates/fernring-gateway/src/delegates.rs
@@ -123,6 +123,16 @@
         is_due
     }
 
+    /// Lists the nodes to which this one tells on what it hears: if it is a delegate among many, those of its domain that
+    /// hear delegates only. What a node tells all its live peers is thus everywhere in two hops.
+    pub fn dependents(&self, now: Duration, me: &Member, members: &Members) -> Vec<SocketAddr> {
+        if self.is_mesh || !self.is_delegate {
+            return Vec::new();
+        }
+        let near = members.live(now).filter(|peer| peer.failure_domain == me.failure_domain);
+        near.filter(|peer| !peer.is_delegate).map(|peer| peer.address).collect()
+    }
+
     /// Returns how often a peer that was just heard for the first time is to hear of this node (`me`), so that it is told
     /// at once; `None` if neither is a delegate, since they don't follow each other.
     pub fn answer(&self, me: &Member, is_delegate: bool, failure_domain: &str) -> Option<Pace> {
--- a/crates/fernring-gateway/src/peers.rs
+++ b/crates/fernring-gateway/src/peers.rs
@@ -202,26 +202,25 @@
 
     /// Sends a message to all peers that are heard here: among few nodes all, among many each node's delegates.
     pub fn send_all(self: &Rc<Self>, body: GatewayBody) {
-        self.send_where(body, |_| true);
+        let members = self.members.borrow();
+        let peers: Vec<_> = members.live(self.now()).map(|peer| peer.address).collect();
+        drop(members);
+        self.send_to(&peers, body);
     }
 
     /// Sends a message on to the nodes that depend on this one, if any do.
     pub fn send_on(self: &Rc<Self>, body: GatewayBody) {
-        if self.tells_on() {
-            let domain = self.me.borrow().failure_domain.clone();
-            self.send_where(body, |peer| !peer.is_delegate && peer.failure_domain == domain);
-        }
+        let (role, me) = (self.role.borrow(), self.me.borrow());
+        let dependents = role.dependents(self.now(), &me, &self.members.borrow());
+        drop((role, me));
+        self.send_to(&dependents, body);
     }
 
-    fn send_where(self: &Rc<Self>, body: GatewayBody, fits: impl Fn(&Member) -> bool) {
-        let members = self.members.borrow();
-        let peers = members.live(self.now()).filter(|peer| fits(peer));
-        let peers: Vec<_> = peers.map(|peer| peer.address).collect();
-        drop(members);
+    fn send_to(self: &Rc<Self>, peers: &[SocketAddr], body: GatewayBody) {
         let frame = GatewayFrame { sender: self.address().to_string(), body: Some(body) };
         let bytes: Bytes = frame.encode_to_vec().into();
         for peer in peers {
-            self.send_bytes(peer, bytes.clone());
+            self.send_bytes(*peer, bytes.clone());
         }
     }
 
--- a/crates/fernring-gateway/tests/testsuite/delegates.rs
+++ b/crates/fernring-gateway/tests/testsuite/delegates.rs
@@ -414,3 +414,47 @@
     assert!(!fleet.nodes[node].me.is_delegate && !fleet.nodes[node].role.is_mesh());
     assert!(fleet.until_agreed().is_zero());
 }
+
+impl Fleet {
+    /// Tells news from a node to all its live peers, and on from whoever has dependents; returns who has it, and the
+    /// most messages that one node sent.
+    fn spread(&self, from: usize) -> (BTreeSet<usize>, usize) {
+        let now = self.now;
+        let first = self.nodes[from].members.live(now).map(|peer| number(peer.address));
+        let heard: BTreeSet<_> = first.filter(|to| self.reaches(from, *to)).collect();
+        let mut sent_most = heard.len();
+        let mut reached = heard.clone();
+        reached.insert(from);
+        for hearer in heard.iter().filter(|hearer| self.nodes[**hearer].is_up) {
+            let node = &self.nodes[*hearer];
+            let on = node.role.dependents(now, &node.me, &node.members);
+            sent_most = sent_most.max(on.len());
+            reached.extend(on.into_iter().map(number).filter(|to| self.reaches(*hearer, *to)));
+        }
+        (reached, sent_most)
+    }
+}
+
+/// What a node has seen of a request that ends upstreams has to be everywhere well before its next repeats: two hops, whichever
+/// node tells it, and also right after more than half of all nodes are gone.
+#[test]
+fn news_of_any_node_are_everywhere_in_two_hops() {
+    for (seed, count) in [(21, 30), (22, 300), (23, 500)] {
+        let mut fleet = Fleet::settled(seed, count);
+        for from in 0..count {
+            let (reached, sent_most) = fleet.spread(from);
+            assert_eq!(reached.len(), count, "of {count}, from {from}");
+            assert!(sent_most < count, "one message for each node at most");
+        }
+        for node in (0..count).filter(|node| node % 9 < 5) {
+            fleet.nodes[node].is_up = false;
+        }
+        fleet.until_agreed();
+        fleet.run_for(SECOND * 3);
+        let up: BTreeSet<_> = fleet.up().map(|node| number(node.me.address)).collect();
+        for from in &up {
+            let (reached, _) = fleet.spread(*from);
+            assert!(up.is_subset(&reached), "of {count}, from {from}, after the loss");
+        }
+    }
+}
