A whole answer covers the ends of the next minute; the soak sends deadly requests

Change: whole answers are remembered, 4,096 a node, and an end within a minute of one isn't charged; a peer that charges what was answered elsewhere is told so.

--- a/crates/fernring-gateway/src/blame/mod.rs
+++ b/crates/fernring-gateway/src/blame/mod.rs
@@ -207,9 +207,6 @@
 
     /// Takes in that a request got a whole answer.
     pub fn answered(&self, content: ContentKey) {
-        if self.suspects.borrow().is_empty() {
-            return;
-        }
         let now = self.now();
         if !self.suspects.borrow_mut().answered(content, now) {
             return;
@@ -321,12 +318,14 @@
         is_new
     }
 
-    /// Takes in what a peer tells of ends and answers, and passes on what is new to those that depend on this node.
-    pub fn told(&self, told: EndReports) {
+    /// Takes in what a peer tells of ends and answers, and passes on what is new to those that depend on this node. A peer
+    /// that charges what was answered here is told so.
+    pub fn told(&self, sender: SocketAddr, told: EndReports) {
         let now = self.now();
         let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         let key = |bytes: &Bytes| ContentKey::from_bytes(bytes);
         let mut news = EndReports::default();
+        let mut covering = Vec::new();
         for report in told.cleared {
             let fact =
                 key(&report.content).map(|c| ClearFact { content: c, at: at(report.age_ms) });
@@ -337,11 +336,18 @@
         for report in told.ends {
             let run =
                 Run { instance: report.instance.as_str().into(), started_ms: report.started_ms };
-            let contents = report.contents.iter().filter_map(key).collect();
-            if self.charge(&EndFact { run, at: at(report.age_ms), contents }) {
+            let contents: Vec<_> = report.contents.iter().filter_map(key).collect();
+            let ended_at = at(report.age_ms);
+            let suspects = self.suspects.borrow();
+            covering.extend(contents.iter().filter_map(|c| suspects.covering(*c, ended_at)));
+            drop(suspects);
+            if self.charge(&EndFact { run, at: ended_at, contents }) {
                 news.ends.push(report);
             }
         }
+        if !covering.is_empty() {
+            self.peers.send(sender, self.reports(Vec::new(), covering));
+        }
         if news != EndReports::default() {
             self.peers.send_on(GatewayBody::Ends(news));
         }
--- a/crates/fernring-gateway/src/exchange/mod.rs
+++ b/crates/fernring-gateway/src/exchange/mod.rs
@@ -341,7 +341,7 @@
     pub fn finished(&mut self, end: Ended<'_>) {
         self.is_ended = true;
         if let Ended::Answered { status } = end
-            && !status.is_server_error()
+            && status.is_success()
         {
             self.serving.blame.answered(self.request.content);
         }
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -477,7 +477,7 @@
             GatewayBody::WorkDone(done) => self.stages.done(sender, done),
             GatewayBody::WorkCancel(ticket) => self.stages.cancel(sender, ticket.ticket),
             GatewayBody::Release(release) => self.stages.released(release),
-            GatewayBody::Ends(reports) => self.serving.blame.told(reports),
+            GatewayBody::Ends(reports) => self.serving.blame.told(sender, reports),
         }
     }
 
--- a/crates/fernring-gateway/src/suspects.rs
+++ b/crates/fernring-gateway/src/suspects.rs
@@ -3,8 +3,10 @@
 //! Load it answers: one request, sent again and again under new ids and at any node, that ends each upstream that begins to
 //! run it, and with it whatever else runs there; and days on which upstreams end by themselves under requests that are not at
 //! fault. A request is known by its content. Whatever was in hand at an upstream when it ended is charged with that end; with the
-//! third it is turned away. Two things keep the innocent out: a whole answer clears an account, since what ends its upstreams never
-//! gets one, and ends that are explained by a request that is turned away are taken off all others' accounts.
+//! third it is turned away. Two things keep the innocent out: a whole answer, since what ends its upstreams never gets one, and
+//! ends that are explained by a request that is turned away, which are taken off all others' accounts. An answer covers the ends of
+//! before it and those of the next minute: a content that is asked many times a second is in hand at nearly every end, and three
+//! of these may come before its next answer.
 //!
 //! Inputs: ends and whole answers that this node saw, or that peers tell of, with their ages. They may come in any order and
 //! more than once: the start that ended tells ends apart, and a clearing covers what ended before it.
@@ -38,6 +40,12 @@
 /// seconds or minutes; what may run again after a release of the upstreams waits a quarter of an hour at most, and what still ends
 /// them costs twelve ends an hour.
 pub const LIFETIME: Duration = Duration::from_secs(15 * 60);
+/// How long after a whole answer an end isn't charged. What made a harmless request deadly, a release of the upstreams, takes
+/// longer to reach the third of them.
+const COVERED_TIME: Duration = Duration::from_secs(60);
+/// Whole answers that are remembered, some 200 KB; when there are more, the older half goes. Who is asked more rarely than
+/// once in so many answers of a node isn't in hand at three ends in a row by chance.
+const ANSWERS_MAX: usize = 4_096;
 /// Most accounts that are kept, some 600 KB. When there are more, those with the fewest ends go first, and of these the
 /// oldest: to push out an account with two ends takes thousands of requests that ended two upstreams each.
 const ACCOUNTS_MAX: usize = 4_096;
@@ -93,8 +101,8 @@
     /// Charges an end; tells whether it is new.
     fn charge(&mut self, run: &Run, at: Duration) -> bool {
         let is_known = self.ends.iter().any(|(_, known)| known == run);
-        if is_known || self.is_turned_away() || self.cleared_at.is_some_and(|cleared| at <= cleared)
-        {
+        let is_covered = self.cleared_at.is_some_and(|cleared| at <= cleared + COVERED_TIME);
+        if is_known || self.is_turned_away() || is_covered {
             return false;
         }
         let place = self.ends.partition_point(|(known_at, _)| *known_at <= at);
@@ -102,13 +110,13 @@
         true
     }
 
-    /// Takes off what ended up to a whole answer; tells whether that changed anything.
+    /// Takes off what a whole answer covers; tells whether that changed anything.
     fn clear(&mut self, at: Duration) -> bool {
         if self.cleared_at.is_some_and(|cleared| at <= cleared) {
             return false;
         }
         self.cleared_at = Some(at);
-        self.ends.retain(|(ended_at, _)| *ended_at > at);
+        self.ends.retain(|(ended_at, _)| *ended_at > at + COVERED_TIME);
         true
     }
 }
@@ -119,6 +127,8 @@
     accounts: HashMap<ContentKey, Account>,
     /// Starts that ended under a request that is turned away, and when: nobody else is charged with them.
     explained: HashMap<Run, Duration>,
+    /// When requests last got whole answers here.
+    answers: HashMap<ContentKey, Duration>,
 }
 
 impl Suspects {
@@ -170,6 +180,9 @@
             return news;
         }
         for content in contents {
+            if self.covering(*content, at).is_some() {
+                continue;
+            }
             let account = self.accounts.entry(*content).or_default();
             if account.charge(run, at) {
                 news.is_new = true;
@@ -205,12 +218,21 @@
 
     /// Takes in that a request got a whole answer; tells whether it was charged with anything.
     pub fn answered(&mut self, content: ContentKey, at: Duration) -> bool {
+        self.answers.insert(content, at);
+        self.drop_old_answers();
         let Some(account) = self.accounts.get_mut(&content) else {
             return false;
         };
         !account.ends.is_empty() && account.clear(at)
     }
 
+    /// Returns the whole answer seen here that covers an end at some time, if there is one.
+    pub fn covering(&self, content: ContentKey, at: Duration) -> Option<ClearFact> {
+        let answered_at = self.answers.get(&content).copied()?;
+        let is_covered = at <= answered_at + COVERED_TIME;
+        is_covered.then_some(ClearFact { content, at: answered_at })
+    }
+
     /// Takes in that a peer saw a whole answer to a request; tells whether that was new.
     pub fn cleared(&mut self, now: Duration, fact: ClearFact) -> bool {
         if now >= fact.at + LIFETIME {
@@ -252,6 +274,17 @@
         over.into_iter().filter(|(_, was_turned_away)| *was_turned_away).map(|(c, _)| c).collect()
     }
 
+    /// Keeps the number of answers bounded.
+    fn drop_old_answers(&mut self) {
+        if self.answers.len() <= ANSWERS_MAX {
+            return;
+        }
+        let mut times: Vec<_> = self.answers.values().copied().collect();
+        let (_, middle, _) = times.select_nth_unstable(ANSWERS_MAX / 2);
+        let middle = *middle;
+        self.answers.retain(|_, at| *at > middle);
+    }
+
     /// Keeps the number of accounts bounded.
     fn drop_least(&mut self) {
         let over = self.accounts.len().saturating_sub(ACCOUNTS_MAX);
--- a/crates/fernring-standins/examples/soak/upstreams.rs
+++ b/crates/fernring-standins/examples/soak/upstreams.rs
@@ -40,6 +40,9 @@
 const CUT_PART: f64 = 0.02;
 const FAILED_PART: f64 = 0.01;
 
+/// What the body of a request begins with that ends whoever begins to run it.
+pub(crate) const DEADLY: &str = "deadly";
+
 /// Returns the whole body of a plain answer.
 pub(crate) fn plain_body(id: &str) -> String {
     format!("{id}:{}", "x".repeat(2_000))
@@ -108,6 +111,11 @@
         Ok(())
     }
 
+    /// Takes those out that have ended by what they ran.
+    pub(crate) fn take_ended(&self) -> Vec<Arc<Upstream>> {
+        self.lock().extract_if(.., |upstream| *upstream.gone.borrow()).collect()
+    }
+
     /// Takes any upstream out of those that may be chosen again.
     pub(crate) fn take_any(&self, draw: usize) -> Option<Arc<Upstream>> {
         let mut live = self.lock();
@@ -182,6 +190,12 @@
             self.ledger.check_inputs(&id, 1, &inputs, count(1));
         }
         self.ledger.runs(&id, request.path(), &self.instance);
+        let body = String::from_utf8_lossy(&request.body);
+        if body.starts_with(DEADLY) {
+            self.ledger.ended_under(&body, &id);
+            self.crash();
+            return false;
+        }
         if fate < LOST_PART {
             return false;
         }
