--- a/crates/fernring-gateway/src/blame/mod.rs
+++ b/crates/fernring-gateway/src/blame/mod.rs
@@ -43,6 +43,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for a word on whether an upstream has ended: the first look, and a round trip between regions.
 const VERDICT_WAIT: Duration = Duration::from_millis(100);
+/// How long what is to be told to all gathers: with a failure domain hundreds of upstreams end within a moment, and each node tells
+/// of all that it had in hand there in one message.
+const GATHER_TIME: Duration = Duration::from_millis(20);
 /// How often one peer, drawn at random, is told again what matters most: what got lost on the way is known within seconds.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
 /// Accounts that are told again: some 10 KB at most, a third of what a node may spend on control.
@@ -80,6 +83,8 @@
     in_hand: RefCell<HashMap<UpstreamKey, InHand>>,
     endings: RefCell<Endings>,
     suspects: RefCell<Suspects>,
+    /// What all peers are to be told, once it has gathered.
+    news: RefCell<(Vec<EndFact>, Vec<ClearFact>)>,
     /// Told when a look at an upstream has found something.
     probed: Notify,
     /// Told when another request is turned away.
@@ -109,6 +114,7 @@
             in_hand: RefCell::default(),
             endings: RefCell::default(),
             suspects: RefCell::default(),
+            news: RefCell::default(),
             probed: Notify::new(),
             turned_away: Notify::new(),
             kept: RefCell::default(),
@@ -206,13 +212,13 @@
     }
 
     /// Takes in that a request got a whole answer.
-    pub fn answered(&self, content: ContentKey) {
+    pub fn answered(self: &Rc<Self>, content: ContentKey) {
         let now = self.now();
         if !self.suspects.borrow_mut().answered(content, now) {
             return;
         }
         log::info(LogLine::event("suspect_cleared").with("content", content));
-        self.peers.send_all(self.reports(Vec::new(), vec![ClearFact { content, at: now }]));
+        self.tell_all(None, Some(ClearFact { content, at: now }));
     }
 
     /// Takes in that upstreams came or went.
@@ -232,7 +238,7 @@
         }
     }
 
-    fn appeared(&self, key: UpstreamKey) {
+    fn appeared(self: &Rc<Self>, key: UpstreamKey) {
         let Some(target) = self.upstreams.target(key) else {
             return;
         };
@@ -241,7 +247,7 @@
     }
 
     /// Takes in that another instance than was meant answers at an upstream's address.
-    pub fn replaced(&self, key: UpstreamKey) {
+    pub fn replaced(self: &Rc<Self>, key: UpstreamKey) {
         let ended = self.endings.borrow_mut().restarted(self.now(), key);
         self.has_ended(ended);
     }
@@ -249,8 +255,7 @@
     /// Takes in that an upstream's record is gone: what it has in hand may be lost, or served on.
     fn went(self: &Rc<Self>, key: UpstreamKey) {
         let now = self.now();
-        let there = self.in_hand.borrow();
-        let there = there.get(&key).map(|there| {
+        let there = self.in_hand.borrow().get(&key).map(|there| {
             (there.target.clone(), there.contents.keys().copied().collect::<Vec<_>>())
         });
         let mut endings = self.endings.borrow_mut();
@@ -289,7 +294,7 @@
         }
     }
 
-    fn has_ended(&self, ended: Option<Ended>) {
+    fn has_ended(self: &Rc<Self>, ended: Option<Ended>) {
         let Some(Ended { run, contents }) = ended else {
             return;
         };
@@ -300,7 +305,24 @@
         measures::upstream_ended();
         let fact = EndFact { run, at: self.now(), contents };
         self.charge(&fact);
-        self.peers.send_all(self.reports(vec![fact], Vec::new()));
+        self.tell_all(Some(fact), None);
+    }
+
+    /// Tells all peers what this node has seen.
+    fn tell_all(self: &Rc<Self>, end: Option<EndFact>, cleared: Option<ClearFact>) {
+        let mut news = self.news.borrow_mut();
+        let was_empty = news.0.is_empty() && news.1.is_empty();
+        news.0.extend(end);
+        news.1.extend(cleared);
+        if !was_empty {
+            return;
+        }
+        let blame = self.clone();
+        spawn_local(async move {
+            sleep(GATHER_TIME).await;
+            let (ends, cleared) = std::mem::take(&mut *blame.news.borrow_mut());
+            blame.peers.send_all(blame.reports(ends, cleared));
+        });
     }
 
     fn charge(&self, fact: &EndFact) -> bool {
