--- a/crates/fernring-gateway/src/blame/mod.rs
+++ b/crates/fernring-gateway/src/blame/mod.rs
@@ -15,6 +15,7 @@
         model::UpstreamKey,
         peers::Peers,
         refusal::Refusal,
+        settings::DecideSettings,
         suspects::{ClearFact, EndFact, LIFETIME, News, Suspects},
         upstreams::{Target, Upstreams},
         wire::Store,
@@ -23,7 +24,7 @@
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{ClearReport, EndReport, EndReports, GatewayBody},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
         io::ErrorKind,
         net::SocketAddr,
@@ -80,6 +81,7 @@
     store: Rc<dyn Store>,
     upstreams: Rc<Upstreams>,
     peers: Rc<Peers>,
+    rules: Rc<Cell<DecideSettings>>,
     in_hand: RefCell<HashMap<UpstreamKey, InHand>>,
     endings: RefCell<Endings>,
     suspects: RefCell<Suspects>,
@@ -105,12 +107,14 @@
         store: Rc<dyn Store>,
         upstreams: Rc<Upstreams>,
         peers: Rc<Peers>,
+        rules: Rc<Cell<DecideSettings>>,
     ) -> Self {
         Self {
             clock,
             store,
             upstreams,
             peers,
+            rules,
             in_hand: RefCell::default(),
             endings: RefCell::default(),
             suspects: RefCell::default(),
@@ -123,7 +127,7 @@
 
     /// Tells whether a request is turned away: asked just before each send.
     pub fn is_turned_away(&self, content: ContentKey) -> bool {
-        self.suspects.borrow().is_turned_away(content)
+        self.rules.get().turn_away && self.suspects.borrow().is_turned_away(content)
     }
 
     /// Tells whether an upstream has ended under a request since it last got a whole answer.
@@ -134,7 +138,7 @@
     /// Tells whether any request is turned away.
     pub fn turns_any_away(&self) -> bool {
         let suspects = self.suspects.borrow();
-        !suspects.is_empty() && suspects.turned_away().next().is_some()
+        self.rules.get().turn_away && suspects.turned_away().next().is_some()
     }
 
     /// Waits until a request is turned away.
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -148,8 +148,13 @@
         let peers = Rc::new(Peers::new(me, clock.clone()));
         let retries = Rc::new(Retries::new(settings.retries.allowance(), peers.clone()));
         let rules = Rc::new(Cell::new(settings.decide));
-        let blame =
-            Rc::new(Blame::new(clock.clone(), store.clone(), upstreams.clone(), peers.clone()));
+        let blame = Rc::new(Blame::new(
+            clock.clone(),
+            store.clone(),
+            upstreams.clone(),
+            peers.clone(),
+            rules.clone(),
+        ));
         let owner = Rc::new(Owner::new(
             clock.clone(),
             wire.clone(),
--- a/crates/fernring-gateway/src/settings.rs
+++ b/crates/fernring-gateway/src/settings.rs
@@ -53,6 +53,8 @@
     pub copies: bool,
     /// Large results are made late, just before they are read.
     pub made_late: bool,
+    /// Requests are turned away that upstreams ended under.
+    pub turn_away: bool,
 }
 
 impl DecideSettings {
@@ -66,6 +68,7 @@
         prefixes: true,
         copies: true,
         made_late: true,
+        turn_away: true,
     };
 }
 
--- a/crates/fernring-gateway/src/suspects.rs
+++ b/crates/fernring-gateway/src/suspects.rs
@@ -132,11 +132,6 @@
 }
 
 impl Suspects {
-    /// Tells whether there is nothing to look up.
-    pub fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
-    }
-
     /// Tells whether a request is charged with any end.
     pub fn is_suspect(&self, content: ContentKey) -> bool {
         self.accounts.get(&content).is_some_and(|account| !account.ends.is_empty())
--- a/crates/fernring-gateway/tests/testsuite/suspects.rs
+++ b/crates/fernring-gateway/tests/testsuite/suspects.rs
@@ -125,7 +125,7 @@
     let last = seconds(ENDS_MAX as u64);
     assert!(suspects.expire(last + LIFETIME - Duration::from_secs(1)).is_empty());
     assert_eq!(suspects.expire(last + LIFETIME), [content(7)]);
-    assert!(!suspects.is_turned_away(content(7)) && suspects.is_empty());
+    assert!(!suspects.is_turned_away(content(7)) && suspects.facts(9) == (Vec::new(), Vec::new()));
     let old = suspects.ended(last + LIFETIME, &run(1), seconds(1), &[content(7)]);
     assert!(!old.is_new, "a peer whose clock runs behind tells of it once more");
 }
