--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -14,6 +14,7 @@
     hyper_util::rt::TokioIo,
     std::{
         cell::RefCell,
+        io::{self, ErrorKind},
         net::SocketAddr,
         pin::Pin,
         rc::Rc,
@@ -78,10 +79,9 @@
 
 /// Tells how a connection broke; `None` if it is the answer that can't be read.
 fn how_broken(error: &hyper::Error) -> Option<Break> {
-    use std::io::ErrorKind;
     let sources = std::iter::successors(std::error::Error::source(error), |error| error.source());
-    let kind = sources.filter_map(|source| source.downcast_ref::<std::io::Error>()).next();
-    match kind.map(std::io::Error::kind) {
+    let kind = sources.filter_map(|source| source.downcast_ref::<io::Error>()).next();
+    match kind.map(io::Error::kind) {
         Some(ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable) => {
             Some(Break::Silent)
         }
@@ -287,7 +287,7 @@
 ///
 /// # Errors
 /// If it can't be opened.
-pub async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_nodelay(true)?;
     socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! Decisions stand in modules without I/O: [`admission`] (who is taken on), [`attempts`], [`backlog`] and [`backlogs`]
 //! (what waits where), [`batching`] (the queue of a stage and its calls), [`budget`], [`come_back`], [`config`], [`directory`],
-//! [`events`], [`flow`], [`following`] (what peers pass on), [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`]. A
+//! [`events`], [`flow`], [`following`] (what peers pass on), [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`],
+//! [`endings`] (has an upstream ended?) and [`suspects`] (under which requests?). [`blame`] gathers the signs for these two. A
 //! platform's formats and calls are behind the traits of [`wire`]. Everything runs on one thread.
 //!
 //! ```
