--- a/crates/fernring-gateway/src/blame/keeping.rs
+++ b/crates/fernring-gateway/src/blame/keeping.rs
@@ -11,7 +11,7 @@
     },
     fernring_core::{clock::saturating_ms, text::LogLine},
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeSet, rc::Rc, time::Duration},
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// What the keys of such records begin with, among those of nodes, which are read at the start anyway.
@@ -99,7 +99,7 @@
 
     /// Takes in the records that a starting node finds among those of nodes. Those of before the lifetime of an end
     /// are removed by whom they belong to.
-    pub fn learn(self: &Rc<Self>, records: &[KeyedRecord]) {
+    pub fn learn(&self, records: &[KeyedRecord]) {
         for record in records {
             let Some(content) = record.key.strip_prefix(KEY_PREFIX).and_then(ContentKey::parse)
             else {
--- a/crates/fernring-gateway/src/blame/mod.rs
+++ b/crates/fernring-gateway/src/blame/mod.rs
@@ -16,7 +16,7 @@
         peers::Peers,
         refusal::Refusal,
         settings::DecideSettings,
-        suspects::{ClearFact, DOUBT_TIME, EndFact, LIFETIME, News, Suspects},
+        suspects::{ClearFact, EndFact, LIFETIME, News, Suspects},
         upstreams::{Target, Upstreams},
         wire::Store,
     },
@@ -329,37 +329,24 @@
         });
     }
 
-    fn charge(self: &Rc<Self>, fact: &EndFact) -> bool {
-        let news = self.suspects.borrow_mut().ended(self.now(), &fact.run, fact.at, &fact.contents);
-        let News { is_new, turned_away, is_in_doubt } = news;
-        self.turn_away(&turned_away);
-        if is_in_doubt {
-            let blame = self.clone();
-            spawn_local(async move {
-                sleep(DOUBT_TIME).await;
-                let turned_away = blame.suspects.borrow_mut().settle(blame.now());
-                blame.turn_away(&turned_away);
-            });
-        }
-        is_new
-    }
-
-    /// Says who is turned away from now on, to the log and to those who wait for a first byte.
-    fn turn_away(&self, contents: &[ContentKey]) {
-        let suspects = self.suspects.borrow();
-        for content in contents {
+    fn charge(&self, fact: &EndFact) -> bool {
+        let mut suspects = self.suspects.borrow_mut();
+        let News { is_new, turned_away } =
+            suspects.ended(self.now(), &fact.run, fact.at, &fact.contents);
+        for content in &turned_away {
             let line = LogLine::event("request_turned_away").with("content", content);
             log::warn(line.with("ended", names(&suspects.ends_of(*content))));
         }
         drop(suspects);
-        if !contents.is_empty() {
+        if !turned_away.is_empty() {
             self.turned_away.notify_waiters();
         }
+        is_new
     }
 
     /// Takes in what a peer tells of ends and answers, and passes on what is new to those that depend on this node. A peer
     /// that charges what was answered here is told so.
-    pub fn told(self: &Rc<Self>, sender: SocketAddr, told: EndReports) {
+    pub fn told(&self, sender: SocketAddr, told: EndReports) {
         let now = self.now();
         let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         let key = |bytes: &Bytes| ContentKey::from_bytes(bytes);
@@ -409,8 +396,6 @@
         loop {
             sleep(TELL_INTERVAL).await;
             self.endings.borrow_mut().expire(self.now());
-            let turned_away = self.suspects.borrow_mut().settle(self.now());
-            self.turn_away(&turned_away);
             for content in self.suspects.borrow_mut().expire(self.now()) {
                 log::info(LogLine::event("suspect_forgotten").with("content", content));
             }
--- a/crates/fernring-gateway/src/suspects.rs
+++ b/crates/fernring-gateway/src/suspects.rs
@@ -43,12 +43,6 @@
 /// How long after a whole answer an end isn't charged. What made a harmless request deadly, a release of the upstreams, takes
 /// longer to reach the third of them.
 const COVERED_TIME: Duration = Duration::from_secs(60);
-/// How long a request with its third end isn't turned away yet if another one shares two of these: its next answer tells them
-/// apart, if it gets one. With the time for the evidence and the telling it stays below the three seconds in which the users
-/// want all nodes to know.
-pub const DOUBT_TIME: Duration = Duration::from_millis(1_500);
-/// Ends that two requests share from which on they are told apart by waiting.
-const SHARED_MIN: usize = 2;
 /// Whole answers that are remembered, some 200 KB; when there are more, the older half goes. Who is asked more rarely than
 /// once in so many answers of a node isn't in hand at three ends in a row by chance.
 const ANSWERS_MAX: usize = 4_096;
@@ -83,8 +77,6 @@
     pub is_new: bool,
     /// Requests that are turned away from now on.
     pub turned_away: Vec<ContentKey>,
-    /// Whether some are in doubt, so that [`Suspects::settle`] is to be asked after [`DOUBT_TIME`].
-    pub is_in_doubt: bool,
 }
 
 /// The ends that one request is charged with.
@@ -94,23 +86,11 @@
     ends: Vec<(Duration, Run)>,
     /// The last whole answer since the first end.
     cleared_at: Option<Duration>,
-    /// Until when it isn't turned away though it has all ends, since another request may be at fault.
-    in_doubt_until: Option<Duration>,
 }
 
 impl Account {
-    fn has_all_ends(&self) -> bool {
-        self.ends.len() >= ENDS_MAX
-    }
-
     fn is_turned_away(&self) -> bool {
-        self.has_all_ends() && self.in_doubt_until.is_none()
-    }
-
-    /// Counts the ends that another account shares.
-    fn shared_with(&self, other: &Self) -> usize {
-        let is_shared = |(_, run): &&(Duration, Run)| other.ends.iter().any(|(_, o)| o == run);
-        self.ends.iter().filter(is_shared).count()
+        self.ends.len() >= ENDS_MAX
     }
 
     fn last_at(&self) -> Duration {
@@ -122,7 +102,7 @@
     fn charge(&mut self, run: &Run, at: Duration) -> bool {
         let is_known = self.ends.iter().any(|(_, known)| known == run);
         let is_covered = self.cleared_at.is_some_and(|cleared| at <= cleared + COVERED_TIME);
-        if is_known || self.has_all_ends() || is_covered {
+        if is_known || self.is_turned_away() || is_covered {
             return false;
         }
         let place = self.ends.partition_point(|(known_at, _)| *known_at <= at);
@@ -137,7 +117,6 @@
         }
         self.cleared_at = Some(at);
         self.ends.retain(|(ended_at, _)| *ended_at > at + COVERED_TIME);
-        self.in_doubt_until = self.in_doubt_until.filter(|_| self.has_all_ends());
         true
     }
 }
@@ -202,59 +181,30 @@
             let account = self.accounts.entry(*content).or_default();
             if account.charge(run, at) {
                 news.is_new = true;
-                if account.has_all_ends() {
+                if account.is_turned_away() {
                     news.turned_away.push(*content);
                 }
             }
         }
-        let shares = |content: &ContentKey| {
-            let account = &self.accounts[content];
-            let mut others = self.accounts.iter().filter(|(other, _)| *other != content);
-            others.any(|(_, other)| account.shared_with(other) >= SHARED_MIN)
-        };
-        let in_doubt: Vec<_> = news.turned_away.extract_if(.., |content| shares(content)).collect();
-        news.is_in_doubt = !in_doubt.is_empty();
-        for content in in_doubt {
-            if let Some(account) = self.accounts.get_mut(&content) {
-                account.in_doubt_until = Some(now + DOUBT_TIME);
+        for content in &news.turned_away {
+            let ends = self.accounts[content].ends.clone();
+            for (at, run) in ends {
+                self.explain(&run, at, &news.turned_away);
             }
         }
-        self.explain_ends_of(&news.turned_away);
         self.accounts.retain(|_, account| !account.ends.is_empty() || account.cleared_at.is_some());
         self.drop_least();
         news
     }
 
-    /// Ends the doubt about those that got no answer in time; returns who is turned away from now on.
-    pub fn settle(&mut self, now: Duration) -> Vec<ContentKey> {
-        let mut turned_away = Vec::new();
-        for (content, account) in &mut self.accounts {
-            if account.in_doubt_until.is_some_and(|until| now >= until) {
-                account.in_doubt_until = None;
-                turned_away.push(*content);
-            }
-        }
-        self.explain_ends_of(&turned_away);
-        turned_away
-    }
-
-    fn explain_ends_of(&mut self, culprits: &[ContentKey]) {
-        for content in culprits {
-            let ends = self.accounts[content].ends.clone();
-            for (at, run) in ends {
-                self.explain(&run, at, culprits);
-            }
-        }
-    }
-
-    /// Says that an end is explained by `culprits`: it is taken off the accounts of all others that haven't all ends themselves.
+    /// Says that an end is explained by `culprits`: it is taken off the accounts of all others that aren't turned away.
     /// Tells whether that is new.
     fn explain(&mut self, run: &Run, at: Duration, culprits: &[ContentKey]) -> bool {
         if self.explained.insert(run.clone(), at).is_some() {
             return false;
         }
         for (content, account) in &mut self.accounts {
-            if !culprits.contains(content) && !account.has_all_ends() {
+            if !culprits.contains(content) && !account.is_turned_away() {
                 account.ends.retain(|(_, known)| known != run);
             }
         }
