An evacuated failure domain gets nothing new

Change: words are read with the configuration's topic, told in each heartbeat before its age confirms anything, learned at start, kept through cuts, taken back. Every way to an upstream asks one question (barred), when upstreams are listed and again when the first byte would leave. All evacuated: 503 with 3011 at once.

--- a/crates/fernring-core/src/code.rs
+++ b/crates/fernring-core/src/code.rs
@@ -131,6 +131,8 @@
     NodeFull = 3009, NotRun, 503;
     /// Upstreams ended under this request, whatever id it came under; it is not sent to another.
     EndsUpstreams = 3010, NotRun, 429;
+    /// All failure domains with upstreams of a stage are evacuated.
+    Evacuated = 3011, NotRun, 503;
 
     /// A stage failed and no retry was possible within the window or the retry budget.
     StageFailed = 4000, Failed, 502;
--- a/crates/fernring-gateway/src/attempts.rs
+++ b/crates/fernring-gateway/src/attempts.rs
@@ -21,6 +21,8 @@
 pub enum SendEnd {
     /// No byte of it left this node.
     NotSent,
+    /// The upstream may get nothing new; no byte left this node.
+    Barred,
     /// The upstream states that it has not run it.
     Refused,
     /// The instance that was meant is not at that address any more; it has not run there.
@@ -34,6 +36,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NotSent => "not_sent",
+            Self::Barred => "barred",
             Self::Refused => "refused",
             Self::WrongInstance => "wrong_instance",
             Self::Unknown => "unknown",
@@ -60,7 +63,7 @@
     /// Takes in how a send ended.
     pub fn ended(&mut self, end: SendEnd) {
         match end {
-            SendEnd::NotSent | SendEnd::WrongInstance => {}
+            SendEnd::NotSent | SendEnd::Barred | SendEnd::WrongInstance => {}
             SendEnd::Refused => self.sends += 1,
             SendEnd::Unknown => {
                 self.sends += 1;
--- a/crates/fernring-gateway/src/batching.rs
+++ b/crates/fernring-gateway/src/batching.rs
@@ -157,6 +157,11 @@
         self.tasks.len()
     }
 
+    /// Lists the works of which pieces wait.
+    pub fn works(&self) -> HashSet<u64> {
+        self.tasks.iter().map(|task| task.work).collect()
+    }
+
     /// Counts the pieces that wait: those that can be in time, by rank, and the others.
     pub fn counts(&self, now: Duration, shape: &BatchShape) -> (PiecesByRank, u32) {
         let mut in_time = [0; RANKS];
--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -2,7 +2,7 @@
 //! anything odd.
 
 use {
-    crate::endings::Break,
+    crate::{barred::Barred, endings::Break},
     bytes::Bytes,
     fernring_core::clock::Clock,
     http::{Request, Response, response::Parts},
@@ -49,6 +49,9 @@
     /// Nothing was written.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing was written, since the upstream may get nothing new.
+    #[error("{0}")]
+    Barred(Barred),
     /// It may have been written, in whole or in part.
     #[error("no answer: {0}")]
     Broken(BreakOff),
@@ -191,9 +194,24 @@
         &self,
         request: Request<Full<Bytes>>,
         open_max: usize,
+    ) -> Result<Answer, SendFailure> {
+        self.send_if(request, open_max, || Ok(())).await
+    }
+
+    /// Sends a request like [`Pool::send`], if `check` allows it at the moment at which its first byte would leave:
+    /// a connection may take half a second to be there, and what held when the upstream was chosen may hold no more.
+    ///
+    /// # Errors
+    /// The same; [`SendFailure::Barred`] if `check` doesn't allow it.
+    pub async fn send_if(
+        &self,
+        request: Request<Full<Bytes>>,
+        open_max: usize,
+        check: impl Fn() -> Result<(), Barred>,
     ) -> Result<Answer, SendFailure> {
         let mut request = request;
         while let Some(connection) = self.take_idle().await {
+            check().map_err(SendFailure::Barred)?;
             match self.exchange(connection, request).await {
                 Ok(answer) => return Ok(answer),
                 Err(Unsent::Returned(unsent)) => request = *unsent,
@@ -204,6 +222,7 @@
             return Err(SendFailure::NotSent(format!("{} connections are open", self.open())));
         }
         let connection = self.connect().await?;
+        check().map_err(SendFailure::Barred)?;
         match self.exchange(connection, request).await {
             Ok(answer) => Ok(answer),
             Err(Unsent::Returned(_)) => Err(SendFailure::NotSent("closed at once".to_owned())),
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -89,7 +89,7 @@
         if self.time_left().is_zero() {
             return Err(self.give_up(ResultCode::WindowEnded, &reason));
         }
-        Err(self.give_up(ResultCode::NoUpstream, &reason))
+        Err(self.give_up(self.no_upstream_code(&self.service), &reason))
     }
 
     /// Takes in that a send brought a head but no whole answer.
@@ -127,6 +127,14 @@
         self.attempts.may_send() && !is_turned_away && !self.time_left().is_zero()
     }
 
+    /// Returns the code for a request that found no upstream of a service.
+    pub(super) fn no_upstream_code(&self, service: &str) -> ResultCode {
+        match self.serving.upstreams.is_evacuated(service) {
+            true => ResultCode::Evacuated,
+            false => ResultCode::NoUpstream,
+        }
+    }
+
     fn take_budget(&self) -> bool {
         self.serving.retries.take(self.serving.now(), &self.service, 1)
     }
@@ -227,6 +235,9 @@
             Some(Err(SendFailure::NotSent(why))) => {
                 return Err(Unanswered::without_break(SendEnd::NotSent, why));
             }
+            Some(Err(SendFailure::Barred(why))) => {
+                return Err(Unanswered::without_break(SendEnd::Barred, why.to_string()));
+            }
             Some(Err(SendFailure::Broken(why))) => {
                 return Err(Unanswered { end: SendEnd::Unknown, why });
             }
@@ -289,6 +300,8 @@
         let now = self.serving.now();
         match end {
             SendEnd::Refused => self.serving.upstreams.was_full(now, target.key),
+            // It is as well as before.
+            SendEnd::Barred => {}
             SendEnd::NotSent => self.serving.upstreams.was_unreachable(now, target.key),
             SendEnd::WrongInstance => {
                 self.serving.upstreams.failed(now, target.key);
--- a/crates/fernring-gateway/src/exchange/staging.rs
+++ b/crates/fernring-gateway/src/exchange/staging.rs
@@ -30,10 +30,22 @@
         if self.serving.blame.is_turned_away(self.request.content) {
             return Err(self.give_up(ResultCode::EndsUpstreams, ""));
         }
+        if let Some(service) = self.evacuated_service() {
+            let detail = format!("service {service}");
+            return Err(self.give_up(ResultCode::Evacuated, &detail));
+        }
         self.admit()?;
         self.make_admitted().await
     }
 
+    /// Returns the first service on the request's way whose upstreams are all evacuated, so that it is told at once.
+    fn evacuated_service(&self) -> Option<Arc<str>> {
+        let used = (0..self.route.stages.len()).filter(|stage| self.plan.count(*stage) > 0);
+        let services = used.map(|stage| &self.plan.spec(stage).service);
+        let mut services = services.chain(std::iter::once(&self.service));
+        services.find(|service| self.serving.upstreams.is_evacuated(service)).cloned()
+    }
+
     pub(super) async fn make_admitted(&mut self) -> Result<(), Refusal> {
         if self.serving.rules.get().placing && self.plan.makes_any(NEAR_BYTES_MIN) {
             self.home = self.choose().map(|chosen| chosen.target);
@@ -54,7 +66,9 @@
                 }
                 WorkEnd::Late => return Err(self.give_up(ResultCode::ExpiredInQueue, "stage")),
                 WorkEnd::Failed | WorkEnd::OwnerLost => {
-                    return Err(self.give_up(ResultCode::NoUpstream, "a stage failed"));
+                    let evacuated = self.evacuated_service();
+                    let code = evacuated.map_or(ResultCode::NoUpstream, |_| ResultCode::Evacuated);
+                    return Err(self.give_up(code, "a stage failed"));
                 }
             }
         }
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Decisions stand in modules without I/O: [`admission`] (who is taken on), [`attempts`], [`backlog`] and [`backlogs`]
 //! (what waits where), [`batching`] (the queue of a stage and its calls), [`budget`], [`come_back`], [`config`], [`directory`],
-//! [`events`], [`flow`], [`following`] (what peers pass on), [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`],
+//! [`evacuations`] (where nothing new is sent), [`events`], [`flow`], [`following`] (what peers pass on), [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`],
 //! [`endings`] (has an upstream ended?) and [`suspects`] (under which requests?). [`blame`] gathers the signs for these two. A
 //! platform's formats and calls are behind the traits of [`wire`]. Everything runs on one thread.
 //!
@@ -25,6 +25,7 @@
 pub mod attempts;
 pub mod backlog;
 pub mod backlogs;
+pub mod barred;
 pub mod batching;
 pub mod blame;
 pub mod budget;
@@ -35,6 +36,7 @@
 pub mod delegates;
 pub mod directory;
 pub mod endings;
+pub mod evacuations;
 pub mod events;
 pub mod exchange;
 pub mod flow;
@@ -49,6 +51,7 @@
 pub mod node;
 pub mod owner;
 pub mod peers;
+pub mod position;
 pub mod reading;
 mod records;
 pub mod refusal;
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -13,7 +13,7 @@
         owner::Owner,
         peers::{PeerHandler, Peers},
         reading::ReadingSpeeds,
-        records::{change_from, directory_record},
+        records::{change_from, directory_record, evacuation_from, evacuation_word},
         retries::Retries,
         serve::Serving,
         settings::{NodeSettings, Settings, load},
@@ -375,11 +375,15 @@
             config_age: self.loops.age(Followed::Config),
             nodes: self.peers.nodes(),
             is_delegate: self.peers.is_delegate(),
-            upstreams: directory.iter().filter(|(_, upstream)| upstream.takes_work()).count(),
+            upstreams: directory
+                .iter()
+                .filter(|(key, _)| self.upstreams.may_send(*key).is_ok())
+                .count(),
             in_flight: self.serving.in_flight.get(),
             turned_away: self.serving.blame.turned_away(),
             caller_connections: self.ingress.open(),
             upstream_connections: self.upstreams.open_connections(),
+            evacuated_domains: self.upstreams.evacuations().borrow().in_force(),
             store_answers: self.loops.store_answers.get(),
         });
         (self.render)()
@@ -513,6 +517,11 @@
             let tells_on = tells_on && heartbeat.is_follower;
             self.upstreams.peer_found_unreachable(now, &heartbeat.unreachable, tells_on);
         }
+        // Before the age confirms that nothing else is in force.
+        for word in &heartbeat.evacuations {
+            let (word, at) = evacuation_from(word);
+            self.loops.take_evacuation(word, at, "peer");
+        }
         let known = [
             (Followed::Config, heartbeat.config_version, heartbeat.config_age_ms),
             (Followed::Upstreams, heartbeat.directory_end, heartbeat.directory_age_ms),
@@ -530,6 +539,8 @@
         heartbeat.config_age_ms = self.age_ms(Followed::Config);
         heartbeat.directory_age_ms = self.age_ms(Followed::Upstreams);
         heartbeat.unreachable = self.upstreams.unreachable(self.serving.now());
+        let evacuations = self.upstreams.evacuations().borrow();
+        heartbeat.evacuations = evacuations.words().map(evacuation_word).collect();
         heartbeat.stage_loads = self.stages.described(loads_of);
         let loads = match loads_of {
             LoadsOf::Sender => self.upstreams.told_loads(),
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -3,6 +3,7 @@
 use {
     super::{Owner, outcomes::has_further_call},
     crate::{
+        barred::Barred,
         batching::{Batch, BatchQueue, Bound, Task},
         connections::{BreakOff, SendFailure},
         endings::Break,
@@ -196,7 +197,7 @@
         let request = self.request(&target, call.path, call.body);
         let connections_max = self.connections_max(key);
         let work = async {
-            let answer = self.upstreams.send(&target, connections_max, request).await?;
+            let answer = self.upstreams.send_release(&target, connections_max, request).await?;
             answer.body.collect().await.map_err(|e| SendFailure::Broken((&e).into()))
         };
         if let Ok(Err(error)) = timeout(CALL_GRACE, work).await {
@@ -213,6 +214,9 @@
     /// Nothing was written.
     #[error("{0}")]
     NotSent(String),
+    /// Nothing was written, since the upstream may get nothing new.
+    #[error("{0}")]
+    Barred(Barred),
     /// The upstream refused it.
     #[error("refused")]
     Refused,
@@ -236,6 +240,7 @@
     fn from(failure: SendFailure) -> Self {
         match failure {
             SendFailure::NotSent(reason) => Self::NotSent(reason),
+            SendFailure::Barred(why) => Self::Barred(why),
             SendFailure::Broken(broke) => Self::Broken(broke),
         }
     }
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -293,7 +293,8 @@
         self.config.borrow().connections_max(&upstream.record.service)
     }
 
-    fn pump_all(self: &Rc<Self>) {
+    /// Starts calls of all services, as far as pieces wait and upstreams are free.
+    pub fn pump_all(self: &Rc<Self>) {
         let services: Vec<_> = self.queues.borrow().keys().cloned().collect();
         for service in services {
             self.pump(&service);
@@ -310,6 +311,10 @@
             return;
         }
         let makers = self.usable_makers(service_name);
+        if makers.is_empty() && self.upstreams.is_evacuated(service_name) {
+            self.fail_waiting(service_name);
+            return;
+        }
         self.drop_turned_away();
         self.drop_expired(service_name, &shape, makers.len());
         for (target, room) in self.free_makers(&makers, &shape) {
@@ -355,6 +360,14 @@
         }
     }
 
+    /// Fails the works of which pieces wait: nobody may make them, and their callers are told now.
+    fn fail_waiting(&self, service: &Arc<str>) {
+        let waiting = self.queues.borrow().get(service).map(BatchQueue::works).unwrap_or_default();
+        for work in waiting {
+            self.end_work(work, WorkEnd::Failed);
+        }
+    }
+
     /// Drops the pieces of requests that are turned away: no call is to hold one.
     fn drop_turned_away(&self) {
         if !self.blame.turns_any_away() {
@@ -405,8 +418,9 @@
     fn makers_in(&self, service: &str, failure_domain: &str) -> Option<Makers> {
         let directory = self.upstreams.directory();
         let makers = self.makers.borrow();
-        let there = directory.of_service(service).filter(|(_, upstream)| {
-            upstream.takes_work() && *upstream.record.failure_domain == *failure_domain
+        let there = directory.of_service(service).filter(|(key, upstream)| {
+            *upstream.record.failure_domain == *failure_domain
+                && self.upstreams.may_send(*key).is_ok()
         });
         let free_at = |key| makers.get(key).and_then(Maker::busy_until).unwrap_or_default();
         let times: Vec<_> = there.map(|(key, _)| free_at(key)).collect();
--- a/crates/fernring-gateway/src/owner/outcomes.rs
+++ b/crates/fernring-gateway/src/owner/outcomes.rs
@@ -34,6 +34,7 @@
             Err(failure) => {
                 match &failure {
                     CallFailure::Refused => self.upstreams.was_full(now, target.key),
+                    CallFailure::Barred(_) => {}
                     CallFailure::NotSent(_) => self.upstreams.was_unreachable(now, target.key),
                     CallFailure::Failed(_) | CallFailure::Broken(_) => {
                         self.upstreams.failed(now, target.key);
@@ -49,7 +50,8 @@
                 let has_company = tasks.iter().any(|task| Some(task.content) != first);
                 let is_company_ended = has_ended && has_company;
                 // What another request did to the maker doesn't count among the calls of a piece.
-                let counts = !matches!(failure, CallFailure::NotSent(_)) && !is_company_ended;
+                let was_sent = !matches!(failure, CallFailure::NotSent(_) | CallFailure::Barred(_));
+                let counts = was_sent && !is_company_ended;
                 for task in tasks.into_iter().filter(|task| !goes_on(task)) {
                     let is_apart = task.is_apart || is_company_ended;
                     self.retry(service, Task { is_apart, ..task }, counts);
--- a/crates/fernring-gateway/src/records.rs
+++ b/crates/fernring-gateway/src/records.rs
@@ -1,11 +1,14 @@
-//! Changes of upstreams' records, as nodes pass them on to each other.
+//! Changes of upstreams' records, and words on failure domains, as nodes pass them on to each other.
 
 use {
     crate::{
         directory::{Change, Entry},
+        evacuations::Word,
         model::{UpstreamRecord, UpstreamState},
+        position::Position,
+        wire::Evacuation,
     },
-    fernring_protocol::gateway::DirectoryRecord,
+    fernring_protocol::gateway::{DirectoryRecord, EvacuationWord},
     std::sync::Arc,
 };
 
@@ -59,3 +62,20 @@
     };
     Some(Change { instance, offset: record.offset, entry: Entry::Present(upstream) })
 }
+
+/// Encodes an operator's word on a failure domain for a peer.
+pub(crate) fn evacuation_word((failure_domain, word): (&Arc<str>, &Word)) -> EvacuationWord {
+    EvacuationWord {
+        failure_domain: failure_domain.to_string(),
+        is_in_force: word.is_in_force,
+        offset: word.at.offset,
+        era: word.at.era,
+    }
+}
+
+/// Decodes a word that a peer passes on, with its position in the store.
+pub(crate) fn evacuation_from(word: &EvacuationWord) -> (Evacuation, Position) {
+    let failure_domain = word.failure_domain.as_str().into();
+    let at = Position::new(word.era, word.offset);
+    (Evacuation { failure_domain, is_in_force: word.is_in_force }, at)
+}
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -8,15 +8,17 @@
         alarm::Alarm,
         blame::Blame,
         config::ConfigState,
-        directory::{Change, Effect, Entry},
+        directory::{Change, Effect, Entry, Upstream},
+        evacuations::Word,
         following::Following,
         freshness::read_wait,
         log, measures,
         members::ReaderPart,
         owner::Owner,
         peers::Peers,
+        position::Position,
         upstreams::Upstreams,
-        wire::{KeyedRecord, Page, Store, StoreError, Topic, Wire},
+        wire::{Evacuation, KeyedRecord, Malformed, Page, Store, StoreError, Topic, Wire},
     },
     bytes::Bytes,
     fernring_core::{clock::Clock, text::LogLine},
@@ -25,6 +27,7 @@
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
     tokio::time::sleep,
@@ -115,12 +118,8 @@
 impl StoreLoops {
     /// Follows the configuration.
     pub async fn follow_config(self: Rc<Self>) {
-        self.follow(Followed::Config, Duration::ZERO, |page, _| {
-            for record in page.records {
-                if let Some(value) = record.value {
-                    self.take_config(&value, pack(&value), record.offset + 1, "store");
-                }
-            }
+        self.follow(Followed::Config, Duration::ZERO, |page, is_whole| {
+            self.take_operator_records(page, is_whole);
         })
         .await;
     }
@@ -316,6 +315,83 @@
         }
     }
 
+    /// Takes in the operators' records. Words on failure domains come first: a configuration takes time to decode.
+    fn take_operator_records(&self, page: Page, is_whole: bool) {
+        let end = Position::new(0, page.end);
+        let mut configs = Vec::new();
+        let mut words = Vec::new();
+        for record in page.records {
+            match self.wire.decode_evacuation(&record) {
+                None => configs.push(record),
+                Some(Ok(word)) => words.push((word, Position::new(0, record.offset))),
+                Some(Err(error)) => self.evacuation_refused(&record, &error, &mut words),
+            }
+        }
+        if is_whole {
+            self.take_all_evacuations(words, end);
+        } else {
+            for (word, at) in words {
+                self.take_evacuation(word, at, "store");
+            }
+        }
+        for record in configs {
+            if let Some(value) = record.value {
+                self.take_config(&value, pack(&value), record.offset + 1, "store");
+            }
+        }
+    }
+
+    /// Says that an operator's word can't be read. What was in force before it stays so, also if all words are read anew.
+    fn evacuation_refused(
+        &self,
+        record: &KeyedRecord,
+        error: &Malformed,
+        words: &mut Vec<(Evacuation, Position)>,
+    ) {
+        measures::record_refused(Topic::Config.name());
+        let line = LogLine::event("evacuation_refused").with("key", &record.key);
+        log::warn(line.with("record", record.offset).with("error", error));
+        let evacuations = self.upstreams.evacuations().borrow();
+        let named = |(domain, _): &(&Arc<str>, _)| record.key.ends_with(&***domain);
+        let known = evacuations.words().find(named).filter(|(_, word)| word.is_in_force);
+        if let Some((domain, word)) = known {
+            let kept = Evacuation { failure_domain: domain.clone(), is_in_force: true };
+            words.push((kept, word.at));
+        }
+    }
+
+    fn take_all_evacuations(&self, words: Vec<(Evacuation, Position)>, end: Position) {
+        let present = words.into_iter().filter(|(word, _)| word.is_in_force);
+        let present = present.map(|(word, at)| (word.failure_domain, at)).collect();
+        let changed = self.upstreams.evacuations().borrow_mut().replace(present, end);
+        for failure_domain in changed {
+            self.evacuation_changed(&failure_domain, "store", end);
+        }
+    }
+
+    /// Takes in an operator's word on a failure domain, from anywhere.
+    pub fn take_evacuation(&self, word: Evacuation, at: Position, source: &str) {
+        let Evacuation { failure_domain, is_in_force } = word;
+        let mut evacuations = self.upstreams.evacuations().borrow_mut();
+        let has_changed = evacuations.learn(failure_domain.clone(), Word { at, is_in_force });
+        drop(evacuations);
+        if has_changed {
+            self.evacuation_changed(&failure_domain, source, at);
+        }
+    }
+
+    fn evacuation_changed(&self, failure_domain: &Arc<str>, source: &str, at: Position) {
+        let is_in_force = self.upstreams.evacuations().borrow().covers(failure_domain);
+        let directory = self.upstreams.directory();
+        let there = |upstream: &&Upstream| upstream.record.failure_domain == *failure_domain;
+        let upstreams = directory.iter().map(|(_, upstream)| upstream).filter(there).count();
+        drop(directory);
+        let line = LogLine::event("evacuation_taken").with("failure_domain", failure_domain);
+        let line = line.with("is_in_force", is_in_force).with("source", source).with("record", at);
+        log::info(line.with("upstreams", upstreams));
+        self.owner.pump_all();
+    }
+
     /// Takes in a configuration from anywhere: its record, the same packed, and the store's number after it.
     fn take_config(&self, record: &[u8], packed: Bytes, end: u64, source: &str) {
         let config = match self.wire.decode_config(record) {
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::{
+        barred::Barred,
         connections::{Answer, Pool, SendFailure},
-        directory::{Change, Directory, Effect},
+        directory::{Change, Directory, Effect, Upstream},
         endings::Run,
+        evacuations::Evacuations,
         model::UpstreamKey,
         selection::Candidate,
     },
@@ -114,6 +116,7 @@
     failure_domain: Arc<str>,
     clock: Rc<dyn Clock>,
     directory: RefCell<Directory>,
+    evacuations: RefCell<Evacuations>,
     pools: RefCell<SecondaryMap<UpstreamKey, Pool>>,
     health: RefCell<SecondaryMap<UpstreamKey, Health>>,
     own_loads: RefCell<SecondaryMap<UpstreamKey, f64>>,
@@ -173,6 +176,7 @@
             failure_domain,
             clock,
             directory: RefCell::default(),
+            evacuations: RefCell::default(),
             pools: RefCell::default(),
             health: RefCell::default(),
             own_loads: RefCell::default(),
@@ -207,6 +211,43 @@
         self.directory.borrow()
     }
 
+    /// Returns the operators' words on failure domains.
+    pub fn evacuations(&self) -> &RefCell<Evacuations> {
+        &self.evacuations
+    }
+
+    /// Tells whether an upstream may be sent something new now: see [`crate::barred`].
+    ///
+    /// # Errors
+    /// With the reason if it may not.
+    pub fn may_send(&self, key: UpstreamKey) -> Result<(), Barred> {
+        let directory = self.directory.borrow();
+        self.may_send_to(directory.get(key).ok_or(Barred::Gone)?)
+    }
+
+    fn may_send_to(&self, upstream: &Upstream) -> Result<(), Barred> {
+        if !upstream.takes_work() {
+            return Err(Barred::Leaving);
+        }
+        if self.evacuations.borrow().covers(&upstream.record.failure_domain) {
+            return Err(Barred::Evacuated);
+        }
+        Ok(())
+    }
+
+    /// Tells whether a service has upstreams that could take work, and all of them lie in evacuated failure domains.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let directory = self.directory.borrow();
+        let mut asked =
+            directory.of_service(service).map(|(_, upstream)| self.may_send_to(upstream));
+        let mut any_evacuated = false;
+        let none_left = asked.all(|asked| {
+            any_evacuated |= asked == Err(Barred::Evacuated);
+            asked.is_err()
+        });
+        any_evacuated && none_left
+    }
+
     /// Takes in changes and returns their effects.
     pub fn apply(&self, now: Duration, changes: Vec<Change>) -> Vec<Effect> {
         let mut directory = self.directory.borrow_mut();
@@ -282,8 +323,9 @@
         let health = self.health.borrow();
         let own_loads = self.own_loads.borrow();
         let totals = &self.peer_loads.borrow().totals;
-        let ready = directory.of_service(service).filter(|(_, upstream)| upstream.takes_work());
-        let candidate = |(key, upstream): (UpstreamKey, &crate::directory::Upstream)| {
+        let may_send = |upstream: &Upstream| self.may_send_to(upstream).is_ok();
+        let ready = directory.of_service(service).filter(|(_, upstream)| may_send(upstream));
+        let candidate = |(key, upstream): (UpstreamKey, &Upstream)| {
             let record = &upstream.record;
             let failed = health.get(key).is_some_and(|health| now < health.avoid_until);
             let peers = totals.get(&record.run_hash()).copied().unwrap_or(0.0);
@@ -404,7 +446,8 @@
         }
     }
 
-    /// Sends a request to an upstream that takes `connections_max` connections from all nodes.
+    /// Sends something new to an upstream that takes `connections_max` connections from all nodes, if it may be sent to
+    /// at the moment at which the first byte would leave.
     ///
     /// # Errors
     /// If no answer came.
@@ -413,6 +456,21 @@
         target: &Target,
         connections_max: u32,
         request: Request<Full<Bytes>>,
+    ) -> Result<Answer, SendFailure> {
+        let share = f64::from(connections_max) * CONNECTIONS_PART / self.nodes.get() as f64;
+        let pool = self.pool(target)?;
+        pool.send_if(request, share as usize, || self.may_send(target.key)).await
+    }
+
+    /// Sends what is no new work: results that are given up, whatever becomes of the upstream.
+    ///
+    /// # Errors
+    /// If no answer came.
+    pub async fn send_release(
+        &self,
+        target: &Target,
+        connections_max: u32,
+        request: Request<Full<Bytes>>,
     ) -> Result<Answer, SendFailure> {
         let share = f64::from(connections_max) * CONNECTIONS_PART / self.nodes.get() as f64;
         let pool = self.pool(target)?;
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -21,6 +21,15 @@
 #[error("malformed record: {0}")]
 pub struct Malformed(pub String);
 
+/// An operator's word on a failure domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evacuation {
+    /// The domain.
+    pub failure_domain: Arc<str>,
+    /// Whether it is evacuated; if not, that is taken back.
+    pub is_in_force: bool,
+}
+
 /// The formats of a platform.
 pub trait Wire {
     /// Path that a balancer asks for whether the node takes new connections.
@@ -65,6 +74,12 @@
     /// If it can't be read.
     fn decode_config(&self, value: &[u8]) -> Result<ServingConfig, Malformed>;
 
+    /// Decodes an operator's word on a failure domain; `None` if the record is another one.
+    ///
+    /// # Errors
+    /// If it says nothing that can be read.
+    fn decode_evacuation(&self, record: &KeyedRecord) -> Option<Result<Evacuation, Malformed>>;
+
     /// Decodes an upstream's record; without a value it was removed.
     ///
     /// # Errors
@@ -75,7 +90,7 @@
 /// What the store keeps for the gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
-    /// The operators' configuration.
+    /// The operators' records: the configuration, and the failure domains that are evacuated.
     Config,
     /// The upstreams' records of themselves.
     Upstreams,
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod delegates;
 mod directory;
 mod endings;
+mod evacuations;
 mod events;
 mod fleet;
 mod following;
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -113,6 +113,26 @@
     /// Whose loads and promises it tells.
     #[prost(enumeration = "LoadsOf", tag = "17")]
     pub loads_of: i32,
+    /// All that is known of evacuated failure domains.
+    #[prost(message, repeated, tag = "18")]
+    pub evacuations: Vec<EvacuationWord>,
+}
+
+/// An operator's newest word on a failure domain.
+#[derive(Clone, PartialEq, Message)]
+pub struct EvacuationWord {
+    /// The failure domain.
+    #[prost(string, tag = "1")]
+    pub failure_domain: String,
+    /// Whether it is evacuated; if not, that was taken back.
+    #[prost(bool, tag = "2")]
+    pub is_in_force: bool,
+    /// Number of the word in the store.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+    /// Era of the store that the number belongs to.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 /// Whose loads and promises a heartbeat tells.
