A cold upstream is sent no more than it bears

Cause: what records say of being cold was read and thrown away. Change: cold upstreams are left out while others suffice; where they don't, nodes have turns at them that add up to a sixth of the bound, by the most nodes known of late. Cold is known by records, told by peers, and taken for granted after a refused connection until the record says what is so. Before: cold upstreams were sent to like all others (tests fail on the code before).

--- a/crates/fernring-gateway/src/barred.rs
+++ b/crates/fernring-gateway/src/barred.rs
@@ -16,4 +16,7 @@
     /// Its failure domain is evacuated.
     #[error("the failure domain is evacuated")]
     Evacuated,
+    /// It is cold, and this node has no turn at it now: see [`crate::cold`].
+    #[error("the upstream is cold")]
+    Cold,
 }
--- a/crates/fernring-gateway/src/config.rs
+++ b/crates/fernring-gateway/src/config.rs
@@ -1,6 +1,10 @@
 //! The configuration in force. It only rises within a run of the process, whoever brings it.
 
-use {crate::model::ServingConfig, bytes::Bytes, std::rc::Rc};
+use {
+    crate::model::{ColdStart, ServingConfig},
+    bytes::Bytes,
+    std::rc::Rc,
+};
 
 /// A configuration with the record that it was decoded from, for nodes that ask for it.
 #[derive(Debug)]
@@ -42,6 +46,11 @@
         service.map_or(1, |service| service.connections_max)
     }
 
+    /// Returns what is said of cold upstreams of a service, if they bear little.
+    pub fn cold_start(&self, service: &str) -> Option<ColdStart> {
+        self.held.as_ref()?.config.services.get(service)?.cold
+    }
+
     /// Puts a configuration in force unless it is no newer than the one that is; tells whether it
     /// did. `packed` is the record it came in, `end` the store's number after that.
     pub fn offer(&mut self, config: ServingConfig, packed: Bytes, end: u64) -> bool {
--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -49,6 +49,9 @@
     /// Nothing was written.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// Nothing was written, since nobody listens there.
+    #[error("not sent: {0}")]
+    NoListener(String),
     /// Nothing was written, since the upstream may get nothing new.
     #[error("{0}")]
     Barred(Barred),
@@ -207,7 +210,7 @@
         &self,
         request: Request<Full<Bytes>>,
         open_max: usize,
-        check: impl Fn() -> Result<(), Barred>,
+        mut check: impl FnMut() -> Result<(), Barred>,
     ) -> Result<Answer, SendFailure> {
         let mut request = request;
         while let Some(connection) = self.take_idle().await {
@@ -248,7 +251,7 @@
         let stream = timeout(CONNECT_TIMEOUT, connect(self.address))
             .await
             .map_err(|_| SendFailure::NotSent("connect timed out".to_owned()))?
-            .map_err(|error| SendFailure::NotSent(format!("connect: {error}")))?;
+            .map_err(not_connected)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| SendFailure::NotSent(format!("connect: {error}")))?;
@@ -294,6 +297,14 @@
     Lost(BreakOff),
 }
 
+fn not_connected(error: io::Error) -> SendFailure {
+    let reason = format!("connect: {error}");
+    match error.kind() {
+        ErrorKind::ConnectionRefused => SendFailure::NoListener(reason),
+        _ => SendFailure::NotSent(reason),
+    }
+}
+
 /// Describes an error with its cause, since hyper's own text leaves the cause out.
 fn describe(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
--- a/crates/fernring-gateway/src/directory.rs
+++ b/crates/fernring-gateway/src/directory.rs
@@ -76,6 +76,8 @@
     pub offset: u64,
     /// When a removal takes effect that may be a lapse.
     removal_due: Option<Duration>,
+    /// Until when it is cold, as its record says.
+    cold_until: Duration,
 }
 
 impl Upstream {
@@ -84,14 +86,23 @@
         self.record.state == UpstreamState::Ready
     }
 
-    fn change(&self) -> Change {
+    fn change(&self, now: Duration) -> Change {
+        let cold_for = self.cold_until.saturating_sub(now);
         Change {
             instance: self.record.instance.clone(),
             offset: self.offset,
-            entry: Entry::Present(self.record.clone()),
+            entry: Entry::Present(UpstreamRecord {
+                cold_for: Some(cold_for),
+                ..self.record.clone()
+            }),
         }
     }
 
+    /// Tells whether it is cold, as its record says.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
     /// Tells whether its record has lapsed, so that others go first.
     pub fn is_doubtful(&self) -> bool {
         self.removal_due.is_some()
@@ -176,12 +187,12 @@
     }
 
     /// Lists what changed since a number, removals included; `None` if that isn't known here.
-    pub fn changes_since(&self, since: u64) -> Option<Vec<Change>> {
+    pub fn changes_since(&self, now: Duration, since: u64) -> Option<Vec<Change>> {
         if since < self.floor {
             return None;
         }
         let present = self.upstreams.values().filter(|u| u.offset >= since && !u.is_doubtful());
-        let present = present.map(Upstream::change);
+        let present = present.map(|upstream| upstream.change(now));
         let is_newest = |instance: &Arc<str>, removal: &Removal| {
             let upstream = self.by_instance.get(instance).map(|key| &self.upstreams[*key]);
             upstream.is_none_or(|upstream| upstream.offset < removal.offset)
@@ -198,16 +209,16 @@
 
     /// Lists all upstreams as changes, without those whose records have lapsed: who doesn't know
     /// these yet learns of them when they are back.
-    pub fn all_changes(&self) -> Vec<Change> {
+    pub fn all_changes(&self, now: Duration) -> Vec<Change> {
         let present = self.upstreams.values().filter(|upstream| !upstream.is_doubtful());
-        present.map(Upstream::change).collect()
+        present.map(|upstream| upstream.change(now)).collect()
     }
 
     /// Takes in a change.
     pub fn apply(&mut self, now: Duration, change: Change) -> Effect {
         self.end = self.end.max(change.offset + 1);
         match change.entry {
-            Entry::Present(record) => self.insert(change.offset, record),
+            Entry::Present(record) => self.insert(now, change.offset, record),
             Entry::Removed => self.remove(now, &change.instance, change.offset),
             Entry::Unusable => self.refuse(&change.instance, change.offset),
         }
@@ -241,7 +252,9 @@
         gone.into_iter().map(|key| self.drop_upstream(key)).collect()
     }
 
-    fn insert(&mut self, offset: u64, record: UpstreamRecord) -> Effect {
+    fn insert(&mut self, now: Duration, offset: u64, record: UpstreamRecord) -> Effect {
+        let said = record.cold_for.map(|cold_for| now + cold_for);
+        let cold_until = said.unwrap_or_default();
         if let Some(removal) = self.removed.get_mut(&record.instance) {
             if removal.offset > offset {
                 removal.started_ms = removal.started_ms.max(record.started_ms);
@@ -253,7 +266,7 @@
         }
         let Some(key) = self.by_instance.get(&record.instance).copied() else {
             let instance = record.instance.clone();
-            let upstream = Upstream { record, offset, removal_due: None };
+            let upstream = Upstream { record, offset, removal_due: None, cold_until };
             let key = self.upstreams.insert(upstream);
             self.by_instance.insert(instance, key);
             return Effect::Appeared(key);
@@ -261,7 +274,7 @@
         let upstream = &mut self.upstreams[key];
         let known_ms = upstream.record.started_ms;
         if is_earlier(known_ms, record.started_ms) {
-            return self.restart(key, offset, record);
+            return self.restart(key, Upstream { record, offset, removal_due: None, cold_until });
         }
         if offset < upstream.offset || is_earlier(record.started_ms, known_ms) {
             return Effect::None;
@@ -269,6 +282,7 @@
         let was_ready = upstream.takes_work();
         let was_held = upstream.removal_due.take().is_some();
         upstream.offset = offset;
+        upstream.cold_until = said.unwrap_or(upstream.cold_until);
         upstream.record = UpstreamRecord { started_ms: record.started_ms.or(known_ms), ..record };
         match (was_ready, upstream.takes_work()) {
             (true, false) => Effect::Draining(key),
@@ -286,10 +300,10 @@
     }
 
     /// Ends an upstream whose process has started again, and begins the new one.
-    fn restart(&mut self, old: UpstreamKey, offset: u64, record: UpstreamRecord) -> Effect {
+    fn restart(&mut self, old: UpstreamKey, upstream: Upstream) -> Effect {
         self.upstreams.remove(old);
-        let instance = record.instance.clone();
-        let new = self.upstreams.insert(Upstream { record, offset, removal_due: None });
+        let instance = upstream.record.instance.clone();
+        let new = self.upstreams.insert(upstream);
         self.by_instance.insert(instance, new);
         Effect::Restarted { old, new }
     }
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -174,6 +174,7 @@
             .with("of", candidates.len())
             .with("load", chosen.map_or(0.0, |candidate| candidate.load.round()))
             .with("is_avoided", chosen.is_some_and(|candidate| candidate.is_avoided))
+            .with("is_cold", chosen.is_some_and(|candidate| candidate.is_cold))
             .with("is_home", is_home)
             .with("reads_per_ms", self.serving.reading.of(&self.service).tokens_in(ONE_MS).round())
             .with("config", self.serving.config.borrow().version())
@@ -232,7 +233,7 @@
                 let why = BreakOff::silent("no answer in time");
                 return Err(Unanswered { end: SendEnd::Unknown, why });
             }
-            Some(Err(SendFailure::NotSent(why))) => {
+            Some(Err(SendFailure::NotSent(why) | SendFailure::NoListener(why))) => {
                 return Err(Unanswered::without_break(SendEnd::NotSent, why));
             }
             Some(Err(SendFailure::Barred(why))) => {
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`exchange`]; streams are passed on by [`relay`].
 //!
 //! Decisions stand in modules without I/O: [`admission`] (who is taken on), [`attempts`], [`backlog`] and [`backlogs`]
-//! (what waits where), [`batching`] (the queue of a stage and its calls), [`budget`], [`come_back`], [`config`], [`directory`],
+//! (what waits where), [`batching`] (the queue of a stage and its calls), [`budget`], [`cold`] (what a cold upstream is sent), [`come_back`], [`config`], [`directory`],
 //! [`evacuations`] (where nothing new is sent), [`events`], [`flow`], [`following`] (what peers pass on), [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`],
 //! [`endings`] (has an upstream ended?) and [`suspects`] (under which requests?). [`blame`] gathers the signs for these two. A
 //! platform's formats and calls are behind the traits of [`wire`]. Everything runs on one thread.
@@ -29,6 +29,7 @@
 pub mod batching;
 pub mod blame;
 pub mod budget;
+pub mod cold;
 pub mod come_back;
 pub mod config;
 pub mod connections;
--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -106,6 +106,24 @@
     pub cache_tokens: u64,
 }
 
+/// What a cold upstream bears.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBounds {
+    /// Requests a second that it bears from all nodes together.
+    pub per_s: f64,
+    /// How many times that may be sent in any one second.
+    pub overage: f64,
+    /// Requests that may be sent in any one second besides.
+    pub slack: f64,
+}
+
+impl ColdBounds {
+    /// Returns the most requests that all nodes together may send in any span of this length.
+    pub fn per_window(&self, window: Duration) -> f64 {
+        self.per_s * self.overage * window.as_secs_f64() + self.slack
+    }
+}
+
 /// A service: upstreams that are alike.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -117,6 +135,17 @@
     pub batch: Option<BatchShape>,
     /// Set for a service of model engines.
     pub model: Option<ModelShape>,
+    /// Set for a service whose cold upstreams bear little.
+    pub cold: Option<ColdStart>,
+}
+
+/// What the configuration says of cold upstreams of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Requests a second that one bears. Invariant: above 0.
+    pub per_s: f64,
+    /// How long an upstream is cold after its start.
+    pub time: Duration,
 }
 
 /// What a caller may send, and how slowly.
@@ -216,6 +245,8 @@
     pub slots: u32,
     /// Whether it is to get new work.
     pub state: UpstreamState,
+    /// How much longer it is cold, when the record was read or told; `None` if what it says of that is no time.
+    pub cold_for: Option<Duration>,
 }
 
 impl UpstreamRecord {
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -144,7 +144,8 @@
             ..Member::new(settings.node.peer_address, failure_domain.clone())
         };
         let config = Rc::new(RefCell::new(ConfigState::default()));
-        let upstreams = Rc::new(Upstreams::new(failure_domain, clock.clone()));
+        let upstreams =
+            Rc::new(Upstreams::new(failure_domain, clock.clone(), config.clone(), settings.cold));
         let peers = Rc::new(Peers::new(me, clock.clone()));
         let retries = Rc::new(Retries::new(settings.retries.allowance(), peers.clone()));
         let rules = Rc::new(Cell::new(settings.decide));
@@ -323,6 +324,7 @@
         };
         self.retries.set_allowance(settings.retries.allowance());
         self.serving.rules.set(settings.decide);
+        self.upstreams.set_cold_bounds(settings.cold);
         self.peers.suggest(settings.node.seeds.iter().copied());
         *self.settings.borrow_mut() = settings;
         self.apply_link();
@@ -383,6 +385,7 @@
             turned_away: self.serving.blame.turned_away(),
             caller_connections: self.ingress.open(),
             upstream_connections: self.upstreams.open_connections(),
+            cold_upstreams: directory.iter().filter(|(_, u)| u.is_cold(self.serving.now())).count(),
             evacuated_domains: self.upstreams.evacuations().borrow().in_force(),
             store_answers: self.loops.store_answers.get(),
         });
@@ -415,15 +418,16 @@
 
     fn send_directory(&self, peer: SocketAddr, since: u64) {
         let directory = self.upstreams.directory();
-        let (changes, is_whole) = match directory.changes_since(since) {
+        let now = self.serving.now();
+        let (changes, is_whole) = match directory.changes_since(now, since) {
             Some(changes) => (changes, false),
-            None => (directory.all_changes(), true),
+            None => (directory.all_changes(now), true),
         };
         let records = DirectoryRecords {
             end: directory.end(),
             records: changes.iter().map(directory_record).collect(),
             is_whole,
-            lapses_ms: directory.lapses_for(self.serving.now()).as_millis() as u32,
+            lapses_ms: directory.lapses_for(now).as_millis() as u32,
             age_ms: self.age_ms(Followed::Upstreams),
         };
         let bytes = records.encoded_len();
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -21,6 +21,7 @@
         makers::{Maker, MakerSet},
         model::{BatchShape, Piece, PieceInput, Service, UpstreamKey},
         peers::Peers,
+        selection::Candidate,
         settings::DecideSettings,
         upstreams::{Target, Upstreams, maker_address},
         wire::Wire,
@@ -405,12 +406,13 @@
     }
 
     /// Lists the makers that take work. Others that are merely busy come free soon, so one that is
-    /// avoided waits for them.
+    /// avoided or cold waits for them.
     fn usable_makers(&self, service: &str) -> Vec<UpstreamKey> {
         let is_silent = |domain: &str| self.peers.is_silent(domain);
         let candidates = self.upstreams.candidates(self.now(), service, is_silent);
-        let any_sound = candidates.iter().any(|candidate| !candidate.is_avoided);
-        let usable = candidates.iter().filter(|candidate| !candidate.is_avoided || !any_sound);
+        let is_sound = |candidate: &&Candidate| !candidate.is_avoided && !candidate.is_cold;
+        let any_sound = candidates.iter().any(|candidate| is_sound(&candidate));
+        let usable = candidates.iter().filter(|candidate| is_sound(candidate) || !any_sound);
         usable.map(|candidate| candidate.key).collect()
     }
 
--- a/crates/fernring-gateway/src/records.rs
+++ b/crates/fernring-gateway/src/records.rs
@@ -9,7 +9,7 @@
         wire::Evacuation,
     },
     fernring_protocol::gateway::{DirectoryRecord, EvacuationWord},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Encodes a change for a peer.
@@ -37,6 +37,7 @@
         is_removed: false,
         started_ms: record.started_ms,
         is_unusable: false,
+        cold_ms: record.cold_for.unwrap_or_default().as_millis() as u32,
     }
 }
 
@@ -59,6 +60,7 @@
         failure_domain: record.failure_domain.into(),
         slots: record.slots,
         state,
+        cold_for: Some(Duration::from_millis(record.cold_ms.into())),
     };
     Some(Change { instance, offset: record.offset, entry: Entry::Present(upstream) })
 }
--- a/crates/fernring-gateway/src/selection.rs
+++ b/crates/fernring-gateway/src/selection.rs
@@ -17,6 +17,8 @@
     pub is_near: bool,
     /// Whether others are to go first: it failed just now, or may be gone.
     pub is_avoided: bool,
+    /// Whether it is cold; this node has a turn at it then.
+    pub is_cold: bool,
 }
 
 /// What a request needs of a model engine.
@@ -67,15 +69,28 @@
         if has_shared { need.own_tokens } else { need.all_tokens }
     };
     let backlog = |c: &Candidate| c.load + to_read(c);
-    let in_time = pool.iter().find(|c| backlog(c) <= need.patience_tokens);
+    let is_in_time = |c: &&Candidate| backlog(c) <= need.patience_tokens;
+    let in_time = pool.iter().find(is_in_time);
+    // The others don't suffice.
+    let cold = || sound_cold(candidates).filter(is_in_time).min_by_key(|c| rank(c));
     let least = || pool.iter().min_by(|a, b| backlog(a).total_cmp(&backlog(b)));
-    in_time.or_else(least).map(|c| ModelChoice { key: c.key, tokens: backlog(c) })
+    in_time.or_else(cold).or_else(least).map(|c| ModelChoice { key: c.key, tokens: backlog(c) })
 }
 
-/// Leaves out those that are to be avoided, unless nothing else is there.
+/// Leaves out those that are to be avoided or cold, unless nothing else is there: then the cold ones go first, which
+/// this node has turns at.
 fn sound(candidates: &[Candidate]) -> Vec<Candidate> {
-    let sound: Vec<_> = candidates.iter().filter(|c| !c.is_avoided).copied().collect();
-    if sound.is_empty() { candidates.to_vec() } else { sound }
+    let sound = candidates.iter().filter(|c| !c.is_avoided && !c.is_cold);
+    let sound: Vec<_> = sound.copied().collect();
+    if !sound.is_empty() {
+        return sound;
+    }
+    let cold: Vec<_> = sound_cold(candidates).copied().collect();
+    if cold.is_empty() { candidates.to_vec() } else { cold }
+}
+
+fn sound_cold(candidates: &[Candidate]) -> impl Iterator<Item = &Candidate> {
+    candidates.iter().filter(|c| !c.is_avoided && c.is_cold)
 }
 
 fn least_loaded(pool: &[Candidate], draw: u64) -> Option<UpstreamKey> {
--- a/crates/fernring-gateway/src/settings.rs
+++ b/crates/fernring-gateway/src/settings.rs
@@ -10,6 +10,10 @@
 /// Bytes a second of one Mbit/s.
 const BYTES_PER_S_OF_MBPS: f64 = 1e6 / 8.0;
 
+/// Shortest bound that evacuations can be held to, in milliseconds: a node that has lost its reader asks the store after
+/// 1.7 s, and the store may take a quarter of a second to answer.
+const EVACUATION_MS_MIN: f64 = 2_000.0;
+
 /// The settings of a gateway.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -21,6 +25,12 @@
     /// The retry budget that all nodes share.
     #[serde(default)]
     pub retries: RetrySettings,
+    /// What cold upstreams may be sent.
+    #[serde(default)]
+    pub cold: ColdSettings,
+    /// Failure domains that operators evacuate.
+    #[serde(default)]
+    pub evacuation: EvacuationSettings,
     /// Shutting down.
     #[serde(default)]
     pub shutdown: ShutdownSettings,
@@ -150,6 +160,38 @@
     }
 }
 
+/// What all nodes together may send to a cold upstream, beside what the configuration says that it bears.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ColdSettings {
+    /// How many times what it bears in a second may be sent in any one second.
+    pub overage: f64,
+    /// Requests that may be sent in any one second besides.
+    pub slack: f64,
+}
+
+impl Default for ColdSettings {
+    /// What it bears and no more.
+    fn default() -> Self {
+        Self { overage: 1.0, slack: 0.0 }
+    }
+}
+
+/// When an evacuation has to be in force.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EvacuationSettings {
+    /// Longest time from an operator's word to the last new request there, in milliseconds.
+    pub within_ms: f64,
+}
+
+impl Default for EvacuationSettings {
+    /// The users' bound.
+    fn default() -> Self {
+        Self { within_ms: 5_000.0 }
+    }
+}
+
 /// How the node shuts down.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -251,6 +293,16 @@
     if !(0.1..=3_600.0).contains(&retries.window_s) {
         return not_allowed("retries.window_s", "must lie between 0.1 and 3600");
     }
+    let cold = settings.cold;
+    if !(1.0..=100.0).contains(&cold.overage) {
+        return not_allowed("cold.overage", "must lie between 1 and 100");
+    }
+    if !(0.0..=1e6).contains(&cold.slack) {
+        return not_allowed("cold.slack", "must lie between 0 and 1000000");
+    }
+    if !(EVACUATION_MS_MIN..=3_600_000.0).contains(&settings.evacuation.within_ms) {
+        return not_allowed("evacuation.within_ms", "must lie between 2000 and 3600000");
+    }
     let shutdown = settings.shutdown;
     if !(0.0..=3_600.0).contains(&shutdown.grace_s) {
         return not_allowed("shutdown.grace_s", "must lie between 0 and 3600");
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -422,7 +422,10 @@
     /// Decodes a record; one that can't be read takes the upstream that its key named out of use.
     fn decode(&self, record: &KeyedRecord) -> Change {
         let error = match self.wire.decode_upstream(record) {
-            Ok(change) => return change,
+            Ok(change) => {
+                note_cold_time(&change);
+                return change;
+            }
             Err(error) => error,
         };
         // Whole readings bring it again and again; it is said once.
@@ -512,7 +515,10 @@
                 Ok(page) => {
                     self.blame.learn(&page.records);
                     let addresses = page.records.iter().filter(|record| record.value.is_some());
-                    self.peers.suggest(addresses.filter_map(|record| record.key.parse().ok()));
+                    let addresses: Vec<_> =
+                        addresses.filter_map(|record| record.key.parse().ok()).collect();
+                    self.upstreams.nodes_recorded(addresses.len());
+                    self.peers.suggest(addresses);
                     break;
                 }
                 Err(error) => self.did_not_answer(Topic::Nodes, &error),
@@ -552,6 +558,17 @@
     }
 }
 
+/// Says that an upstream's record holds no time for how long it is cold; what was known of that stays so.
+fn note_cold_time(change: &Change) {
+    if let Entry::Present(record) = &change.entry
+        && record.cold_for.is_none()
+    {
+        measures::record_refused(Topic::Upstreams.name());
+        let line = LogLine::event("cold_time_refused").with("instance", &change.instance);
+        log::warn(line.with("record", change.offset));
+    }
+}
+
 fn config_refused(source: &str, error: &dyn std::fmt::Display) {
     let line = LogLine::event("config_refused").with("source", source);
     log::warn(line.with("error", error));
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -3,12 +3,16 @@
 use {
     crate::{
         barred::Barred,
+        cold::{Asker, MostNodes, NoListener, START_TIME, Turns},
+        config::ConfigState,
         connections::{Answer, Pool, SendFailure},
         directory::{Change, Directory, Effect, Upstream},
         endings::Run,
         evacuations::Evacuations,
-        model::UpstreamKey,
+        model::{ColdBounds, ColdStart, UpstreamKey},
+        position::Position,
         selection::Candidate,
+        settings::ColdSettings,
     },
     bytes::Bytes,
     fernring_core::clock::Clock,
@@ -122,10 +126,24 @@
     own_loads: RefCell<SecondaryMap<UpstreamKey, f64>>,
     peer_loads: RefCell<PeerLoads>,
     nodes: Cell<usize>,
+    config: Rc<RefCell<ConfigState>>,
+    cold: RefCell<Cold>,
     /// When records were last read from the store.
     read_at: Cell<Duration>,
 }
 
+/// What is known of cold upstreams, and of this node's turns at them.
+#[derive(Debug)]
+struct Cold {
+    settings: ColdSettings,
+    /// Identity of this node.
+    node: u64,
+    started_at: Duration,
+    nodes: MostNodes,
+    turns: SecondaryMap<UpstreamKey, Turns>,
+    no_listener: SecondaryMap<UpstreamKey, NoListener>,
+}
+
 /// Work that an upstream has in hand; taken off its load when dropped.
 #[derive(Debug)]
 pub struct LoadGuard {
@@ -169,12 +187,34 @@
     pub offset: u64,
 }
 
+impl Cold {
+    fn asker(&self, upstream: &Upstream) -> Asker {
+        let upstream = u64::from(upstream.record.run_hash());
+        Asker { node: self.node, upstream, nodes: self.nodes.most() }
+    }
+}
+
 impl Upstreams {
     /// Creates the upstreams of a node of a failure domain, none so far.
-    pub fn new(failure_domain: Arc<str>, clock: Rc<dyn Clock>) -> Self {
+    pub fn new(
+        failure_domain: Arc<str>,
+        clock: Rc<dyn Clock>,
+        config: Rc<RefCell<ConfigState>>,
+        cold: ColdSettings,
+    ) -> Self {
+        let cold = Cold {
+            settings: cold,
+            node: rand::random(),
+            started_at: clock.now().monotonic,
+            nodes: MostNodes::default(),
+            turns: SecondaryMap::new(),
+            no_listener: SecondaryMap::new(),
+        };
         Self {
             failure_domain,
             clock,
+            config,
+            cold: RefCell::new(cold),
             directory: RefCell::default(),
             evacuations: RefCell::default(),
             pools: RefCell::default(),
@@ -189,6 +229,17 @@
     /// Says how many nodes share the upstreams.
     pub fn set_nodes(&self, nodes: usize) {
         self.nodes.set(nodes.max(1));
+        self.cold.borrow_mut().nodes.saw(self.clock.now().monotonic, nodes);
+    }
+
+    /// Says how many nodes have a record in the store: there may be so many, whether they are heard or not.
+    pub fn nodes_recorded(&self, nodes: usize) {
+        self.cold.borrow_mut().nodes.saw(self.clock.now().monotonic, nodes);
+    }
+
+    /// Sets what cold upstreams may be sent beside what the configuration says.
+    pub fn set_cold_bounds(&self, settings: ColdSettings) {
+        self.cold.borrow_mut().settings = settings;
     }
 
     /// Says that records were read from the store.
@@ -221,31 +272,90 @@
     /// # Errors
     /// With the reason if it may not.
     pub fn may_send(&self, key: UpstreamKey) -> Result<(), Barred> {
+        self.asked(key).map(drop)
+    }
+
+    fn asked(&self, key: UpstreamKey) -> Result<Option<ColdBounds>, Barred> {
         let directory = self.directory.borrow();
-        self.may_send_to(directory.get(key).ok_or(Barred::Gone)?)
+        let upstream = directory.get(key).ok_or(Barred::Gone)?;
+        self.may_send_to(key, upstream, self.cold_start(&upstream.record.service))
+    }
+
+    fn cold_start(&self, service: &str) -> Option<ColdStart> {
+        self.config.borrow().cold_start(service)
     }
 
-    fn may_send_to(&self, upstream: &Upstream) -> Result<(), Barred> {
+    /// Tells whether an upstream may be sent to; with what it bears if it is cold.
+    fn may_send_to(
+        &self,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        cold_start: Option<ColdStart>,
+    ) -> Result<Option<ColdBounds>, Barred> {
         if !upstream.takes_work() {
             return Err(Barred::Leaving);
         }
         if self.evacuations.borrow().covers(&upstream.record.failure_domain) {
             return Err(Barred::Evacuated);
         }
-        Ok(())
+        let bounds = cold_start.and_then(|start| self.cold_bounds(key, upstream, start));
+        let Some(bounds) = bounds else {
+            return Ok(None);
+        };
+        let cold = self.cold.borrow();
+        let turns = cold.turns.get(key).copied().unwrap_or_default();
+        let now = self.clock.now().monotonic;
+        let has_turn = now >= cold.started_at + START_TIME
+            && turns.has_turn(now, &bounds, cold.asker(upstream));
+        if has_turn { Ok(Some(bounds)) } else { Err(Barred::Cold) }
+    }
+
+    /// Returns what an upstream bears, if it is cold.
+    fn cold_bounds(
+        &self,
+        key: UpstreamKey,
+        upstream: &Upstream,
+        start: ColdStart,
+    ) -> Option<ColdBounds> {
+        let cold = self.cold.borrow();
+        let now = self.clock.now().monotonic;
+        let no_listener = cold.no_listener.get(key);
+        let record_at = Position::new(0, upstream.offset);
+        let is_suspected = no_listener.is_some_and(|no| no.is_cold(now, record_at, start.time));
+        let ColdSettings { overage, slack } = cold.settings;
+        let bounds = ColdBounds { per_s: start.per_s, overage, slack };
+        (is_suspected || upstream.is_cold(now)).then_some(bounds)
+    }
+
+    /// Takes this node's turn at an upstream if it is cold.
+    fn take_turn(&self, key: UpstreamKey) -> Result<(), Barred> {
+        let Some(bounds) = self.asked(key)? else {
+            return Ok(());
+        };
+        let directory = self.directory.borrow();
+        let upstream = directory.get(key).ok_or(Barred::Gone)?;
+        let mut cold = self.cold.borrow_mut();
+        let asker = cold.asker(upstream);
+        let entry = cold.turns.entry(key).ok_or(Barred::Gone)?;
+        let now = self.clock.now().monotonic;
+        if entry.or_default().take(now, &bounds, asker) { Ok(()) } else { Err(Barred::Cold) }
     }
 
     /// Tells whether a service has upstreams that could take work, and all of them lie in evacuated failure domains.
     pub fn is_evacuated(&self, service: &str) -> bool {
         let directory = self.directory.borrow();
-        let mut asked =
-            directory.of_service(service).map(|(_, upstream)| self.may_send_to(upstream));
+        let asked = directory
+            .of_service(service)
+            .map(|(key, upstream)| self.may_send_to(key, upstream, None));
         let mut any_evacuated = false;
-        let none_left = asked.all(|asked| {
-            any_evacuated |= asked == Err(Barred::Evacuated);
-            asked.is_err()
-        });
-        any_evacuated && none_left
+        for asked in asked {
+            match asked {
+                Err(Barred::Evacuated) => any_evacuated = true,
+                Err(_) => {}
+                Ok(_) => return false,
+            }
+        }
+        any_evacuated
     }
 
     /// Takes in changes and returns their effects.
@@ -307,6 +417,10 @@
     /// Forgets all that is kept of an upstream and returns its connections.
     fn forget(&self, key: UpstreamKey) -> Option<Pool> {
         self.health.borrow_mut().remove(key);
+        let mut cold = self.cold.borrow_mut();
+        cold.turns.remove(key);
+        cold.no_listener.remove(key);
+        drop(cold);
         self.own_loads.borrow_mut().remove(key);
         self.pools.borrow_mut().remove(key)
     }
@@ -323,22 +437,23 @@
         let health = self.health.borrow();
         let own_loads = self.own_loads.borrow();
         let totals = &self.peer_loads.borrow().totals;
-        let may_send = |upstream: &Upstream| self.may_send_to(upstream).is_ok();
-        let ready = directory.of_service(service).filter(|(_, upstream)| may_send(upstream));
+        let cold_start = self.cold_start(service);
         let candidate = |(key, upstream): (UpstreamKey, &Upstream)| {
             let record = &upstream.record;
+            let cold = self.may_send_to(key, upstream, cold_start).ok()?;
             let failed = health.get(key).is_some_and(|health| now < health.avoid_until);
             let peers = totals.get(&record.run_hash()).copied().unwrap_or(0.0);
-            Candidate {
+            Some(Candidate {
                 key,
                 identity: xxh3_64(record.instance.as_bytes()),
                 load: own_loads.get(key).copied().unwrap_or(0.0) + peers,
                 slots: record.slots,
                 is_near: record.failure_domain == self.failure_domain,
                 is_avoided: failed || upstream.is_doubtful() || is_silent(&record.failure_domain),
-            }
+                is_cold: cold.is_some(),
+            })
         };
-        ready.map(candidate).collect()
+        directory.of_service(service).filter_map(candidate).collect()
     }
 
     /// Returns what a send needs to know of an upstream, unless it is gone.
@@ -459,7 +574,47 @@
     ) -> Result<Answer, SendFailure> {
         let share = f64::from(connections_max) * CONNECTIONS_PART / self.nodes.get() as f64;
         let pool = self.pool(target)?;
-        pool.send_if(request, share as usize, || self.may_send(target.key)).await
+        let has_turn = Cell::new(false);
+        let check = || {
+            if !has_turn.get() {
+                self.take_turn(target.key)?;
+                has_turn.set(true);
+            }
+            self.barred_since(target.key)
+        };
+        let sent = pool.send_if(request, share as usize, check).await;
+        self.note_listener(target.key, sent.as_ref().err());
+        sent
+    }
+
+    /// Tells whether an upstream at which this node has taken a turn may get nothing new any more.
+    fn barred_since(&self, key: UpstreamKey) -> Result<(), Barred> {
+        match self.may_send(key) {
+            Err(Barred::Cold) => Ok(()),
+            other => other,
+        }
+    }
+
+    /// Takes in whether somebody listened at an upstream's address.
+    fn note_listener(&self, key: UpstreamKey, failure: Option<&SendFailure>) {
+        let directory = self.directory.borrow();
+        let Some(upstream) = directory.get(key) else {
+            return;
+        };
+        let now = self.clock.now().monotonic;
+        let mut cold = self.cold.borrow_mut();
+        match failure {
+            Some(SendFailure::NoListener(_)) => {
+                let record_at = Position::new(0, upstream.offset);
+                cold.no_listener.insert(key, NoListener::new(now, record_at));
+            }
+            None => {
+                if let Some(no_listener) = cold.no_listener.get_mut(key) {
+                    no_listener.answered(now);
+                }
+            }
+            Some(_) => {}
+        }
     }
 
     /// Sends what is no new work: results that are given up, whatever becomes of the upstream.
--- a/crates/fernring-gateway/tests/testsuite/directory.rs
+++ b/crates/fernring-gateway/tests/testsuite/directory.rs
@@ -19,6 +19,7 @@
         failure_domain: "a".into(),
         slots: 1,
         state,
+        cold_for: None,
     }
 }
 
@@ -103,12 +104,12 @@
 /// Passes on to one directory what another knows and it doesn't.
 fn pass_on(from: &Directory, to: &mut Directory) {
     let end = from.end();
-    match from.changes_since(to.end()) {
+    match from.changes_since(NOW, to.end()) {
         Some(changes) => changes.into_iter().for_each(|change| {
             to.apply(NOW, change);
         }),
         None => {
-            to.replace(NOW, from.all_changes(), end);
+            to.replace(NOW, from.all_changes(NOW), end);
         }
     }
     to.advance(end);
@@ -129,7 +130,7 @@
     assert_eq!(instances(&follower), ["a", "b"]);
     reader.apply(NOW, removed("a", 3));
     reader.apply(NOW, ready("c", 4));
-    let changes = reader.changes_since(3).expect("known since the whole reading");
+    let changes = reader.changes_since(NOW, 3).expect("known since the whole reading");
     assert_eq!(changes.len(), 2, "{changes:?}");
     pass_on(&reader, &mut follower);
     assert_eq!(instances(&follower), ["b", "c"]);
@@ -143,7 +144,7 @@
     follower.apply(NOW, ready("b", 2));
     // The removal of `a` was record 3, before the late one started.
     late.replace(NOW, vec![ready("b", 2)], 4);
-    assert_eq!(late.changes_since(follower.end()), None);
+    assert_eq!(late.changes_since(NOW, follower.end()), None);
     pass_on(&late, &mut follower);
     assert_eq!(instances(&follower), ["b"]);
 }
@@ -178,8 +179,8 @@
     for number in 0..20_000u64 {
         directory.apply(NOW, removed(&format!("i-{number}"), number));
     }
-    assert_eq!(directory.changes_since(0), None);
-    let known = directory.changes_since(directory.end() - 1_000).expect("the newest are kept");
+    assert_eq!(directory.changes_since(NOW, 0), None);
+    let known = directory.changes_since(NOW, directory.end() - 1_000).expect("the newest are kept");
     assert_eq!(known.len(), 1_000);
 }
 
@@ -262,7 +263,7 @@
     reader.apply(NOW, ready("i", 0));
     pass_on(&reader, &mut follower);
     reader.apply(NOW, unusable("i", 1));
-    let changes = reader.changes_since(1).expect("known since the start");
+    let changes = reader.changes_since(NOW, 1).expect("known since the start");
     assert_eq!(changes, [unusable("i", 1)]);
     follower.store_was_out(NOW);
     pass_on(&reader, &mut follower);
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod backlogs;
 mod batching;
 mod budget;
+mod cold;
 mod come_back;
 mod config;
 mod content;
--- a/crates/fernring-gateway/tests/testsuite/selection.rs
+++ b/crates/fernring-gateway/tests/testsuite/selection.rs
@@ -18,6 +18,7 @@
         slots: 4,
         is_near: false,
         is_avoided: false,
+        is_cold: false,
     };
     (0..count).map(candidate).collect()
 }
@@ -120,3 +121,22 @@
     let wanted = PromptNeed { home: Some(all[home].key), ..need(7) };
     assert_eq!(chosen(&all, wanted), Some(usual));
 }
+
+#[test]
+fn a_cold_upstream_is_left_out_while_others_suffice() {
+    let mut all = candidates(3);
+    let usual = chosen(&all, need(7)).unwrap();
+    let at = all.iter().position(|c| c.key == usual).unwrap();
+    all[at].is_cold = true;
+    assert_ne!(chosen(&all, need(7)), Some(usual));
+    assert_ne!(choose(&all, 1), Some(usual));
+    for other in all.iter_mut().filter(|c| c.key != usual) {
+        other.load = 50_000.0;
+    }
+    assert_eq!(chosen(&all, need(7)), Some(usual), "the others would be late");
+    assert_ne!(choose(&all, 1), Some(usual), "they would serve, though");
+    for other in all.iter_mut().filter(|c| c.key != usual) {
+        other.is_avoided = true;
+    }
+    assert_eq!(choose(&all, 1), Some(usual), "nothing else is sound");
+}
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -5,6 +5,7 @@
     fernring_gateway::{
         directory::{Change, Entry},
         model::{UpstreamKey, UpstreamRecord, UpstreamState, short_hash},
+        settings::ColdSettings,
         upstreams::Upstreams,
     },
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -24,12 +25,18 @@
             failure_domain: "a".into(),
             slots: 1,
             state: UpstreamState::Ready,
+            cold_for: None,
         }),
     }
 }
 
 fn upstreams(instances: &[&str]) -> Rc<Upstreams> {
-    let upstreams = Rc::new(Upstreams::new("a".into(), Rc::new(ManualClock::at_unix_ms(0))));
+    let upstreams = Rc::new(Upstreams::new(
+        "a".into(),
+        Rc::new(ManualClock::at_unix_ms(0)),
+        Rc::default(),
+        ColdSettings::default(),
+    ));
     let changes = instances.iter().enumerate().map(|(number, instance)| change(number, instance));
     upstreams.apply(NOW, changes.collect());
     upstreams
@@ -121,7 +128,12 @@
 #[test]
 fn a_domains_load_is_added_up_by_a_delegate_and_counted_once() {
     let [follower, delegate, far] = ["a", "a", "b"].map(|domain| {
-        let upstreams = Rc::new(Upstreams::new(domain.into(), Rc::new(ManualClock::at_unix_ms(0))));
+        let upstreams = Rc::new(Upstreams::new(
+            domain.into(),
+            Rc::new(ManualClock::at_unix_ms(0)),
+            Rc::default(),
+            ColdSettings::default(),
+        ));
         upstreams.apply(NOW, vec![change(0, "i")]);
         upstreams
     });
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -246,6 +246,9 @@
     /// With `is_removed`: whether something lies there that can't be read, so that it is no lapse.
     #[prost(bool, tag = "10")]
     pub is_unusable: bool,
+    /// How much longer it is cold, in milliseconds.
+    #[prost(uint32, tag = "11")]
+    pub cold_ms: u32,
 }
 
 /// Pieces of one stage of one request.
