A store that comes back from a copy is read anew and resurrects nothing

Cause: positions in the store were numbers alone; a reader behind the old end heard nothing, and records of the copy passed for news or for older ones. Change: an era beside each number, compared first, in the client, in heartbeats and in what is passed on; answers of an earlier era are dropped; on a step all is read anew. Of two records of two eras, start and count say which is newer; who left or had gone stays so, what the copy lacks is doubtful for the grace, evacuations hold until the operator says something new, configurations only rise; a node writes its own records again.

--- a/crates/fernring-gateway/src/blame/keeping.rs
+++ b/crates/fernring-gateway/src/blame/keeping.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Takes in that the store has come back from a copy: what was written may be lost, and is written again.
+    pub fn store_came_back(&self) {
+        self.kept.borrow_mut().0.clear();
+    }
+
     /// Writes a record, or removes it; what fails is tried again in the next round.
     async fn write(&self, content: ContentKey, record: Option<&str>) {
         let value = record.map(str::as_bytes);
--- a/crates/fernring-gateway/src/config.rs
+++ b/crates/fernring-gateway/src/config.rs
@@ -1,7 +1,10 @@
 //! The configuration in force. It only rises within a run of the process, whoever brings it.
 
 use {
-    crate::model::{ColdStart, ServingConfig},
+    crate::{
+        model::{ColdStart, ServingConfig},
+        position::Position,
+    },
     bytes::Bytes,
     std::rc::Rc,
 };
@@ -13,8 +16,8 @@
     pub config: ServingConfig,
     /// The record it came in, packed.
     pub packed: Bytes,
-    /// The store's number after that record; 0 if it isn't known.
-    pub end: u64,
+    /// The store's position after that record; the first if it isn't known.
+    pub end: Position,
 }
 
 /// The configuration in force on a node.
@@ -34,9 +37,9 @@
         self.held.as_ref().map_or(0, |held| held.config.version)
     }
 
-    /// Returns the store's number after its record; 0 before the first.
-    pub fn end(&self) -> u64 {
-        self.held.as_ref().map_or(0, |held| held.end)
+    /// Returns the store's position after its record; the first before there is one.
+    pub fn end(&self) -> Position {
+        self.held.as_ref().map_or_else(Position::default, |held| held.end)
     }
 
     /// Returns the connections that an upstream of a service takes from all nodes; one if the
@@ -52,8 +55,8 @@
     }
 
     /// Puts a configuration in force unless it is no newer than the one that is; tells whether it
-    /// did. `packed` is the record it came in, `end` the store's number after that.
-    pub fn offer(&mut self, config: ServingConfig, packed: Bytes, end: u64) -> bool {
+    /// did. `packed` is the record it came in, `end` the store's position after that.
+    pub fn offer(&mut self, config: ServingConfig, packed: Bytes, end: Position) -> bool {
         if self.held.is_some() && config.version <= self.version() {
             return false;
         }
--- a/crates/fernring-gateway/src/directory.rs
+++ b/crates/fernring-gateway/src/directory.rs
@@ -1,7 +1,8 @@
 //! The upstreams, as their own records in the platform's store describe them.
 //!
-//! Records are numbered by the store; for one upstream the highest number wins, whichever way
-//! it came. A removal that may be a lapse during an outage of the store takes effect only after
+//! Records are numbered by the store; for one upstream the latest position wins, whichever way
+//! it came. A store that comes back from a copy holds what was some seconds ago: there the start and what the upstream
+//! counts say which of two records is the newer, and who was leaving or had gone stays so. A removal that may be a lapse during an outage of the store takes effect only after
 //! [`RETURN_GRACE`].
 //!
 //! A process may start again under the instance that it had. The latest start wins over any number: it ends the
@@ -9,7 +10,10 @@
 //! record that can't be read takes the upstream that its key named out of use, without the doubt of a lapse.
 
 use {
-    crate::model::{UpstreamKey, UpstreamRecord, UpstreamState},
+    crate::{
+        model::{UpstreamKey, UpstreamRecord, UpstreamState},
+        position::Position,
+    },
     slotmap::SlotMap,
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -37,8 +41,8 @@
 pub struct Change {
     /// Its key: an upstream's instance.
     pub instance: Arc<str>,
-    /// Number in the store.
-    pub offset: u64,
+    /// Position in the store.
+    pub at: Position,
     /// What the store holds there.
     pub entry: Entry,
 }
@@ -72,8 +76,8 @@
 pub struct Upstream {
     /// What it says of itself.
     pub record: UpstreamRecord,
-    /// Number of that record in the store.
-    pub offset: u64,
+    /// Position of that record in the store.
+    pub at: Position,
     /// When a removal takes effect that may be a lapse.
     removal_due: Option<Duration>,
     /// Until when it is cold, as its record says.
@@ -90,7 +94,7 @@
         let cold_for = self.cold_until.saturating_sub(now);
         Change {
             instance: self.record.instance.clone(),
-            offset: self.offset,
+            at: self.at,
             entry: Entry::Present(UpstreamRecord {
                 cold_for: Some(cold_for),
                 ..self.record.clone()
@@ -103,6 +107,32 @@
         now < self.cold_until
     }
 
+    /// Tells whether a record of the same start, at a position, is newer than the known one. Positions of two eras of the
+    /// store say nothing of that: the copy that it came back from holds what was, so what the upstream counts does.
+    fn is_older_than(&self, at: Position, record: &UpstreamRecord) -> bool {
+        if self.at.era == at.era {
+            return self.at <= at;
+        }
+        let known = (self.record.sequence, !self.takes_work(), self.at);
+        known < (record.sequence, record.state == UpstreamState::Draining, at)
+    }
+
+    /// Keeps what is known, since a record says no more; but an upstream that leaves in a later era of the store does leave,
+    /// whatever it counts.
+    fn keep_but_leave(
+        &mut self,
+        key: UpstreamKey,
+        at: Position,
+        record: &UpstreamRecord,
+    ) -> Effect {
+        let leaves = at.era > self.at.era && record.state == UpstreamState::Draining;
+        if !(leaves && self.takes_work()) {
+            return Effect::None;
+        }
+        self.record.state = UpstreamState::Draining;
+        Effect::Draining(key)
+    }
+
     /// Tells whether its record has lapsed, so that others go first.
     pub fn is_doubtful(&self) -> bool {
         self.removal_due.is_some()
@@ -112,14 +142,29 @@
 /// The end of an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Removal {
-    /// Its number in the store.
-    offset: u64,
+    /// Its position in the store.
+    at: Position,
     /// The latest start that is known of the instance, so that an earlier one doesn't come back.
     started_ms: Option<u64>,
+    /// How often that start had written its record, as far as is known, so that a copy of the store doesn't bring it back.
+    sequence: Option<u64>,
     /// Whether the store holds something there that can't be read.
     is_unusable: bool,
 }
 
+impl Removal {
+    /// Tells whether a record says no more than was known when it was removed, in an earlier era of the store: the copy that
+    /// the store came back from holds it, and the upstream is gone all the same.
+    fn is_copied(&mut self, at: Position, record: &UpstreamRecord) -> bool {
+        if self.at.era == at.era || is_earlier(self.started_ms, record.started_ms) {
+            return false;
+        }
+        // Where nothing was known, what it counts now is where it has to go on from.
+        let known = *self.sequence.get_or_insert(record.sequence);
+        record.sequence <= known
+    }
+}
+
 /// All upstreams that a node knows.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -132,9 +177,9 @@
     /// Up to when removals may be lapses.
     lapses_until: Duration,
     /// Number from which on every change is known here; what was removed before may not be.
-    floor: u64,
+    floor: Position,
     /// Number that the next record gets.
-    end: u64,
+    end: Position,
 }
 
 impl Directory {
@@ -143,8 +188,8 @@
         self.upstreams.get(key)
     }
 
-    /// Returns the number up to which records were taken in.
-    pub fn end(&self) -> u64 {
+    /// Returns the position up to which records were taken in.
+    pub fn end(&self) -> Position {
         self.end
     }
 
@@ -182,26 +227,26 @@
     }
 
     /// Says that everything before a number was taken in.
-    pub fn advance(&mut self, end: u64) {
+    pub fn advance(&mut self, end: Position) {
         self.end = self.end.max(end);
     }
 
-    /// Lists what changed since a number, removals included; `None` if that isn't known here.
-    pub fn changes_since(&self, now: Duration, since: u64) -> Option<Vec<Change>> {
-        if since < self.floor {
+    /// Lists what changed since a position, removals included; `None` if that isn't known here.
+    pub fn changes_since(&self, now: Duration, since: Position) -> Option<Vec<Change>> {
+        if since < self.floor || since.era != self.end.era {
             return None;
         }
-        let present = self.upstreams.values().filter(|u| u.offset >= since && !u.is_doubtful());
+        let present = self.upstreams.values().filter(|u| u.at >= since && !u.is_doubtful());
         let present = present.map(|upstream| upstream.change(now));
         let is_newest = |instance: &Arc<str>, removal: &Removal| {
             let upstream = self.by_instance.get(instance).map(|key| &self.upstreams[*key]);
-            upstream.is_none_or(|upstream| upstream.offset < removal.offset)
+            upstream.is_none_or(|upstream| upstream.at < removal.at)
         };
-        let removed = self.removed.iter().filter(|(_, removal)| removal.offset >= since);
+        let removed = self.removed.iter().filter(|(_, removal)| removal.at >= since);
         let removed = removed.filter(|(instance, removal)| is_newest(instance, removal));
         let removed = removed.map(|(instance, removal)| Change {
             instance: instance.clone(),
-            offset: removal.offset,
+            at: removal.at,
             entry: if removal.is_unusable { Entry::Unusable } else { Entry::Removed },
         });
         Some(present.chain(removed).collect())
@@ -216,29 +261,34 @@
 
     /// Takes in a change.
     pub fn apply(&mut self, now: Duration, change: Change) -> Effect {
-        self.end = self.end.max(change.offset + 1);
+        self.end = self.end.max(change.at.next());
         match change.entry {
-            Entry::Present(record) => self.insert(now, change.offset, record),
-            Entry::Removed => self.remove(now, &change.instance, change.offset),
-            Entry::Unusable => self.refuse(&change.instance, change.offset),
+            Entry::Present(record) => self.insert(now, change.at, record),
+            Entry::Removed => self.remove(now, &change.instance, change.at),
+            Entry::Unusable => self.refuse(&change.instance, change.at),
         }
     }
 
     /// Tells whether it is known that an entry, by its number, can't be read.
-    pub fn is_refused(&self, instance: &str, offset: u64) -> bool {
+    pub fn is_refused(&self, instance: &str, at: Position) -> bool {
         let removal = self.removed.get(instance);
-        removal.is_some_and(|removal| removal.is_unusable && removal.offset == offset)
+        removal.is_some_and(|removal| removal.is_unusable && removal.at == at)
     }
 
-    /// Takes in all records of the store at once; what is missing among them was removed.
-    pub fn replace(&mut self, now: Duration, records: Vec<Change>, end: u64) -> Vec<Effect> {
+    /// Takes in all records of the store at once; what is missing among them was removed. In a later era of the store than was
+    /// known, it may only be missing from the copy that the store came back from, and is written again if it lives.
+    pub fn replace(&mut self, now: Duration, records: Vec<Change>, end: Position) -> Vec<Effect> {
+        if end.era > self.end.era {
+            self.store_was_out(now);
+        }
         let present: Vec<_> = records.iter().map(|change| change.instance.clone()).collect();
         let mut effects: Vec<_> =
             records.into_iter().map(|change| self.apply(now, change)).collect();
         let missing = |instance: &&Arc<str>| !present.contains(instance);
         let missing: Vec<_> = self.by_instance.keys().filter(missing).cloned().collect();
+        let last = Position { offset: end.offset.saturating_sub(1), ..end };
         for instance in missing {
-            effects.push(self.remove(now, &instance, end.saturating_sub(1)));
+            effects.push(self.remove(now, &instance, last));
         }
         self.end = end;
         self.floor = end;
@@ -252,21 +302,21 @@
         gone.into_iter().map(|key| self.drop_upstream(key)).collect()
     }
 
-    fn insert(&mut self, now: Duration, offset: u64, record: UpstreamRecord) -> Effect {
+    fn insert(&mut self, now: Duration, at: Position, record: UpstreamRecord) -> Effect {
         let said = record.cold_for.map(|cold_for| now + cold_for);
         let cold_until = said.unwrap_or_default();
         if let Some(removal) = self.removed.get_mut(&record.instance) {
-            if removal.offset > offset {
+            if removal.at > at {
                 removal.started_ms = removal.started_ms.max(record.started_ms);
                 return self.end_earlier(&record);
             }
-            if is_earlier(record.started_ms, removal.started_ms) {
+            if is_earlier(record.started_ms, removal.started_ms) || removal.is_copied(at, &record) {
                 return Effect::None;
             }
         }
         let Some(key) = self.by_instance.get(&record.instance).copied() else {
             let instance = record.instance.clone();
-            let upstream = Upstream { record, offset, removal_due: None, cold_until };
+            let upstream = Upstream { record, at, removal_due: None, cold_until };
             let key = self.upstreams.insert(upstream);
             self.by_instance.insert(instance, key);
             return Effect::Appeared(key);
@@ -274,14 +324,17 @@
         let upstream = &mut self.upstreams[key];
         let known_ms = upstream.record.started_ms;
         if is_earlier(known_ms, record.started_ms) {
-            return self.restart(key, Upstream { record, offset, removal_due: None, cold_until });
+            return self.restart(key, Upstream { record, at, removal_due: None, cold_until });
         }
-        if offset < upstream.offset || is_earlier(record.started_ms, known_ms) {
+        if is_earlier(record.started_ms, known_ms) {
             return Effect::None;
         }
+        if !upstream.is_older_than(at, &record) {
+            return upstream.keep_but_leave(key, at, &record);
+        }
         let was_ready = upstream.takes_work();
         let was_held = upstream.removal_due.take().is_some();
-        upstream.offset = offset;
+        upstream.at = at;
         upstream.cold_until = said.unwrap_or(upstream.cold_until);
         upstream.record = UpstreamRecord { started_ms: record.started_ms.or(known_ms), ..record };
         match (was_ready, upstream.takes_work()) {
@@ -308,8 +361,8 @@
         Effect::Restarted { old, new }
     }
 
-    fn remove(&mut self, now: Duration, instance: &Arc<str>, offset: u64) -> Effect {
-        let Some(key) = self.note_removal(instance, offset, false) else {
+    fn remove(&mut self, now: Duration, instance: &Arc<str>, at: Position) -> Effect {
+        let Some(key) = self.note_removal(instance, at, false) else {
             return Effect::None;
         };
         if now < self.lapses_until && self.upstreams[key].takes_work() {
@@ -320,8 +373,8 @@
     }
 
     /// Takes an upstream out of use whose entry can't be read.
-    fn refuse(&mut self, instance: &Arc<str>, offset: u64) -> Effect {
-        match self.note_removal(instance, offset, true) {
+    fn refuse(&mut self, instance: &Arc<str>, at: Position) -> Effect {
+        match self.note_removal(instance, at, true) {
             Some(key) => self.drop_upstream(key),
             None => Effect::None,
         }
@@ -331,19 +384,22 @@
     fn note_removal(
         &mut self,
         instance: &Arc<str>,
-        offset: u64,
+        at: Position,
         is_unusable: bool,
     ) -> Option<UpstreamKey> {
         let key = self.by_instance.get(instance).copied();
         let before = self.removed.get(instance).copied();
-        if before.is_some_and(|before| offset < before.offset) {
+        if before.is_some_and(|before| at < before.at) {
             return None;
         }
         let upstream = key.map(|key| &self.upstreams[key]);
         let of_upstream = upstream.and_then(|upstream| upstream.record.started_ms);
-        let is_over = upstream.is_some_and(|upstream| upstream.offset <= offset);
+        let is_over = upstream.is_some_and(|upstream| upstream.at <= at);
         let started_ms = of_upstream.max(before.and_then(|removal| removal.started_ms));
-        self.removed.insert(instance.clone(), Removal { offset, started_ms, is_unusable });
+        let counted = upstream.map(|upstream| upstream.record.sequence);
+        let sequence = counted.or(before.and_then(|removal| removal.sequence));
+        let removal = Removal { at, started_ms, sequence, is_unusable };
+        self.removed.insert(instance.clone(), removal);
         self.forget_old_removals();
         key.filter(|_| is_over)
     }
@@ -354,10 +410,10 @@
         if self.removed.len() <= REMOVALS_MAX {
             return;
         }
-        let mut offsets: Vec<_> = self.removed.values().map(|removal| removal.offset).collect();
-        let (_, middle, _) = offsets.select_nth_unstable(REMOVALS_MAX / 2);
+        let mut places: Vec<_> = self.removed.values().map(|removal| removal.at).collect();
+        let (_, middle, _) = places.select_nth_unstable(REMOVALS_MAX / 2);
         let middle = *middle;
-        self.removed.retain(|_, removal| removal.offset >= middle);
+        self.removed.retain(|_, removal| removal.at >= middle);
         self.floor = self.floor.max(middle);
     }
 
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -168,7 +168,7 @@
             .with("content", self.request.content)
             .with("service", &self.service)
             .with("upstream", &target.instance)
-            .with("record", target.offset)
+            .with("record", target.record_at)
             .with("records_age_ms", age.as_millis())
             .with("send", self.tried.len() + 1)
             .with("of", candidates.len())
--- a/crates/fernring-gateway/src/following.rs
+++ b/crates/fernring-gateway/src/following.rs
@@ -135,7 +135,13 @@
 
     /// Takes in how far a peer knows the topic (`mark`) and the age that it tells, with how far this node
     /// knows it (`own`); tells whether the peer is to be asked for what is new.
-    pub fn heard(&mut self, now: Duration, own: u64, mark: u64, age: Option<Duration>) -> bool {
+    pub fn heard<M: Copy + Ord>(
+        &mut self,
+        now: Duration,
+        own: M,
+        mark: M,
+        age: Option<Duration>,
+    ) -> bool {
         if mark == own
             && let Some(age) = age
         {
--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -245,6 +245,8 @@
     pub slots: u32,
     /// Whether it is to get new work.
     pub state: UpstreamState,
+    /// How often its process has written its record since its start.
+    pub sequence: u64,
     /// How much longer it is cold, when the record was read or told; `None` if what it says of that is no time.
     pub cold_for: Option<Duration>,
 }
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -12,6 +12,7 @@
         members::Member,
         owner::Owner,
         peers::{PeerHandler, Peers},
+        position::Position,
         reading::ReadingSpeeds,
         records::{change_from, directory_record, evacuation_from, evacuation_word},
         retries::Retries,
@@ -196,6 +197,7 @@
             following: [(); 2].map(|()| RefCell::new(Following::new(rand::random()))),
             started_at,
             store_answers: Cell::new(true),
+            joined_in: Cell::default(),
         });
         spawn_local(owner.clone().run());
         spawn_local(owner.run_releases());
@@ -401,7 +403,10 @@
         let since = self.upstreams.directory().end();
         let body = match what {
             Followed::Config => GatewayBody::ConfigRequest(Nothing {}),
-            Followed::Upstreams => GatewayBody::DirectoryRequest(DirectoryRequest { since }),
+            Followed::Upstreams => GatewayBody::DirectoryRequest(DirectoryRequest {
+                since: since.offset,
+                era: since.era,
+            }),
         };
         self.peers.send(peer, body);
     }
@@ -411,12 +416,13 @@
         let Some(held) = self.config.borrow().current() else {
             return;
         };
-        let config = ConfigBytes { packed: held.packed.clone(), end: held.end };
+        let config =
+            ConfigBytes { packed: held.packed.clone(), end: held.end.offset, era: held.end.era };
         let bytes = held.packed.len();
         self.pass_on(peer, Followed::Config, bytes, GatewayBody::Config(config));
     }
 
-    fn send_directory(&self, peer: SocketAddr, since: u64) {
+    fn send_directory(&self, peer: SocketAddr, since: Position) {
         let directory = self.upstreams.directory();
         let now = self.serving.now();
         let (changes, is_whole) = match directory.changes_since(now, since) {
@@ -424,7 +430,8 @@
             None => (directory.all_changes(now), true),
         };
         let records = DirectoryRecords {
-            end: directory.end(),
+            end: directory.end().offset,
+            era: directory.end().era,
             records: changes.iter().map(directory_record).collect(),
             is_whole,
             lapses_ms: directory.lapses_for(now).as_millis() as u32,
@@ -455,7 +462,7 @@
 
     fn take_directory(&self, records: DirectoryRecords) {
         self.loops.take_peer_upstreams(PeerRecords {
-            end: records.end,
+            end: Position::new(records.era, records.end),
             changes: records.records.into_iter().filter_map(change_from).collect(),
             is_whole: records.is_whole,
             lapses_for: Duration::from_millis(records.lapses_ms.into()),
@@ -480,11 +487,14 @@
             GatewayBody::Heartbeat(_) => {}
             GatewayBody::ConfigRequest(_) => self.send_config(sender),
             GatewayBody::Config(config) => {
-                self.loops.take_peer_config(config.packed, config.end);
+                let end = Position::new(config.era, config.end);
+                self.loops.take_peer_config(config.packed, end);
             }
             GatewayBody::ConfigPutOff(_) => self.put_off(Followed::Config),
             GatewayBody::DirectoryPutOff(_) => self.put_off(Followed::Upstreams),
-            GatewayBody::DirectoryRequest(request) => self.send_directory(sender, request.since),
+            GatewayBody::DirectoryRequest(request) => {
+                self.send_directory(sender, Position::new(request.era, request.since));
+            }
             GatewayBody::Directory(records) => self.take_directory(records),
             GatewayBody::Work(work) => self.stages.work(sender, work),
             GatewayBody::WorkDone(done) => self.stages.done(sender, done),
@@ -521,14 +531,16 @@
             let tells_on = tells_on && heartbeat.is_follower;
             self.upstreams.peer_found_unreachable(now, &heartbeat.unreachable, tells_on);
         }
+        self.loops.hear_era(heartbeat.store_era);
+        let directory_end = Position::new(heartbeat.directory_era, heartbeat.directory_end);
         // Before the age confirms that nothing else is in force.
         for word in &heartbeat.evacuations {
             let (word, at) = evacuation_from(word);
             self.loops.take_evacuation(word, at, "peer");
         }
         let known = [
-            (Followed::Config, heartbeat.config_version, heartbeat.config_age_ms),
-            (Followed::Upstreams, heartbeat.directory_end, heartbeat.directory_age_ms),
+            (Followed::Config, heartbeat.config_version.into(), heartbeat.config_age_ms),
+            (Followed::Upstreams, directory_end, heartbeat.directory_age_ms),
         ];
         for (what, mark, age_ms) in known {
             if self.loops.heard(what, mark, age_ms.map(from_ms)) {
@@ -539,7 +551,10 @@
 
     fn describe(&self, heartbeat: &mut GatewayHeartbeat, loads_of: LoadsOf) {
         heartbeat.config_version = self.config.borrow().version();
-        heartbeat.directory_end = self.upstreams.directory().end();
+        let directory_end = self.upstreams.directory().end();
+        (heartbeat.directory_era, heartbeat.directory_end) =
+            (directory_end.era, directory_end.offset);
+        heartbeat.store_era = self.loops.store.era();
         heartbeat.config_age_ms = self.age_ms(Followed::Config);
         heartbeat.directory_age_ms = self.age_ms(Followed::Upstreams);
         heartbeat.unreachable = self.upstreams.unreachable(self.serving.now());
--- a/crates/fernring-gateway/src/position.rs
+++ b/crates/fernring-gateway/src/position.rs
@@ -25,6 +25,13 @@
     }
 }
 
+impl From<u64> for Position {
+    /// Returns a position in a store that has never come back from a copy.
+    fn from(offset: u64) -> Self {
+        Self { era: 0, offset }
+    }
+}
+
 impl std::fmt::Display for Position {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self.era {
--- a/crates/fernring-gateway/src/records.rs
+++ b/crates/fernring-gateway/src/records.rs
@@ -15,14 +15,20 @@
 /// Encodes a change for a peer.
 pub(crate) fn directory_record(change: &Change) -> DirectoryRecord {
     let instance = change.instance.to_string();
-    let offset = change.offset;
+    let Position { era, offset } = change.at;
     let record = match &change.entry {
         Entry::Present(record) => record,
         Entry::Removed => {
-            return DirectoryRecord { instance, offset, is_removed: true, ..Default::default() };
+            return DirectoryRecord {
+                instance,
+                offset,
+                era,
+                is_removed: true,
+                ..Default::default()
+            };
         }
         Entry::Unusable => {
-            let removed = DirectoryRecord { instance, offset, ..Default::default() };
+            let removed = DirectoryRecord { instance, offset, era, ..Default::default() };
             return DirectoryRecord { is_removed: true, is_unusable: true, ..removed };
         }
     };
@@ -37,6 +43,8 @@
         is_removed: false,
         started_ms: record.started_ms,
         is_unusable: false,
+        era,
+        sequence: record.sequence,
         cold_ms: record.cold_for.unwrap_or_default().as_millis() as u32,
     }
 }
@@ -44,9 +52,10 @@
 /// Decodes a change of a peer; `None` if its address can't be read.
 pub(crate) fn change_from(record: DirectoryRecord) -> Option<Change> {
     let instance: Arc<str> = record.instance.into();
+    let at = Position::new(record.era, record.offset);
     if record.is_removed {
         let entry = if record.is_unusable { Entry::Unusable } else { Entry::Removed };
-        return Some(Change { instance, offset: record.offset, entry });
+        return Some(Change { instance, at, entry });
     }
     let state = match record.is_draining {
         true => UpstreamState::Draining,
@@ -60,9 +69,10 @@
         failure_domain: record.failure_domain.into(),
         slots: record.slots,
         state,
+        sequence: record.sequence,
         cold_for: Some(Duration::from_millis(record.cold_ms.into())),
     };
-    Some(Change { instance, offset: record.offset, entry: Entry::Present(upstream) })
+    Some(Change { instance, at, entry: Entry::Present(upstream) })
 }
 
 /// Encodes an operator's word on a failure domain for a peer.
--- a/crates/fernring-gateway/src/store_loops.rs
+++ b/crates/fernring-gateway/src/store_loops.rs
@@ -30,7 +30,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{task::spawn_local, time::sleep},
 };
 
 /// Pause after a failed call, at first; doubled up to [`PAUSE_MAX`].
@@ -51,6 +51,9 @@
 const GATHER_PAUSE: Duration = Duration::from_millis(600);
 /// How often the upstreams whose records lapsed are looked through.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Over how much time nodes spread what they write again to a store that came back from a copy: hundreds of them find out
+/// within a second.
+const WRITE_AGAIN_SPREAD: Duration = Duration::from_secs(1);
 /// Tries to remove this node's own record when it shuts down.
 const REMOVE_TRIES: u32 = 2;
 
@@ -80,6 +83,8 @@
     pub started_at: Duration,
     /// Whether the last call on the upstreams' records was answered.
     pub store_answers: Cell<bool>,
+    /// Era of the store in which this node's own records were written last, once they were.
+    pub joined_in: Cell<Option<u64>>,
 }
 
 /// The topics that nodes pass on to each other.
@@ -103,8 +108,8 @@
 /// Records of upstreams that a peer passes on.
 #[derive(Debug)]
 pub struct PeerRecords {
-    /// Number up to which they are known.
-    pub end: u64,
+    /// Position up to which they are known.
+    pub end: Position,
     /// The records.
     pub changes: Vec<Change>,
     /// Whether these are all; if not, those since the number that was asked for.
@@ -133,9 +138,9 @@
     }
 
     /// Reads a topic whole, then follows it whenever this node has to.
-    async fn follow(&self, what: Followed, gather: Duration, take: impl Fn(Page, bool)) {
+    async fn follow(self: &Rc<Self>, what: Followed, gather: Duration, take: impl Fn(Page, bool)) {
         let topic = what.topic();
-        let mut from = None;
+        let mut from: Option<Position> = None;
         let mut pause = PAUSE_FIRST;
         let mut has_failed = false;
         loop {
@@ -146,13 +151,15 @@
                 continue;
             }
             self.reads(what, part);
+            // What was read in an earlier era of the store says nothing of this one: it is read anew.
             from = from.map(|from| self.known_to(what, from));
+            from = from.filter(|from| from.era == self.store.era());
             let answer = match from {
                 None => self.store.newest(topic).await,
                 Some(from) => {
                     let wait = self.read_wait(what, part, has_failed);
                     tokio::select! {
-                        answer = self.store.read(topic, from, wait) => answer,
+                        answer = self.store.read(topic, from.offset, wait) => answer,
                         () = self.silence(what, wait) => continue,
                     }
                 }
@@ -163,14 +170,17 @@
                     pause = PAUSE_FIRST;
                     let is_whole = from.is_none();
                     let has_records = !page.records.is_empty();
-                    // An end below what was read means that the store has lost its history.
-                    let went_back = from.is_some_and(|from| page.end < from);
-                    from = (!went_back).then_some(page.end);
+                    // An end below what was read means that the store has lost its history; in a later era, what follows the
+                    // number that was read up to isn't what followed it then.
+                    let end = page.end_position();
+                    let went_back = from.is_some_and(|from| end < from || end.era != from.era);
+                    from = (!went_back).then_some(end);
                     self.answered(what);
                     note_unreadable(topic, &page);
                     let read_at = self.now().saturating_sub(page.took);
-                    take(page, is_whole);
+                    self.hear_era(page.era);
                     if !went_back {
+                        take(page, is_whole);
                         self.following(what).borrow_mut().was_read(read_at, part);
                     }
                     if has_records && !gather.is_zero() {
@@ -192,11 +202,15 @@
         }
     }
 
-    /// Returns the number to read on from: peers may have told more than this node has read.
-    fn known_to(&self, what: Followed, from: u64) -> u64 {
+    /// Returns the position to read on from: peers may have told more than this node has read.
+    fn known_to(&self, what: Followed, from: Position) -> Position {
         match what {
             // Without it a node that has long followed peers would read all versions since.
-            Followed::Config => self.config.borrow().end().max(from),
+            // Not in another era, of which this node has to read the operators' words on failure domains, too.
+            Followed::Config if self.config.borrow().end().era == from.era => {
+                self.config.borrow().end().max(from)
+            }
+            Followed::Config => from,
             Followed::Upstreams => self.upstreams.directory().end().max(from),
         }
     }
@@ -259,15 +273,15 @@
     }
 
     /// Returns the mark of what is known.
-    fn mark(&self, what: Followed) -> u64 {
+    fn mark(&self, what: Followed) -> Position {
         match what {
-            Followed::Config => self.config.borrow().version(),
+            Followed::Config => self.config.borrow().version().into(),
             Followed::Upstreams => self.upstreams.directory().end(),
         }
     }
 
     /// Takes in what a peer says of its knowledge; tells whether it is to be asked for it.
-    pub fn heard(&self, what: Followed, mark: u64, age: Option<Duration>) -> bool {
+    pub fn heard(&self, what: Followed, mark: Position, age: Option<Duration>) -> bool {
         let (now, own) = (self.now(), self.mark(what));
         let shall_ask = self.following(what).borrow_mut().heard(now, own, mark, age);
         if mark == own
@@ -317,26 +331,26 @@
 
     /// Takes in the operators' records. Words on failure domains come first: a configuration takes time to decode.
     fn take_operator_records(&self, page: Page, is_whole: bool) {
-        let end = Position::new(0, page.end);
         let mut configs = Vec::new();
         let mut words = Vec::new();
-        for record in page.records {
-            match self.wire.decode_evacuation(&record) {
+        for record in &page.records {
+            match self.wire.decode_evacuation(record) {
                 None => configs.push(record),
-                Some(Ok(word)) => words.push((word, Position::new(0, record.offset))),
-                Some(Err(error)) => self.evacuation_refused(&record, &error, &mut words),
+                Some(Ok(word)) => words.push((word, page.position(record))),
+                Some(Err(error)) => self.evacuation_refused(record, &error, &mut words),
             }
         }
         if is_whole {
-            self.take_all_evacuations(words, end);
+            self.take_all_evacuations(words, page.end_position());
         } else {
             for (word, at) in words {
                 self.take_evacuation(word, at, "store");
             }
         }
         for record in configs {
-            if let Some(value) = record.value {
-                self.take_config(&value, pack(&value), record.offset + 1, "store");
+            if let Some(value) = &record.value {
+                let end = page.position(record).next();
+                self.take_config(value, pack(value), end, "store");
             }
         }
     }
@@ -393,7 +407,7 @@
     }
 
     /// Takes in a configuration from anywhere: its record, the same packed, and the store's number after it.
-    fn take_config(&self, record: &[u8], packed: Bytes, end: u64, source: &str) {
+    fn take_config(&self, record: &[u8], packed: Bytes, end: Position, source: &str) {
         let config = match self.wire.decode_config(record) {
             Ok(config) => config,
             Err(error) => return config_refused(source, &error),
@@ -415,31 +429,34 @@
     }
 
     fn take_upstreams(&self, page: Page, is_whole: bool) {
-        let changes: Vec<_> = page.records.iter().map(|record| self.decode(record)).collect();
-        self.apply_upstreams(changes, page.end, is_whole);
+        let decoded = page.records.iter().map(|record| self.decode(record, page.position(record)));
+        let changes: Vec<_> = decoded.collect();
+        self.apply_upstreams(changes, page.end_position(), is_whole);
     }
 
     /// Decodes a record; one that can't be read takes the upstream that its key named out of use.
-    fn decode(&self, record: &KeyedRecord) -> Change {
+    fn decode(&self, record: &KeyedRecord, at: Position) -> Change {
+        let instance = record.key.clone();
         let error = match self.wire.decode_upstream(record) {
-            Ok(change) => {
+            Ok(entry) => {
+                let change = Change { instance, at, entry };
                 note_cold_time(&change);
                 return change;
             }
             Err(error) => error,
         };
         // Whole readings bring it again and again; it is said once.
-        if !self.upstreams.directory().is_refused(&record.key, record.offset) {
+        if !self.upstreams.directory().is_refused(&record.key, at) {
             measures::record_refused(Topic::Upstreams.name());
             let line = LogLine::event("upstream_refused").with("instance", &record.key);
-            log::warn(line.with("record", record.offset).with("error", error));
+            log::warn(line.with("record", at).with("error", error));
         }
-        Change { instance: record.key.clone(), offset: record.offset, entry: Entry::Unusable }
+        Change { instance, at, entry: Entry::Unusable }
     }
 
     /// Takes in a packed configuration that a peer passes on, with the store's number after it. It confirms nothing:
     /// if it can't be read, what is known here may well be out of date.
-    pub fn take_peer_config(&self, packed: Bytes, end: u64) {
+    pub fn take_peer_config(&self, packed: Bytes, end: Position) {
         match unpack(&packed) {
             Ok(record) => self.take_config(&record, packed, end, "peer"),
             Err(error) => config_refused("peer", &error),
@@ -459,7 +476,7 @@
     }
 
     /// Puts changes of upstreams in force, or all records, which reach up to `end`.
-    fn apply_upstreams(&self, changes: Vec<Change>, end: u64, is_whole: bool) {
+    fn apply_upstreams(&self, changes: Vec<Change>, end: Position, is_whole: bool) {
         let (now, known) = (self.now(), self.upstreams.directory().end());
         let effects = match is_whole {
             true => self.upstreams.replace(now, changes, end),
@@ -488,7 +505,7 @@
             let upstream = directory.get(*key);
             let line = LogLine::event("upstream_changed").with("change", what);
             let line = line.with_some("instance", upstream.map(|u| &u.record.instance));
-            let line = line.with_some("record", upstream.map(|u| u.offset));
+            let line = line.with_some("record", upstream.map(|u| u.at));
             let started_ms = upstream.and_then(|upstream| upstream.record.started_ms);
             log::info(line.with_some("started_ms", started_ms));
         }
@@ -526,13 +543,44 @@
             sleep(pause).await;
             pause = (pause * 2).min(PAUSE_MAX);
         }
+        self.write_own_records().await;
+    }
+
+    /// Writes this node's record, until the store has it.
+    async fn write_own_records(&self) {
         let me = self.peers.address().to_string();
-        while let Err(error) = self.store.write(Topic::Nodes, &me, Some(b"1")).await {
-            self.did_not_answer(Topic::Nodes, &error);
-            sleep(PAUSE_MAX).await;
+        loop {
+            let era = self.store.era();
+            match self.store.write(Topic::Nodes, &me, Some(b"1")).await {
+                // In a later era it may be lost again.
+                Ok(()) if self.store.era() == era => return self.joined_in.set(Some(era)),
+                Ok(()) => {}
+                Err(error) => {
+                    self.did_not_answer(Topic::Nodes, &error);
+                    sleep(PAUSE_MAX).await;
+                }
+            }
         }
     }
 
+    /// Takes in the era of the store that an answer or a peer names. In a later one than was known, what this node wrote may
+    /// be lost, and it writes it again.
+    pub fn hear_era(self: &Rc<Self>, era: u64) {
+        self.store.note_era(era);
+        let Some(before) = self.joined_in.get().filter(|before| *before < self.store.era()) else {
+            return;
+        };
+        self.joined_in.set(Some(self.store.era()));
+        let line = LogLine::event("store_came_back").with("from_era", before);
+        log::warn(line.with("era", self.store.era()));
+        self.blame.store_came_back();
+        let loops = self.clone();
+        spawn_local(async move {
+            sleep(WRITE_AGAIN_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+            loops.write_own_records().await;
+        });
+    }
+
     /// Removes this node's own record.
     pub async fn leave(&self) {
         let me = self.peers.address().to_string();
@@ -565,7 +613,7 @@
     {
         measures::record_refused(Topic::Upstreams.name());
         let line = LogLine::event("cold_time_refused").with("instance", &change.instance);
-        log::warn(line.with("record", change.offset));
+        log::warn(line.with("record", change.at));
     }
 }
 
--- a/crates/fernring-gateway/src/upstreams.rs
+++ b/crates/fernring-gateway/src/upstreams.rs
@@ -183,8 +183,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub failure_domain: Arc<str>,
-    /// Number of its record in the store.
-    pub offset: u64,
+    /// Position of its record in the store.
+    pub record_at: Position,
 }
 
 impl Cold {
@@ -320,7 +320,7 @@
         let cold = self.cold.borrow();
         let now = self.clock.now().monotonic;
         let no_listener = cold.no_listener.get(key);
-        let record_at = Position::new(0, upstream.offset);
+        let record_at = upstream.at;
         let is_suspected = no_listener.is_some_and(|no| no.is_cold(now, record_at, start.time));
         let ColdSettings { overage, slack } = cold.settings;
         let bounds = ColdBounds { per_s: start.per_s, overage, slack };
@@ -367,13 +367,13 @@
     }
 
     /// Takes in all records at once.
-    pub fn replace(&self, now: Duration, records: Vec<Change>, end: u64) -> Vec<Effect> {
+    pub fn replace(&self, now: Duration, records: Vec<Change>, end: Position) -> Vec<Effect> {
         let effects = self.directory.borrow_mut().replace(now, records, end);
         self.settle(effects)
     }
 
-    /// Says that everything before a number was taken in.
-    pub fn advance(&self, end: u64) {
+    /// Says that everything before a position was taken in.
+    pub fn advance(&self, end: Position) {
         self.directory.borrow_mut().advance(end);
     }
 
@@ -467,7 +467,7 @@
             started_ms: record.started_ms,
             address: record.address,
             failure_domain: record.failure_domain.clone(),
-            offset: upstream.offset,
+            record_at: upstream.at,
         })
     }
 
@@ -605,7 +605,7 @@
         let mut cold = self.cold.borrow_mut();
         match failure {
             Some(SendFailure::NoListener(_)) => {
-                let record_at = Position::new(0, upstream.offset);
+                let record_at = upstream.at;
                 cold.no_listener.insert(key, NoListener::new(now, record_at));
             }
             None => {
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -3,11 +3,12 @@
 
 use {
     crate::{
-        directory::Change,
+        directory::Entry,
         model::{
             AnswerFields, BadField, Call, Piece, PieceOutcome, RequestFields, ServingConfig,
             UpstreamFields,
         },
+        position::Position,
     },
     async_trait::async_trait,
     bytes::Bytes,
@@ -84,7 +85,7 @@
     ///
     /// # Errors
     /// If it can't be read.
-    fn decode_upstream(&self, record: &KeyedRecord) -> Result<Change, Malformed>;
+    fn decode_upstream(&self, record: &KeyedRecord) -> Result<Entry, Malformed>;
 }
 
 /// What the store keeps for the gateway.
@@ -125,6 +126,8 @@
 pub struct Page {
     /// The records, in order.
     pub records: Vec<KeyedRecord>,
+    /// The era of the store that its numbers belong to.
+    pub era: u64,
     /// The number that the next record gets.
     pub end: u64,
     /// Time that the answer took to come, from its beginning: what it says is that old.
@@ -133,6 +136,18 @@
     pub unreadable: usize,
 }
 
+impl Page {
+    /// Returns the position that the next record gets.
+    pub fn end_position(&self) -> Position {
+        Position::new(self.era, self.end)
+    }
+
+    /// Returns the position of one of its records.
+    pub fn position(&self, record: &KeyedRecord) -> Position {
+        Position::new(self.era, record.offset)
+    }
+}
+
 /// Why the store did not answer as asked.
 #[derive(Debug, Error)]
 pub enum StoreError {
@@ -145,6 +160,9 @@
     /// The records that were asked for are not kept any more.
     #[error("the records are not kept any more")]
     Expired,
+    /// The answer is of an earlier era than one that came before it.
+    #[error("the answer is of era {0}, which is over")]
+    EarlierEra(u64),
     /// The answer can't be read.
     #[error("malformed answer: {0}")]
     Malformed(String),
@@ -171,6 +189,12 @@
     /// If the store does not answer as asked.
     async fn write(&self, topic: Topic, key: &str, value: Option<&[u8]>) -> Result<(), StoreError>;
 
+    /// Returns the latest era of the store that is known: how often it has come back from a copy.
+    fn era(&self) -> u64;
+
+    /// Takes in an era that another node knows of; answers of an earlier one are dropped from now on.
+    fn note_era(&self, era: u64);
+
     /// Tells whether an answer on a topic has begun to come and hasn't ended.
     fn receives(&self, topic: Topic) -> bool;
 }
--- a/crates/fernring-gateway/tests/testsuite/config.rs
+++ b/crates/fernring-gateway/tests/testsuite/config.rs
@@ -35,12 +35,12 @@
 fn a_configuration_never_goes_back() {
     let mut state = ConfigState::default();
     assert!(state.current().is_none());
-    assert!(state.offer(version(0), "first".into(), 1), "the first may have any version");
-    assert!(state.offer(version(7), "seven".into(), 5));
-    assert!(!state.offer(version(3), "three".into(), 3));
-    assert!(!state.offer(version(7), "seven again".into(), 6));
-    assert_eq!(state.end(), 5, "what is read next is what comes after the record in force");
-    assert!(state.offer(version(90), "ninety".into(), 9), "versions rise in uneven steps");
+    assert!(state.offer(version(0), "first".into(), 1.into()), "the first may have any version");
+    assert!(state.offer(version(7), "seven".into(), 5.into()));
+    assert!(!state.offer(version(3), "three".into(), 3.into()));
+    assert!(!state.offer(version(7), "seven again".into(), 6.into()));
+    assert_eq!(state.end(), 5.into(), "what is read next is what comes after the record in force");
+    assert!(state.offer(version(90), "ninety".into(), 9.into()), "versions rise in uneven steps");
     assert_eq!(state.version(), 90);
     assert_eq!(state.current().unwrap().packed, "ninety");
 }
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -16,7 +16,7 @@
 fn change(number: usize, instance: &str) -> Change {
     Change {
         instance: instance.into(),
-        offset: number as u64,
+        at: (number as u64).into(),
         entry: Entry::Present(UpstreamRecord {
             instance: instance.into(),
             started_ms: None,
@@ -25,6 +25,7 @@
             failure_domain: "a".into(),
             slots: 1,
             state: UpstreamState::Ready,
+            sequence: 1,
             cold_for: None,
         }),
     }
@@ -168,12 +169,12 @@
 #[test]
 fn load_of_a_process_of_before_is_not_counted_for_the_one_that_started_again() {
     let upstreams = upstreams(&[]);
-    let started = |offset, started_ms| {
+    let started = |offset: u64, started_ms| {
         let Change { instance, entry: Entry::Present(record), .. } = change(0, "i") else {
             panic!("a record");
         };
         let record = UpstreamRecord { started_ms: Some(started_ms), ..record };
-        Change { instance, offset, entry: Entry::Present(record) }
+        Change { instance, at: offset.into(), entry: Entry::Present(record) }
     };
     upstreams.apply(NOW, vec![started(0, 10)]);
     let before = key(&upstreams, "i");
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -116,6 +116,12 @@
     /// All that is known of evacuated failure domains.
     #[prost(message, repeated, tag = "18")]
     pub evacuations: Vec<EvacuationWord>,
+    /// Era of the store that `directory_end` belongs to.
+    #[prost(uint64, tag = "19")]
+    pub directory_era: u64,
+    /// The latest era of the store that is known.
+    #[prost(uint64, tag = "20")]
+    pub store_era: u64,
 }
 
 /// An operator's newest word on a failure domain.
@@ -179,6 +185,9 @@
     /// Number up to which they are known; 0 for all.
     #[prost(uint64, tag = "1")]
     pub since: u64,
+    /// Era of the store that `since` belongs to.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
 }
 
 /// The configuration in force.
@@ -191,6 +200,9 @@
     /// The store's number after the record; 0 if it isn't known.
     #[prost(uint64, tag = "3")]
     pub end: u64,
+    /// Era of the store that `end` belongs to.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// Records of upstreams.
@@ -211,6 +223,9 @@
     /// Time since the store has shown that these are its newest, in milliseconds.
     #[prost(uint32, optional, tag = "5")]
     pub age_ms: Option<u32>,
+    /// Era of the store that `end` belongs to.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 /// The record of one upstream.
@@ -249,6 +264,12 @@
     /// How much longer it is cold, in milliseconds.
     #[prost(uint32, tag = "11")]
     pub cold_ms: u32,
+    /// Era of the store that its number belongs to.
+    #[prost(uint64, tag = "12")]
+    pub era: u64,
+    /// How often its process has written its record since its start.
+    #[prost(uint64, tag = "13")]
+    pub sequence: u64,
 }
 
 /// Pieces of one stage of one request.
--- a/crates/fernring-standins/src/store.rs
+++ b/crates/fernring-standins/src/store.rs
@@ -43,7 +43,7 @@
 pub const SLOW_PAUSE: Duration = Duration::from_millis(100);
 
 /// A topic: its records from `first` on.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Topic {
     first: u64,
     records: Vec<Record>,
@@ -85,12 +85,18 @@
     }
 }
 
+/// What the store held at some moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(HashMap<String, Topic>);
+
 /// The store.
 #[derive(Debug)]
 pub struct StandinStore {
     /// Where it listens.
     pub address: SocketAddr,
     topics: Mutex<HashMap<String, Topic>>,
+    /// How often it has come back from a copy, as its answers say; nothing if they don't.
+    era: Mutex<Option<String>>,
     mode: watch::Sender<Mode>,
     appended: watch::Sender<u64>,
 }
@@ -105,6 +111,7 @@
         let store = Arc::new(Self {
             address: listener.local_addr()?,
             topics: Mutex::default(),
+            era: Mutex::default(),
             mode: watch::Sender::new(Mode::Up),
             appended: watch::Sender::new(0),
         });
@@ -157,6 +164,22 @@
         self.put("keyed.servers", instance, value);
     }
 
+    /// Takes a copy of what it holds.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Comes back from a copy: what was written since is lost, and its numbers are given out again.
+    pub fn come_back(&self, copy: StoreCopy, era: u64) {
+        *self.lock() = copy.0;
+        self.say_era(&era.to_string());
+    }
+
+    /// Sets the era that answers name from now on, whatever it is.
+    pub fn say_era(&self, era: &str) {
+        *self.era.lock().unwrap_or_else(PoisonError::into_inner) = Some(era.to_owned());
+    }
+
     /// Forgets the history of a topic: the newest record of each key is kept, and the records from
     /// before have no number any more.
     pub fn forget_history(&self, topic: &str) {
@@ -204,7 +227,10 @@
                 return self.until(Mode::Silent).await;
             }
             let (status, body) = answer;
-            let head = format!("HTTP/1.1 {status} S\r\nContent-Length: {}\r\n\r\n", body.len());
+            let era = self.era.lock().unwrap_or_else(PoisonError::into_inner).clone();
+            let era = era.map_or_else(String::new, |era| format!("Store-Era: {era}\r\n"));
+            let length = body.len();
+            let head = format!("HTTP/1.1 {status} S\r\n{era}Content-Length: {length}\r\n\r\n");
             let bytes = [head.into_bytes(), body].concat();
             let written = match mode {
                 Mode::Slow => write_slowly(&mut stream, &bytes).await,
@@ -274,7 +300,7 @@
         let mut page = Vec::new();
         page.extend(topic.end().to_be_bytes());
         page.extend(topic.first.to_be_bytes());
-        for record in topic.records.get(skip as usize..).unwrap_or_default() {
+        for record in topic.records.get(skip as usize..)? {
             let content = record.content();
             page.extend((content.len() as u32).to_be_bytes());
             page.extend(content);
