A service that is more than one owner bears is split by failure domain

Cause: one owner sends the pieces of all nodes; on a site whose VMs all have 10 Mbit/s no draw helps. Change: an owner whose calls take more than 0.4 of its link says so in heartbeats, and each failure domain's makers get an owner of their own until all owners together would take less than 0.15.

--- a/crates/fernring-gateway/src/backlogs.rs
+++ b/crates/fernring-gateway/src/backlogs.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         backlog::{Backlog, PiecesByRank, RANKS},
-        model::short_hash,
+        pools::MakerPool,
     },
     fernring_protocol::gateway::{LoadsOf, StageLoad},
     std::{
@@ -12,7 +12,6 @@
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
         rc::Rc,
-        sync::Arc,
         time::Duration,
     },
 };
@@ -45,7 +44,7 @@
 pub struct Backlogs {
     peers: RefCell<HashMap<SocketAddr, Peer>>,
     /// Invariant: some rank of each entry has pieces.
-    promised: RefCell<BTreeMap<Arc<str>, PiecesByRank>>,
+    promised: RefCell<BTreeMap<MakerPool, PiecesByRank>>,
     /// What this node told its domain's delegates last, which the sums that they tell contain.
     told: RefCell<HashMap<u32, PiecesByRank>>,
 }
@@ -55,7 +54,7 @@
 #[derive(Debug)]
 pub struct Promise {
     backlogs: Rc<Backlogs>,
-    service: Arc<str>,
+    pool: MakerPool,
     rank: usize,
     pieces: u32,
 }
@@ -63,10 +62,10 @@
 impl Drop for Promise {
     fn drop(&mut self) {
         let mut all = self.backlogs.promised.borrow_mut();
-        if let Some(promised) = all.get_mut(&self.service) {
+        if let Some(promised) = all.get_mut(&self.pool) {
             promised[self.rank] -= self.pieces;
             if *promised == PiecesByRank::default() {
-                all.remove(&self.service);
+                all.remove(&self.pool);
             }
         }
     }
@@ -74,17 +73,17 @@
 
 impl Backlogs {
     /// Promises pieces of a stage to a request of a rank.
-    pub fn promise(self: &Rc<Self>, service: &Arc<str>, rank: usize, pieces: u32) -> Promise {
+    pub fn promise(self: &Rc<Self>, pool: &MakerPool, rank: usize, pieces: u32) -> Promise {
         let mut all = self.promised.borrow_mut();
-        all.entry(service.clone()).or_default()[rank] += pieces;
+        all.entry(pool.clone()).or_default()[rank] += pieces;
         drop(all);
-        Promise { backlogs: self.clone(), service: service.clone(), rank, pieces }
+        Promise { backlogs: self.clone(), pool: pool.clone(), rank, pieces }
     }
 
-    /// Returns what is ahead at a service: what its owner has, or said last, and what all nodes have
+    /// Returns what is ahead at some makers: what its owner has, or said last, and what all nodes have
     /// promised. `own` is set if this node owns it.
-    pub fn of(&self, now: Duration, service: &str, own: Option<Backlog>) -> Option<Backlog> {
-        let hash = short_hash(service);
+    pub fn of(&self, now: Duration, pool: &MakerPool, own: Option<Backlog>) -> Option<Backlog> {
+        let hash = pool.hash();
         let peers = self.peers.borrow();
         let fresh = peers.values().filter(|peer| now <= peer.said_at + SAID_AGE_MAX);
         let said = || {
@@ -98,7 +97,7 @@
         {
             backlog.add(promised);
         }
-        if let Some(promised) = self.promised.borrow().get(service) {
+        if let Some(promised) = self.promised.borrow().get(pool) {
             backlog.add(promised);
         }
         Some(backlog)
@@ -109,12 +108,12 @@
     pub fn described(
         &self,
         now: Duration,
-        own: Vec<(Arc<str>, Backlog)>,
+        own: Vec<(MakerPool, Backlog)>,
         loads_of: LoadsOf,
     ) -> Vec<StageLoad> {
         let mut loads: BTreeMap<u32, StageLoad> = BTreeMap::new();
-        for (service, backlog) in own {
-            let load = loads.entry(short_hash(&service)).or_default();
+        for (pool, backlog) in own {
+            let load = loads.entry(pool.hash()).or_default();
             load.is_owner = true;
             load.rate_per_s = backlog.rate_per_s as f32;
             load.arrivals_per_s = backlog.arrivals_per_s.map(|per_s| per_s as f32).to_vec();
@@ -130,7 +129,7 @@
     fn promised_by(&self, now: Duration, loads_of: LoadsOf) -> HashMap<u32, PiecesByRank> {
         let own = self.promised.borrow();
         let mut sums: HashMap<_, _> =
-            own.iter().map(|(s, promised)| (short_hash(s), *promised)).collect();
+            own.iter().map(|(pool, promised)| (pool.hash(), *promised)).collect();
         match loads_of {
             LoadsOf::Sender => *self.told.borrow_mut() = sums.clone(),
             LoadsOf::Domain => {
--- a/crates/fernring-gateway/src/exchange/admitting.rs
+++ b/crates/fernring-gateway/src/exchange/admitting.rs
@@ -7,10 +7,11 @@
         backlog::rank,
         log,
         makers::usual_time,
+        pools::MakerPool,
         refusal::Refusal,
     },
     fernring_core::{code::ResultCode, text::LogLine},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 impl Exchange {
@@ -42,19 +43,24 @@
         let backlogs = self.serving.stages.backlogs();
         for stage in (0..stages).filter(|stage| self.plan.count(*stage) > 0) {
             let (pieces, spec) = (self.plan.count(stage), self.plan.spec(stage));
-            let promise = backlogs.promise(&spec.service, need.rank, pieces);
+            let promise = backlogs.promise(&self.pool_of(&spec.service), need.rank, pieces);
             self.promises.insert(stage, promise);
         }
         Ok(())
     }
 
+    /// Returns the makers that a stage is likely to be asked of.
+    fn pool_of(&self, service: &Arc<str>) -> MakerPool {
+        self.serving.stages.pool_for(service, None, &self.request.id)
+    }
+
     fn need(&self) -> Need {
         let held = self.serving.config.borrow().current();
         let now = self.serving.now();
         let stage_need = |stage: usize| {
             let spec = self.plan.spec(stage);
             let pieces = self.plan.count(stage);
-            let backlog = self.serving.stages.backlog(&spec.service);
+            let backlog = self.serving.stages.backlog(&self.pool_of(&spec.service));
             let service = held.as_ref().and_then(|held| held.config.services.get(&spec.service));
             let shape = service.and_then(|service| service.batch);
             let ahead = backlog.map_or(0, |backlog| backlog.waiting.iter().sum());
--- a/crates/fernring-gateway/src/exchange/staging.rs
+++ b/crates/fernring-gateway/src/exchange/staging.rs
@@ -120,15 +120,17 @@
             Some(handles) => PieceInput::Results(handles.into()),
             None => PieceInput::Key(key),
         };
+        let near = self.near(stage);
+        let pool = self.serving.stages.pool_for(&spec.service, near.as_ref(), &self.request.id);
         Work {
-            service: spec.service.clone(),
+            pool,
             request_id: self.request.id.clone(),
             content: self.request.content,
             stage: stage as u32,
             pieces: self.plan.count(stage),
             input,
             due_at: self.due_at(stage),
-            near: self.near(stage),
+            near,
             deadline_at: self
                 .hold_until
                 .saturating_sub(self.time_after(stage) + self.reading_time()),
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! Decisions stand in modules without I/O: [`admission`] (who is taken on), [`attempts`], [`backlog`] and [`backlogs`]
 //! (what waits where), [`batching`] (the queue of a stage and its calls), [`budget`], [`cold`] (what a cold upstream is sent), [`come_back`], [`config`], [`directory`],
-//! [`evacuations`] (where nothing new is sent), [`events`], [`flow`], [`following`] (what peers pass on), [`freshness`], [`makers`], [`members`], [`reading`], [`selection`] (which upstream), [`stage_plan`],
+//! [`evacuations`] (where nothing new is sent), [`events`], [`flow`], [`following`] (what peers pass on), [`freshness`], [`makers`], [`members`], [`pools`] (which makers an owner works with), [`reading`], [`selection`] (which upstream), [`stage_plan`],
 //! [`endings`] (has an upstream ended?) and [`suspects`] (under which requests?). [`blame`] gathers the signs for these two. A
 //! platform's formats and calls are behind the traits of [`wire`]. Everything runs on one thread.
 //!
@@ -52,6 +52,7 @@
 pub mod node;
 pub mod owner;
 pub mod peers;
+pub mod pools;
 pub mod position;
 pub mod reading;
 mod records;
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -538,6 +538,7 @@
             let (word, at) = evacuation_from(word);
             self.loops.take_evacuation(word, at, "peer");
         }
+        heartbeat.split_services.iter().for_each(|service| self.stages.said_split(*service));
         let known = [
             (Followed::Config, heartbeat.config_version.into(), heartbeat.config_age_ms),
             (Followed::Upstreams, directory_end, heartbeat.directory_age_ms),
@@ -560,6 +561,8 @@
         heartbeat.unreachable = self.upstreams.unreachable(self.serving.now());
         let evacuations = self.upstreams.evacuations().borrow();
         heartbeat.evacuations = evacuations.words().map(evacuation_word).collect();
+        let link = self.settings.borrow().node.link_bytes_per_s();
+        heartbeat.split_services = self.stages.to_be_split(link);
         heartbeat.stage_loads = self.stages.described(loads_of);
         let loads = match loads_of {
             LoadsOf::Sender => self.upstreams.told_loads(),
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -11,6 +11,7 @@
         makers::{Maker, overdue_after, usual_time},
         measures,
         model::{BatchShape, Piece, PieceOutcome, Service, UpstreamKey},
+        pools::MakerPool,
         upstreams::Target,
     },
     bytes::Bytes,
@@ -33,6 +34,7 @@
 impl Owner {
     pub(super) fn start_call(
         self: &Rc<Self>,
+        pool: &MakerPool,
         service: &Service,
         shape: BatchShape,
         target: Target,
@@ -47,12 +49,12 @@
         }
         let owner = self.clone();
         let connections_max = service.connections_max;
-        let service = service.name.clone();
-        let waiting = self.queues.borrow().get(&service).map_or(0, BatchQueue::len);
+        let pool = pool.clone();
+        let waiting = self.queues.borrow().get(&pool).map_or(0, BatchQueue::len);
         spawn_local(async move {
-            let call = owner.call(&target, connections_max, &shape, &tasks);
-            let (end, was_overdue) = owner.watched(call, &service, &target, &shape, &tasks).await;
-            owner.log_call(&service, &target, &tasks, started, waiting, bound);
+            let call = owner.call(&pool, &target, connections_max, &shape, &tasks);
+            let (end, was_overdue) = owner.watched(call, &pool, &target, &shape, &tasks).await;
+            owner.log_call(&pool, &target, &tasks, started, waiting, bound);
             let now = owner.now();
             if let Some(maker) = owner.makers.borrow_mut().get_mut(target.key) {
                 maker.call_ended(bytes);
@@ -63,14 +65,14 @@
             if end.is_ok() && matches!(bound, Bound::Places | Bound::Room) {
                 let took = now.saturating_sub(started);
                 let mut flows = owner.flows.borrow_mut();
-                flows.entry(service.clone()).or_default().called(&shape, tasks.len(), took);
+                flows.entry(pool.clone()).or_default().called(&shape, tasks.len(), took);
             }
             let has_ended = match &end {
                 Err(CallFailure::Broken(why)) => owner.has_ended(&target, &tasks, why).await,
                 _ => false,
             };
-            owner.call_ended(&service, &target, tasks, end, was_overdue, has_ended);
-            owner.pump(&service);
+            owner.call_ended(&pool, &target, tasks, end, was_overdue, has_ended);
+            owner.pump(&pool);
         });
     }
 
@@ -90,7 +92,7 @@
     async fn watched<T>(
         self: &Rc<Self>,
         call: impl Future<Output = T>,
-        service: &Arc<str>,
+        pool: &MakerPool,
         target: &Target,
         shape: &BatchShape,
         tasks: &[Task],
@@ -103,29 +105,30 @@
         if let Ok(end) = timeout(patience, &mut call).await {
             return (end, false);
         }
-        let line = LogLine::event("stage_call_overdue").with("service", service);
+        let line = LogLine::event("stage_call_overdue").with("service", &pool.service);
         let line = line.with("upstream", &target.instance).with("pieces", tasks.len());
         log::info(line.with("after_ms", patience.as_millis()));
         for task in tasks.iter().filter(|task| has_further_call(task)) {
-            self.put_back(service, Task { calls: task.calls + 1, ..task.clone() });
+            self.put_back(pool, Task { calls: task.calls + 1, ..task.clone() });
         }
-        self.pump(service);
+        self.pump(pool);
         (call.await, true)
     }
 
     fn log_call(
         &self,
-        service: &Arc<str>,
+        pool: &MakerPool,
         target: &Target,
         tasks: &[Task],
         started: Duration,
         waiting: usize,
         bound: Bound,
     ) {
-        measures::batch_called(service, tasks.len(), waiting);
+        measures::batch_called(&pool.service, tasks.len(), waiting);
         let kept = self.makers.borrow().get(target.key).map_or(0, Maker::kept_bytes);
         let line = LogLine::event("stage_call")
-            .with("service", service)
+            .with("service", &pool.service)
+            .with_some("of_domain", pool.failure_domain.as_ref())
             .with("upstream", &target.instance)
             .with("pieces", tasks.len())
             .with("waiting", waiting)
@@ -135,8 +138,14 @@
         log::info(line);
     }
 
+    fn count_carried(&self, pool: &MakerPool, bytes: usize) {
+        let mut carried = self.carried.borrow_mut();
+        carried.entry(pool.clone()).or_default().add(self.now(), bytes);
+    }
+
     async fn call(
         &self,
+        pool: &MakerPool,
         target: &Target,
         connections_max: u32,
         shape: &BatchShape,
@@ -149,6 +158,7 @@
         };
         let pieces: Vec<_> = tasks.iter().map(piece).collect();
         let call = self.wire.encode_batch(&pieces);
+        self.count_carried(pool, call.body.len());
         let request = self.request(target, call.path, call.body);
         let expected = usual_time(shape, tasks.len());
         let exchange = async {
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -19,8 +19,9 @@
         directory::Effect,
         flow::Flow,
         makers::{Maker, MakerSet},
-        model::{BatchShape, Piece, PieceInput, Service, UpstreamKey},
+        model::{BatchShape, Piece, PieceInput, Service, UpstreamKey, short_hash},
         peers::Peers,
+        pools::{Carried, MakerPool, shall_split},
         selection::Candidate,
         settings::DecideSettings,
         upstreams::{Target, Upstreams, maker_address},
@@ -49,8 +50,8 @@
 /// The pieces of one stage of one request.
 #[derive(Debug, Clone)]
 pub struct Work {
-    /// Service of the stage.
-    pub service: Arc<str>,
+    /// The makers that may do the work.
+    pub pool: MakerPool,
     /// The request.
     pub request_id: Arc<str>,
     /// What the request asks.
@@ -113,7 +114,7 @@
 struct OpenWork {
     reply: Reply,
     handles: Vec<Option<Arc<str>>>,
-    service: Arc<str>,
+    pool: MakerPool,
     content: ContentKey,
 }
 
@@ -126,8 +127,10 @@
     peers: Rc<Peers>,
     blame: Rc<Blame>,
     rules: Rc<Cell<DecideSettings>>,
-    queues: RefCell<BTreeMap<Arc<str>, BatchQueue>>,
-    flows: RefCell<BTreeMap<Arc<str>, Flow>>,
+    queues: RefCell<BTreeMap<MakerPool, BatchQueue>>,
+    flows: RefCell<BTreeMap<MakerPool, Flow>>,
+    /// What the calls of each pool carry.
+    carried: RefCell<BTreeMap<MakerPool, Carried>>,
     works: RefCell<HashMap<u64, OpenWork>>,
     makers: RefCell<MakerSet>,
     releases: RefCell<HashMap<UpstreamKey, Vec<Arc<str>>>>,
@@ -155,6 +158,7 @@
             rules,
             queues: RefCell::default(),
             flows: RefCell::default(),
+            carried: RefCell::default(),
             works: RefCell::default(),
             makers: RefCell::default(),
             releases: RefCell::default(),
@@ -170,16 +174,16 @@
         let open = OpenWork {
             reply,
             handles: vec![None; pieces],
-            service: work.service.clone(),
+            pool: work.pool.clone(),
             content: work.content,
         };
         self.works.borrow_mut().insert(id, open);
         let mut queues = self.queues.borrow_mut();
-        let queue = queues.entry(work.service.clone()).or_default();
+        let queue = queues.entry(work.pool.clone()).or_default();
         let now = self.now();
         if work.due_at > now {
             let mut flows = self.flows.borrow_mut();
-            let flow = flows.entry(work.service.clone()).or_default();
+            let flow = flows.entry(work.pool.clone()).or_default();
             flow.came(now, rank(work.priority), work.pieces);
         }
         // A suspect has no company that would have to share the blame.
@@ -188,31 +192,31 @@
             queue.push(task(id, &work, number, is_apart));
         }
         drop(queues);
-        self.pump(&work.service);
+        self.pump(&work.pool);
         id
     }
 
-    /// Returns what waits for a service's makers; `None` if it is no stage service.
-    pub fn backlog(&self, service: &Arc<str>) -> Option<Backlog> {
-        let (_, shape) = self.service(service)?;
-        Some(self.backlog_before(service, &shape, self.usable_makers(service).len()))
+    /// Returns what waits for some makers; `None` if their service is no stage service.
+    pub fn backlog(&self, pool: &MakerPool) -> Option<Backlog> {
+        let (_, shape) = self.service(&pool.service)?;
+        Some(self.backlog_before(pool, &shape, self.usable_makers(pool).len()))
     }
 
-    fn backlog_before(&self, service: &Arc<str>, shape: &BatchShape, makers: usize) -> Backlog {
+    fn backlog_before(&self, pool: &MakerPool, shape: &BatchShape, makers: usize) -> Backlog {
         let queues = self.queues.borrow();
         let mut flows = self.flows.borrow_mut();
-        let flow = flows.entry(service.clone()).or_default();
-        flow.backlog(self.now(), shape, makers, queues.get(service))
+        let flow = flows.entry(pool.clone()).or_default();
+        flow.backlog(self.now(), shape, makers, queues.get(pool))
     }
 
-    /// Returns the backlogs of all services that had work here, or were asked about.
-    pub fn backlogs(&self) -> Vec<(Arc<str>, Backlog)> {
-        let services: Vec<_> = self.flows.borrow().keys().cloned().collect();
-        let with_backlog = |service: Arc<str>| {
-            let backlog = self.backlog(&service)?;
-            Some((service, backlog))
+    /// Returns the backlogs of all makers that had work here, or were asked about.
+    pub fn backlogs(&self) -> Vec<(MakerPool, Backlog)> {
+        let pools: Vec<_> = self.flows.borrow().keys().cloned().collect();
+        let with_backlog = |pool: MakerPool| {
+            let backlog = self.backlog(&pool)?;
+            Some((pool, backlog))
         };
-        services.into_iter().filter_map(with_backlog).collect()
+        pools.into_iter().filter_map(with_backlog).collect()
     }
 
     /// Forgets pieces that nobody waits for any more. A call under way goes on; its results are
@@ -221,10 +225,10 @@
         let Some(open) = self.works.borrow_mut().remove(&work) else {
             return;
         };
-        if let Some(queue) = self.queues.borrow_mut().get_mut(&open.service) {
+        if let Some(queue) = self.queues.borrow_mut().get_mut(&open.pool) {
             queue.cancel(work);
         }
-        self.release(&open.service, open.handles.into_iter().flatten());
+        self.release(&open.pool.service, open.handles.into_iter().flatten());
     }
 
     /// Gives up all results that a lost node asked for.
@@ -296,33 +300,33 @@
 
     /// Starts calls of all services, as far as pieces wait and upstreams are free.
     pub fn pump_all(self: &Rc<Self>) {
-        let services: Vec<_> = self.queues.borrow().keys().cloned().collect();
-        for service in services {
-            self.pump(&service);
+        let pools: Vec<_> = self.queues.borrow().keys().cloned().collect();
+        for pool in pools {
+            self.pump(&pool);
         }
     }
 
     /// Starts calls while pieces wait and upstreams are free.
-    fn pump(self: &Rc<Self>, service_name: &Arc<str>) {
-        let Some((service, shape)) = self.service(service_name) else {
-            self.fail_all(service_name);
+    fn pump(self: &Rc<Self>, pool: &MakerPool) {
+        let Some((service, shape)) = self.service(&pool.service) else {
+            self.fail_all(pool);
             return;
         };
-        if self.queues.borrow().get(service_name).is_none_or(BatchQueue::is_empty) {
+        if self.queues.borrow().get(pool).is_none_or(BatchQueue::is_empty) {
             return;
         }
-        let makers = self.usable_makers(service_name);
-        if makers.is_empty() && self.upstreams.is_evacuated(service_name) {
-            self.fail_waiting(service_name);
+        let makers = self.usable_makers(pool);
+        if makers.is_empty() && self.upstreams.is_evacuated(&pool.service) {
+            self.fail_waiting(pool);
             return;
         }
         self.drop_turned_away();
-        self.drop_expired(service_name, &shape, makers.len());
+        self.drop_expired(pool, &shape, makers.len());
         for (target, room) in self.free_makers(&makers, &shape) {
             let now = self.now();
-            let batch = match self.queues.borrow_mut().get_mut(service_name) {
+            let batch = match self.queues.borrow_mut().get_mut(pool) {
                 Some(queue) => {
-                    let makers_in = |domain: &str| self.makers_in(service_name, domain);
+                    let makers_in = |domain: &str| self.makers_in(pool, domain);
                     let taker = Taker {
                         failure_domain: &target.failure_domain,
                         room_bytes: room,
@@ -333,7 +337,7 @@
                 None => return,
             };
             if !batch.tasks.is_empty() {
-                self.start_call(&service, shape, target, batch);
+                self.start_call(pool, &service, shape, target, batch);
             }
         }
     }
@@ -344,8 +348,8 @@
         Some((service.clone(), service.batch?))
     }
 
-    fn fail_all(&self, service: &Arc<str>) {
-        let Some(queue) = self.queues.borrow_mut().remove(service) else {
+    fn fail_all(&self, pool: &MakerPool) {
+        let Some(queue) = self.queues.borrow_mut().remove(pool) else {
             return;
         };
         if queue.is_empty() {
@@ -353,7 +357,7 @@
         }
         let mut works = self.works.borrow_mut();
         let lost: Vec<_> =
-            works.iter().filter(|(_, w)| w.service == *service).map(|(id, _)| *id).collect();
+            works.iter().filter(|(_, w)| w.pool == *pool).map(|(id, _)| *id).collect();
         for id in lost {
             if let Some(work) = works.remove(&id) {
                 reply(work.reply, WorkEnd::Failed);
@@ -362,8 +366,8 @@
     }
 
     /// Fails the works of which pieces wait: nobody may make them, and their callers are told now.
-    fn fail_waiting(&self, service: &Arc<str>) {
-        let waiting = self.queues.borrow().get(service).map(BatchQueue::works).unwrap_or_default();
+    fn fail_waiting(&self, pool: &MakerPool) {
+        let waiting = self.queues.borrow().get(pool).map(BatchQueue::works).unwrap_or_default();
         for work in waiting {
             self.end_work(work, WorkEnd::Failed);
         }
@@ -383,10 +387,10 @@
         }
     }
 
-    fn drop_expired(&self, service: &Arc<str>, shape: &BatchShape, makers: usize) {
+    fn drop_expired(&self, pool: &MakerPool, shape: &BatchShape, makers: usize) {
         let now = self.now();
-        let backlog = self.backlog_before(service, shape, makers);
-        let expired = match self.queues.borrow_mut().get_mut(service) {
+        let backlog = self.backlog_before(pool, shape, makers);
+        let expired = match self.queues.borrow_mut().get_mut(pool) {
             Some(queue) => queue.take_expired(now, shape, &backlog, &self.rules.get()),
             None => return,
         };
@@ -407,20 +411,69 @@
 
     /// Lists the makers that take work. Others that are merely busy come free soon, so one that is
     /// avoided or cold waits for them.
-    fn usable_makers(&self, service: &str) -> Vec<UpstreamKey> {
+    fn usable_makers(&self, pool: &MakerPool) -> Vec<UpstreamKey> {
         let is_silent = |domain: &str| self.peers.is_silent(domain);
-        let candidates = self.upstreams.candidates(self.now(), service, is_silent);
+        let mut candidates = self.upstreams.candidates(self.now(), &pool.service, is_silent);
+        if pool.failure_domain.is_some() {
+            let directory = self.upstreams.directory();
+            let domain_of = |key| directory.get(key).map(|u| u.record.failure_domain.clone());
+            candidates.retain(|c| domain_of(c.key).is_some_and(|domain| pool.covers(&domain)));
+        }
         let is_sound = |candidate: &&Candidate| !candidate.is_avoided && !candidate.is_cold;
         let any_sound = candidates.iter().any(|candidate| is_sound(&candidate));
         let usable = candidates.iter().filter(|candidate| is_sound(candidate) || !any_sound);
         usable.map(|candidate| candidate.key).collect()
     }
 
-    /// The makers of a service in a failure domain; `None` if there are none.
-    fn makers_in(&self, service: &str, failure_domain: &str) -> Option<Makers> {
+    /// Counts the makers of a service that may be sent to, by failure domain.
+    pub fn makers_by_domain(&self, service: &str) -> Vec<(Arc<str>, usize)> {
+        let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        let directory = self.upstreams.directory();
+        for (key, upstream) in directory.of_service(service) {
+            let domain = &upstream.record.failure_domain;
+            if self.upstreams.may_send(key).is_ok() && !self.peers.is_silent(domain) {
+                *counts.entry(domain.clone()).or_default() += 1;
+            }
+        }
+        counts.into_iter().collect()
+    }
+
+    /// Returns the failure domain of the maker of a result, if it is known.
+    pub fn domain_of_maker(&self, service: &str, handle: &str) -> Option<Arc<str>> {
+        let directory = self.upstreams.directory();
+        let key = directory.at(service, maker_address(handle)?)?;
+        Some(directory.get(key)?.record.failure_domain.clone())
+    }
+
+    /// Lists the services, by their short hashes, of which this node carries more than its link bears, or that are to stay
+    /// split. `is_own` tells whether it owns a pool, `link_bytes_per_s` what its link carries.
+    pub fn to_be_split(
+        &self,
+        is_own: impl Fn(&MakerPool) -> bool,
+        link_bytes_per_s: f64,
+    ) -> Vec<u32> {
+        let now = self.now();
+        let shall_split = |pool: &MakerPool, carried: &Carried| {
+            let parts = || self.makers_by_domain(&pool.service).len();
+            let parts = pool.failure_domain.as_ref().map(|_| parts());
+            shall_split(carried.per_s(now), link_bytes_per_s, parts)
+        };
+        let carried = self.carried.borrow();
+        let split =
+            carried.iter().filter(|(pool, carried)| is_own(pool) && shall_split(pool, carried));
+        let mut services: Vec<_> = split.map(|(pool, _)| short_hash(&pool.service)).collect();
+        services.dedup();
+        services
+    }
+
+    /// The makers of a pool in a failure domain; `None` if there are none.
+    fn makers_in(&self, pool: &MakerPool, failure_domain: &str) -> Option<Makers> {
+        if !pool.covers(failure_domain) {
+            return None;
+        }
         let directory = self.upstreams.directory();
         let makers = self.makers.borrow();
-        let there = directory.of_service(service).filter(|(key, upstream)| {
+        let there = directory.of_service(&pool.service).filter(|(key, upstream)| {
             *upstream.record.failure_domain == *failure_domain
                 && self.upstreams.may_send(*key).is_ok()
         });
--- a/crates/fernring-gateway/src/owner/outcomes.rs
+++ b/crates/fernring-gateway/src/owner/outcomes.rs
@@ -7,6 +7,7 @@
         log,
         makers::Kept,
         model::PieceOutcome,
+        pools::MakerPool,
         upstreams::Target,
     },
     fernring_core::text::LogLine,
@@ -16,7 +17,7 @@
 impl Owner {
     pub(super) fn call_ended(
         &self,
-        service: &Arc<str>,
+        pool: &MakerPool,
         target: &Target,
         tasks: Vec<Task>,
         end: Result<Vec<PieceOutcome>, CallFailure>,
@@ -41,7 +42,7 @@
                     }
                 }
                 let line = LogLine::event("stage_call_failed")
-                    .with("service", service)
+                    .with("service", &pool.service)
                     .with("upstream", &target.instance)
                     .with("pieces", tasks.len())
                     .with("error", &failure);
@@ -54,7 +55,7 @@
                 let counts = was_sent && !is_company_ended;
                 for task in tasks.into_iter().filter(|task| !goes_on(task)) {
                     let is_apart = task.is_apart || is_company_ended;
-                    self.retry(service, Task { is_apart, ..task }, counts);
+                    self.retry(pool, Task { is_apart, ..task }, counts);
                 }
                 return;
             }
@@ -62,25 +63,25 @@
         for (task, outcome) in tasks.into_iter().zip(outcomes) {
             let is_repeated = matches!(outcome, PieceOutcome::NoRoom | PieceOutcome::Failed);
             if !(is_repeated && goes_on(&task)) {
-                self.piece_ended(service, target, task, outcome);
+                self.piece_ended(pool, target, task, outcome);
             }
         }
     }
 
-    fn piece_ended(&self, service: &Arc<str>, target: &Target, task: Task, outcome: PieceOutcome) {
+    fn piece_ended(&self, pool: &MakerPool, target: &Target, task: Task, outcome: PieceOutcome) {
         match outcome {
-            PieceOutcome::Made(handle) => self.piece_made(service, target, &task, handle),
+            PieceOutcome::Made(handle) => self.piece_made(pool, target, &task, handle),
             PieceOutcome::Late => self.end_work(task.work, WorkEnd::Late),
             PieceOutcome::InputGone => self.end_work(task.work, WorkEnd::InputGone),
             PieceOutcome::NoRoom => {
-                self.had_no_room(service, target, &task);
-                self.put_back(service, task);
+                self.had_no_room(pool, target, &task);
+                self.put_back(pool, task);
             }
-            PieceOutcome::Failed => self.retry(service, task, true),
+            PieceOutcome::Failed => self.retry(pool, task, true),
         }
     }
 
-    fn piece_made(&self, service: &Arc<str>, target: &Target, task: &Task, handle: Arc<str>) {
+    fn piece_made(&self, pool: &MakerPool, target: &Target, task: &Task, handle: Arc<str>) {
         if let Some(maker) = self.makers.borrow_mut().get_mut(target.key) {
             let kept = Kept { bytes: task.result_bytes, made_at: self.now(), asker: task.asker };
             maker.keep(handle.clone(), kept);
@@ -88,18 +89,18 @@
         let mut works = self.works.borrow_mut();
         let Some(work) = works.get_mut(&task.work) else {
             drop(works);
-            self.release(service, [handle]);
+            self.release(&pool.service, [handle]);
             return;
         };
         let place = &mut work.handles[task.piece.number as usize];
         if place.is_some() {
             // Another maker was given the piece as well and was faster.
             drop(works);
-            self.release(service, [handle]);
+            self.release(&pool.service, [handle]);
             return;
         }
         *place = Some(handle);
-        if let Some(queue) = self.queues.borrow_mut().get_mut(service) {
+        if let Some(queue) = self.queues.borrow_mut().get_mut(pool) {
             queue.drop_piece(task.work, task.piece.number);
         }
         if work.handles.iter().any(Option::is_none) {
@@ -109,15 +110,15 @@
             drop(works);
             let handles = work.handles.into_iter().flatten().collect();
             if let Err(WorkEnd::Made(handles)) = work.reply.send(WorkEnd::Made(handles)) {
-                self.release(service, handles);
+                self.release(&pool.service, handles);
             }
         }
     }
 
     /// Takes in that a maker has less room than is known here: another owner's results lie there,
     /// or results are larger than they were said to be.
-    fn had_no_room(&self, service: &Arc<str>, target: &Target, task: &Task) {
-        let Some((_, shape)) = self.service(service) else {
+    fn had_no_room(&self, pool: &MakerPool, target: &Target, task: &Task) {
+        let Some((_, shape)) = self.service(&pool.service) else {
             return;
         };
         let mut makers = self.makers.borrow_mut();
@@ -127,27 +128,27 @@
         let known = maker.kept_bytes();
         if maker.had_no_room(self.now(), &shape) {
             let line = LogLine::event("maker_full").with("upstream", &target.instance);
-            let line = line.with("service", service).with("kept_bytes", known);
+            let line = line.with("service", &pool.service).with("kept_bytes", known);
             log::info(line.with("result_bytes", task.result_bytes));
         }
     }
 
     /// Puts a piece back whose call failed, or fails its work. `was_sent` says whether the
     /// upstream may have worked on it.
-    fn retry(&self, service: &Arc<str>, mut task: Task, was_sent: bool) {
+    fn retry(&self, pool: &MakerPool, mut task: Task, was_sent: bool) {
         if self.is_made(&task) {
             return;
         }
         task.calls += u32::from(was_sent);
         match task.calls < CALLS_MAX {
-            true => self.put_back(service, task),
+            true => self.put_back(pool, task),
             false => self.end_work(task.work, WorkEnd::Failed),
         }
     }
 
-    pub(super) fn put_back(&self, service: &Arc<str>, task: Task) {
+    pub(super) fn put_back(&self, pool: &MakerPool, task: Task) {
         if !self.is_made(&task) {
-            self.queues.borrow_mut().entry(service.clone()).or_default().push(task);
+            self.queues.borrow_mut().entry(pool.clone()).or_default().push(task);
         }
     }
 
@@ -162,12 +163,12 @@
         let Some(open) = self.works.borrow_mut().remove(&work) else {
             return;
         };
-        if let Some(queue) = self.queues.borrow_mut().get_mut(&open.service) {
+        if let Some(queue) = self.queues.borrow_mut().get_mut(&open.pool) {
             queue.cancel(work);
         }
-        let line = LogLine::event("work_ended").with("service", &open.service);
+        let line = LogLine::event("work_ended").with("service", &open.pool.service);
         log::info(line.with("outcome", end.name()));
-        self.release(&open.service, open.handles.into_iter().flatten());
+        self.release(&open.pool.service, open.handles.into_iter().flatten());
         reply(open.reply, end);
     }
 }
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -9,6 +9,7 @@
         model::PieceInput,
         owner::{Owner, Work, WorkEnd},
         peers::Peers,
+        pools::{MakerPool, Splits, draw_domain},
     },
     bytes::Bytes,
     fernring_core::{clock::Clock, text::LogLine},
@@ -46,7 +47,9 @@
     foreign: RefCell<HashMap<(SocketAddr, u64), u64>>,
     next_ticket: Cell<u64>,
     /// The owner that each service was last asked of, and since when, for the log.
-    owners: RefCell<HashMap<Arc<str>, (SocketAddr, Duration)>>,
+    owners: RefCell<HashMap<MakerPool, (SocketAddr, Duration)>>,
+    /// The services that are split between owners.
+    splits: RefCell<Splits>,
 }
 
 /// Cancels a stage whose request is given up.
@@ -86,20 +89,20 @@
             foreign: RefCell::default(),
             next_ticket: Cell::new(1),
             owners: RefCell::default(),
+            splits: RefCell::default(),
         }
     }
 
     /// Returns the owner of a service, and says so if it isn't the one of before: nodes that name different ones at the
     /// same time split the service's calls.
-    fn owner_of(&self, service: &Arc<str>) -> SocketAddr {
-        let owner = self.peers.owner(service);
+    fn owner_of(&self, pool: &MakerPool) -> SocketAddr {
+        let owner = self.peers.owner(&pool.to_string());
         let now = self.clock.now().monotonic;
         let mut owners = self.owners.borrow_mut();
-        let before = owners.get(service).copied();
+        let before = owners.get(pool).copied();
         if before.is_none_or(|(before, _)| before != owner) {
-            owners.insert(service.clone(), (owner, now));
-            let line =
-                LogLine::event("owner_changed").with("service", service).with("owner", owner);
+            owners.insert(pool.clone(), (owner, now));
+            let line = LogLine::event("owner_changed").with("service", pool).with("owner", owner);
             let line = line.with_some("before", before.map(|(before, _)| before));
             let lasted_ms = before.map(|(_, since)| now.saturating_sub(since).as_millis());
             log::info(line.with_some("lasted_ms", lasted_ms).with("nodes", self.peers.nodes()));
@@ -112,17 +115,53 @@
         &self.backlogs
     }
 
-    /// Returns what is ahead at a service, as far as this node knows.
-    pub fn backlog(&self, service: &Arc<str>) -> Option<Backlog> {
-        let is_own = self.peers.owner(service) == self.peers.address();
-        let own = if is_own { self.owner.backlog(service) } else { None };
-        self.backlogs.of(self.clock.now().monotonic, service, own)
+    /// Returns what is ahead at some makers, as far as this node knows.
+    pub fn backlog(&self, pool: &MakerPool) -> Option<Backlog> {
+        let own = if self.owns(pool) { self.owner.backlog(pool) } else { None };
+        self.backlogs.of(self.clock.now().monotonic, pool, own)
+    }
+
+    fn owns(&self, pool: &MakerPool) -> bool {
+        self.peers.owner(&pool.to_string()) == self.peers.address()
+    }
+
+    /// Returns the makers that a stage of a request is asked of: all of a service, or those of one failure domain while it is
+    /// split: of `near` if it has some, else of one that is drawn.
+    pub fn pool_for(
+        &self,
+        service: &Arc<str>,
+        near: Option<&Arc<str>>,
+        request_id: &str,
+    ) -> MakerPool {
+        let whole = MakerPool::whole(service.clone());
+        if !self.splits.borrow().is_split(self.clock.now().monotonic, service) {
+            return whole;
+        }
+        let makers = self.owner.makers_by_domain(service);
+        let near = near.filter(|near| makers.iter().any(|(domain, _)| domain == *near)).cloned();
+        let failure_domain = near.or_else(|| draw_domain(&makers, request_id));
+        MakerPool { failure_domain, ..whole }
+    }
+
+    /// Lists the services, by their short hashes, that are to be split by what this node carries of them.
+    pub fn to_be_split(&self, link_bytes_per_s: f64) -> Vec<u32> {
+        let services = self.owner.to_be_split(|pool| self.owns(pool), link_bytes_per_s);
+        services.iter().for_each(|service| self.said_split(*service));
+        services
+    }
+
+    /// Takes in that an owner says that a service, by its short hash, should be split.
+    pub fn said_split(&self, service: u32) {
+        let now = self.clock.now().monotonic;
+        if self.splits.borrow_mut().said(now, service) {
+            log::info(LogLine::event("service_split").with("service_hash", service));
+        }
     }
 
     /// Returns what is to be said of stage services in heartbeats.
     pub fn described(&self, loads_of: LoadsOf) -> Vec<StageLoad> {
         let mut own = self.owner.backlogs();
-        own.retain(|(service, _)| self.peers.owner(service) == self.peers.address());
+        own.retain(|(pool, _)| self.owns(pool));
         self.backlogs.described(self.clock.now().monotonic, own, loads_of)
     }
 
@@ -143,7 +182,7 @@
     pub async fn make(&self, work: Work) -> WorkEnd {
         let started = self.clock.now().monotonic;
         for _ in 0..OWNERS_MAX {
-            let owner = self.owner_of(&work.service);
+            let owner = self.owner_of(&work.pool);
             let (sender, receiver) = oneshot::channel();
             let cancel = self.ask(owner, &work, sender);
             let mut guard = CancelGuard { stages: self, cancel: Some(cancel) };
@@ -162,11 +201,12 @@
 
     fn log_end(&self, work: &Work, owner: SocketAddr, started: Duration, end: &WorkEnd) {
         let now = self.clock.now().monotonic;
-        measures::stage_ended(&work.service, end.name(), now.saturating_sub(started));
+        measures::stage_ended(&work.pool.service, end.name(), now.saturating_sub(started));
         let line = LogLine::event("stage_ended")
             .with("request", &work.request_id)
             .with("stage", work.stage)
-            .with("service", &work.service)
+            .with("service", &work.pool.service)
+            .with_some("of_domain", work.pool.failure_domain.as_ref())
             .with("owner", owner)
             .with("pieces", work.pieces)
             .with("outcome", end.name())
@@ -180,7 +220,20 @@
         if handles.is_empty() {
             return;
         }
-        let owner = self.peers.owner(service);
+        let mut by_owner: HashMap<SocketAddr, Vec<Arc<str>>> = HashMap::new();
+        let is_split = self.splits.borrow().is_split(self.clock.now().monotonic, service);
+        for handle in handles {
+            let domain = || self.owner.domain_of_maker(service, &handle);
+            let failure_domain = if is_split { domain() } else { None };
+            let pool = MakerPool { service: service.clone(), failure_domain };
+            by_owner.entry(self.peers.owner(&pool.to_string())).or_default().push(handle);
+        }
+        for (owner, handles) in by_owner {
+            self.release_at(owner, service, handles);
+        }
+    }
+
+    fn release_at(&self, owner: SocketAddr, service: &Arc<str>, handles: Vec<Arc<str>>) {
         if owner == self.peers.address() {
             self.owner.release(service, handles);
             return;
@@ -289,7 +342,8 @@
         let due_ms = work.due_at.as_millis() as i64 - i64::try_from(now.as_millis()).unwrap_or(0);
         StageWork {
             ticket,
-            service: work.service.to_string(),
+            service: work.pool.service.to_string(),
+            makers_of: work.pool.failure_domain.as_deref().unwrap_or_default().to_owned(),
             request_id: work.request_id.to_string(),
             stage: work.stage,
             pieces: work.pieces,
@@ -314,7 +368,10 @@
         };
         let due_ms = now.as_millis() as i64 + i64::from(message.due_ms);
         Work {
-            service: message.service.into(),
+            pool: MakerPool {
+                service: message.service.into(),
+                failure_domain: (!message.makers_of.is_empty()).then(|| message.makers_of.into()),
+            },
             request_id: message.request_id.as_str().into(),
             stage: message.stage,
             pieces: message.pieces,
--- a/crates/fernring-gateway/tests/testsuite/backlogs.rs
+++ b/crates/fernring-gateway/tests/testsuite/backlogs.rs
@@ -1,11 +1,15 @@
 //! What a node knows of what waits at stage services elsewhere.
 
 use {
-    fernring_gateway::{backlog::Backlog, backlogs::Backlogs},
+    fernring_gateway::{backlog::Backlog, backlogs::Backlogs, pools::MakerPool},
     fernring_protocol::gateway::LoadsOf,
-    std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
+fn first() -> MakerPool {
+    MakerPool::whole("first".into())
+}
+
 const NOW: Duration = Duration::from_secs(100);
 
 fn peer(number: u8) -> SocketAddr {
@@ -20,12 +24,12 @@
 }
 
 fn ahead(backlogs: &Backlogs, now: Duration) -> Option<u32> {
-    backlogs.of(now, "first", None).map(|backlog| backlog.waiting.iter().sum())
+    backlogs.of(now, &first(), None).map(|backlog| backlog.waiting.iter().sum())
 }
 
 #[test]
 fn what_the_owner_says_and_what_all_have_promised_is_ahead() {
-    let service: Arc<str> = "first".into();
+    let service = first();
     let [owner, other, here] = [(); 3].map(|()| Rc::new(Backlogs::default()));
     let _theirs = other.promise(&service, 0, 5);
     here.heard(
@@ -58,7 +62,7 @@
     here.heard(
         NOW,
         peer(1),
-        &here.described(NOW, vec![("first".into(), backlog(20))], LoadsOf::Sender),
+        &here.described(NOW, vec![(first(), backlog(20))], LoadsOf::Sender),
         LoadsOf::Sender,
         false,
     );
@@ -72,17 +76,17 @@
     here.heard(
         NOW,
         peer(1),
-        &here.described(NOW, vec![("first".into(), backlog(20))], LoadsOf::Sender),
+        &here.described(NOW, vec![(first(), backlog(20))], LoadsOf::Sender),
         LoadsOf::Sender,
         false,
     );
-    let own = here.of(NOW, "first", Some(backlog(7)));
+    let own = here.of(NOW, &first(), Some(backlog(7)));
     assert_eq!(own.map(|backlog| backlog.waiting[0]), Some(7));
 }
 
 #[test]
 fn promises_of_a_domain_are_added_up_by_a_delegate_and_counted_once() {
-    let service: Arc<str> = "first".into();
+    let service = first();
     let [owner, follower, delegate, far] = [(); 4].map(|()| Rc::new(Backlogs::default()));
     let owned = owner.described(NOW, vec![(service.clone(), backlog(20))], LoadsOf::Nobody);
     for node in [&follower, &delegate, &far] {
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod freshness;
 mod makers;
 mod members;
+mod pools;
 mod reading;
 mod refusal;
 mod selection;
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -122,6 +122,9 @@
     /// The latest era of the store that is known.
     #[prost(uint64, tag = "20")]
     pub store_era: u64,
+    /// Short hashes of the services that are to be split between owners, by what the node carries of them.
+    #[prost(fixed32, repeated, tag = "21")]
+    pub split_services: Vec<u32>,
 }
 
 /// An operator's newest word on a failure domain.
@@ -315,6 +318,9 @@
     /// Digest of what the request asks.
     #[prost(bytes = "bytes", tag = "13")]
     pub content: bytes::Bytes,
+    /// Failure domain whose makers are asked, while the service is split; empty for all.
+    #[prost(string, tag = "14")]
+    pub makers_of: String,
 }
 
 /// What became of the pieces of one stage.
