Two requests that share all their ends wait a moment for an answer to one of them

Tried before: no verdict for 1.5 s; the deadly ones went on ending upstreams meanwhile (up to 16). Change: both are turned away at once, so nothing more ends, and their repeats wait up to 0.6 s whether an answer clears one.

--- a/crates/fernring-gateway/src/blame/mod.rs
+++ b/crates/fernring-gateway/src/blame/mod.rs
@@ -44,6 +44,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for a word on whether an upstream has ended: the first look, and a round trip between regions.
 const VERDICT_WAIT: Duration = Duration::from_millis(100);
+/// Pause between two looks whether a doubt is over.
+const DOUBT_LOOK: Duration = Duration::from_millis(20);
 /// How long what is to be told to all gathers: with a failure domain hundreds of upstreams end within a moment, and each node tells
 /// of all that it had in hand there in one message.
 const GATHER_TIME: Duration = Duration::from_millis(20);
@@ -152,6 +154,15 @@
         }
     }
 
+    /// Waits while a request is turned away but in doubt: an answer that is being given elsewhere may clear it.
+    pub async fn until_settled(&self, content: ContentKey) {
+        while self.is_turned_away(content)
+            && self.suspects.borrow().is_in_doubt(self.now(), content)
+        {
+            sleep(DOUBT_LOOK).await;
+        }
+    }
+
     /// Returns the final answer for a request that is turned away and has not run.
     pub fn refusal(&self, not_run: NotRun, content: ContentKey) -> Refusal {
         Refusal::turned_away(not_run, self.reason(content))
--- a/crates/fernring-gateway/src/exchange/sending.rs
+++ b/crates/fernring-gateway/src/exchange/sending.rs
@@ -52,6 +52,7 @@
     /// # Errors
     /// If none came and it may not be sent again.
     pub async fn open(&mut self) -> Result<Opened, Refusal> {
+        self.settle_doubt().await;
         self.serving.retries.count_requests(self.serving.now(), &self.service, 1);
         let mut reason = "no upstream is there".to_owned();
         for _ in 0..OFFERS_MAX {
@@ -92,6 +93,14 @@
         Err(self.give_up(self.no_upstream_code(&self.service), &reason))
     }
 
+    /// Waits whether a request is turned away, if that is in doubt. Without it harmless requests were refused that had been in hand
+    /// at the same three ends as a deadly one in a fleet's first second: 4 in 12 s of 60 requests a second.
+    pub(super) async fn settle_doubt(&self) {
+        let settled = self.serving.blame.until_settled(self.request.content);
+        // Whether it is settled or the time is over, the caller looks again.
+        let _is_settled = self.wait_for(None, settled).await;
+    }
+
     /// Takes in that a send brought a head but no whole answer.
     pub fn send_broke(&mut self, opened: &Opened, why: &BreakOff) {
         self.attempts.ended(SendEnd::Unknown);
--- a/crates/fernring-gateway/src/exchange/staging.rs
+++ b/crates/fernring-gateway/src/exchange/staging.rs
@@ -27,6 +27,7 @@
     /// # Errors
     /// If they could not be made in time; the request itself has not run.
     pub async fn make_stages(&mut self) -> Result<(), Refusal> {
+        self.settle_doubt().await;
         if self.serving.blame.is_turned_away(self.request.content) {
             return Err(self.give_up(ResultCode::EndsUpstreams, ""));
         }
--- a/crates/fernring-gateway/src/suspects.rs
+++ b/crates/fernring-gateway/src/suspects.rs
@@ -4,7 +4,8 @@
 //! run it, and with it whatever else runs there; and days on which upstreams end by themselves under requests that are not at
 //! fault. A request is known by its content. Whatever was in hand at an upstream when it ended is charged with that end; with the
 //! third it is turned away. Two things keep the innocent out: a whole answer, since what ends its upstreams never gets one, and
-//! ends that are explained by a request that is turned away, which are taken off all others' accounts. An answer covers the ends of
+//! ends that are explained by a request that is turned away, which are taken off all others' accounts. Two requests that were in hand
+//! at the same three ends are in doubt for a moment: neither is sent, and repeats wait whether an answer clears one. An answer covers the ends of
 //! before it and those of the next minute: a content that is asked many times a second is in hand at nearly every end, and three
 //! of these may come before its next answer.
 //!
@@ -34,6 +35,9 @@
     },
 };
 
+/// How long after its last end a request is in doubt that shares all its ends with another one: a whole answer to one of
+/// them that was being given when the last upstream ended comes within about this time.
+const DOUBT_TIME: Duration = Duration::from_millis(600);
 /// Ends under a request with which it is turned away: what the users allow one request to end.
 pub const ENDS_MAX: usize = 3;
 /// How long an end counts, and so how long a request is turned away after its last one. A caller who repeats comes back within
@@ -142,6 +146,19 @@
         self.accounts.get(&content).is_some_and(Account::is_turned_away)
     }
 
+    /// Tells whether a request is turned away though another one was in hand at the same ends, all of them just now: one
+    /// of the two may be harmless. Neither is sent meanwhile, so this costs no upstream.
+    pub fn is_in_doubt(&self, now: Duration, content: ContentKey) -> bool {
+        let Some(account) = self.accounts.get(&content).filter(|a| a.is_turned_away()) else {
+            return false;
+        };
+        let shares = |other: &Account| {
+            account.ends.iter().all(|(_, run)| other.ends.iter().any(|(_, theirs)| theirs == run))
+        };
+        let mut others = self.accounts.iter().filter(|(other, _)| **other != content);
+        now < account.last_at() + DOUBT_TIME && others.any(|(_, other)| shares(other))
+    }
+
     /// Lists the starts that ended under a request.
     pub fn ends_of(&self, content: ContentKey) -> Vec<Run> {
         let ends = self.accounts.get(&content).into_iter().flat_map(|account| &account.ends);
--- a/crates/fernring-gateway/tests/testsuite/suspects.rs
+++ b/crates/fernring-gateway/tests/testsuite/suspects.rs
@@ -252,3 +252,33 @@
     assert!(ends_met > 10_000, "the days were as hard as meant: {ends_met}");
     assert_eq!(turned_away, 0, "of {ends_met} ends met");
 }
+
+/// In the first second of a fleet, before anything was answered, a harmless content was in hand at the same three ends as a
+/// deadly one, and was refused 4 times until its first answer came. Neither can be told from the other by its ends.
+#[test]
+fn two_requests_that_share_all_their_ends_are_in_doubt_for_a_moment() {
+    let mut suspects = Suspects::default();
+    for number in 1..=3 {
+        end(&mut suspects, number, &[7, 8]);
+    }
+    let third = seconds(3);
+    let in_doubt = |suspects: &Suspects, number, later_ms| {
+        suspects.is_in_doubt(third + Duration::from_millis(later_ms), content(number))
+    };
+    assert!(in_doubt(&suspects, 7, 0) && in_doubt(&suspects, 8, 500));
+    assert!(!in_doubt(&suspects, 7, 700), "an answer would have come");
+    assert!(!in_doubt(&suspects, 9, 0), "it isn't turned away");
+    // The answer that was being given settles it: the other one is no longer in doubt, and stays turned away.
+    assert!(suspects.answered(content(8), third + Duration::from_millis(100)));
+    assert!(!in_doubt(&suspects, 7, 200) && !in_doubt(&suspects, 8, 200));
+    assert!(suspects.is_turned_away(content(7)) && !suspects.is_turned_away(content(8)));
+}
+
+#[test]
+fn a_request_that_has_an_end_of_its_own_is_in_no_doubt() {
+    let mut suspects = Suspects::default();
+    end(&mut suspects, 1, &[7, 8]);
+    end(&mut suspects, 2, &[7, 8]);
+    assert_eq!(end(&mut suspects, 3, &[7]), [content(7)]);
+    assert!(!suspects.is_in_doubt(seconds(3), content(7)));
+}
