--- /dev/null
+++ b/crates/fernring-gateway/src/store_loops/operators.rs
@@ -0,0 +1,131 @@
+//! What operators write: configurations, and words on failure domains.
+
+use {
+    super::{Followed, StoreLoops},
+    crate::{
+        directory::Upstream,
+        evacuations::Word,
+        log, measures,
+        position::Position,
+        wire::{Evacuation, KeyedRecord, Malformed, Page, Topic},
+    },
+    bytes::Bytes,
+    fernring_core::text::LogLine,
+    fernring_protocol::packing::{pack, unpack},
+    std::sync::Arc,
+};
+
+impl StoreLoops {
+    /// Takes in the operators' records. Words on failure domains come first: a configuration takes time to decode.
+    pub(super) fn take_operator_records(&self, page: Page, is_whole: bool) {
+        let mut configs = Vec::new();
+        let mut words = Vec::new();
+        for record in &page.records {
+            match self.wire.decode_evacuation(record) {
+                None => configs.push(record),
+                Some(Ok(word)) => words.push((word, page.position(record))),
+                Some(Err(error)) => self.evacuation_refused(record, &error, &mut words),
+            }
+        }
+        if is_whole {
+            self.take_all_evacuations(words, page.end_position());
+        } else {
+            for (word, at) in words {
+                self.take_evacuation(word, at, "store");
+            }
+        }
+        for record in configs {
+            if let Some(value) = &record.value {
+                let end = page.position(record).next();
+                self.take_config(value, pack(value), end, "store");
+            }
+        }
+    }
+
+    /// Says that an operator's word can't be read. What was in force before it stays so, also if all words are read anew.
+    pub(super) fn evacuation_refused(
+        &self,
+        record: &KeyedRecord,
+        error: &Malformed,
+        words: &mut Vec<(Evacuation, Position)>,
+    ) {
+        measures::record_refused(Topic::Config.name());
+        let line = LogLine::event("evacuation_refused").with("key", &record.key);
+        log::warn(line.with("record", record.offset).with("error", error));
+        let evacuations = self.upstreams.evacuations().borrow();
+        let named = |(domain, _): &(&Arc<str>, _)| record.key.ends_with(&***domain);
+        let known = evacuations.words().find(named).filter(|(_, word)| word.is_in_force);
+        if let Some((domain, word)) = known {
+            let kept = Evacuation { failure_domain: domain.clone(), is_in_force: true };
+            words.push((kept, word.at));
+        }
+    }
+
+    pub(super) fn take_all_evacuations(&self, words: Vec<(Evacuation, Position)>, end: Position) {
+        let present = words.into_iter().filter(|(word, _)| word.is_in_force);
+        let present = present.map(|(word, at)| (word.failure_domain, at)).collect();
+        let changed = self.upstreams.evacuations().borrow_mut().replace(present, end);
+        for failure_domain in changed {
+            self.evacuation_changed(&failure_domain, "store", end);
+        }
+    }
+
+    /// Takes in an operator's word on a failure domain, from anywhere.
+    pub fn take_evacuation(&self, word: Evacuation, at: Position, source: &str) {
+        let Evacuation { failure_domain, is_in_force } = word;
+        let mut evacuations = self.upstreams.evacuations().borrow_mut();
+        let has_changed = evacuations.learn(failure_domain.clone(), Word { at, is_in_force });
+        drop(evacuations);
+        if has_changed {
+            self.evacuation_changed(&failure_domain, source, at);
+        }
+    }
+
+    pub(super) fn evacuation_changed(&self, failure_domain: &Arc<str>, source: &str, at: Position) {
+        let is_in_force = self.upstreams.evacuations().borrow().covers(failure_domain);
+        let directory = self.upstreams.directory();
+        let there = |upstream: &&Upstream| upstream.record.failure_domain == *failure_domain;
+        let upstreams = directory.iter().map(|(_, upstream)| upstream).filter(there).count();
+        drop(directory);
+        let line = LogLine::event("evacuation_taken").with("failure_domain", failure_domain);
+        let line = line.with("is_in_force", is_in_force).with("source", source).with("record", at);
+        log::info(line.with("upstreams", upstreams));
+        self.owner.pump_all();
+    }
+
+    /// Takes in a configuration from anywhere: its record, the same packed, and the store's number after it.
+    pub(super) fn take_config(&self, record: &[u8], packed: Bytes, end: Position, source: &str) {
+        let config = match self.wire.decode_config(record) {
+            Ok(config) => config,
+            Err(error) => return config_refused(source, &error),
+        };
+        let (from, to) = (self.config.borrow().version(), config.version);
+        let packed_bytes = packed.len();
+        if !self.config.borrow_mut().offer(config, packed, end) {
+            return;
+        }
+        let mut following = self.following(Followed::Config).borrow_mut();
+        let behind = following.behind();
+        following.caught_up(packed_bytes);
+        let line = LogLine::event("config_taken").with("from", from).with("to", to);
+        let line = line.with("source", source).with("bytes", record.len());
+        let line = line.with("packed_bytes", packed_bytes);
+        let behind_ms = behind.since.map(|since| (self.now() - since).as_millis());
+        let line = line.with_some("behind_ms", behind_ms).with("asked", behind.asked);
+        log::info(line.with("put_off", behind.put_off));
+    }
+
+    /// Takes in a packed configuration that a peer passes on, with the store's number after it. It confirms nothing:
+    /// if it can't be read, what is known here may well be out of date.
+    pub fn take_peer_config(&self, packed: Bytes, end: Position) {
+        match unpack(&packed) {
+            Ok(record) => self.take_config(&record, packed, end, "peer"),
+            Err(error) => config_refused("peer", &error),
+        }
+    }
+}
+
+fn config_refused(source: &str, error: &dyn std::fmt::Display) {
+    let line = LogLine::event("config_refused").with("source", source);
+    log::warn(line.with("error", error));
+}
