--- a/crates/fernring-gateway/src/directory.rs
+++ b/crates/fernring-gateway/src/directory.rs
@@ -2,7 +2,8 @@
 //!
 //! Records are numbered by the store; for one upstream the latest position wins, whichever way
 //! it came. A store that comes back from a copy holds what was some seconds ago: there the start and what the upstream
-//! counts say which of two records is the newer, and who was leaving or had gone stays so. A removal that may be a lapse during an outage of the store takes effect only after
+//! counts say which of two records is the newer, and who was leaving or had gone stays so. A removal that may be a lapse
+//! during an outage of the store takes effect only after
 //! [`RETURN_GRACE`].
 //!
 //! A process may start again under the instance that it had. The latest start wins over any number: it ends the
--- a/crates/fernring-gateway/src/evacuations.rs
+++ b/crates/fernring-gateway/src/evacuations.rs
@@ -78,6 +78,11 @@
         self.words.get(failure_domain).is_some_and(|word| word.is_in_force)
     }
 
+    /// Returns the newest word on a failure domain.
+    pub fn word(&self, failure_domain: &str) -> Option<Word> {
+        self.words.get(failure_domain).copied()
+    }
+
     /// Returns the number of evacuated failure domains.
     pub fn in_force(&self) -> usize {
         self.words.values().filter(|word| word.is_in_force).count()
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -535,8 +535,8 @@
         let directory_end = Position::new(heartbeat.directory_era, heartbeat.directory_end);
         // Before the age confirms that nothing else is in force.
         for word in &heartbeat.evacuations {
-            let (word, at) = evacuation_from(word);
-            self.loops.take_evacuation(word, at, "peer");
+            let (failure_domain, word) = evacuation_from(word);
+            self.loops.take_evacuation(failure_domain, word, "peer");
         }
         heartbeat.split_services.iter().for_each(|service| self.stages.said_split(*service));
         let known = [
--- a/crates/fernring-gateway/src/records.rs
+++ b/crates/fernring-gateway/src/records.rs
@@ -6,7 +6,6 @@
         evacuations::Word,
         model::{UpstreamRecord, UpstreamState},
         position::Position,
-        wire::Evacuation,
     },
     fernring_protocol::gateway::{DirectoryRecord, EvacuationWord},
     std::{sync::Arc, time::Duration},
@@ -85,9 +84,8 @@
     }
 }
 
-/// Decodes a word that a peer passes on, with its position in the store.
-pub(crate) fn evacuation_from(word: &EvacuationWord) -> (Evacuation, Position) {
-    let failure_domain = word.failure_domain.as_str().into();
+/// Decodes a word that a peer passes on, and on which failure domain.
+pub(crate) fn evacuation_from(word: &EvacuationWord) -> (Arc<str>, Word) {
     let at = Position::new(word.era, word.offset);
-    (Evacuation { failure_domain, is_in_force: word.is_in_force }, at)
+    (word.failure_domain.as_str().into(), Word { at, is_in_force: word.is_in_force })
 }
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -220,11 +220,13 @@
         if handles.is_empty() {
             return;
         }
+        if !self.splits.borrow().is_split(self.clock.now().monotonic, service) {
+            self.release_at(self.peers.owner(service), service, handles);
+            return;
+        }
         let mut by_owner: HashMap<SocketAddr, Vec<Arc<str>>> = HashMap::new();
-        let is_split = self.splits.borrow().is_split(self.clock.now().monotonic, service);
         for handle in handles {
-            let domain = || self.owner.domain_of_maker(service, &handle);
-            let failure_domain = if is_split { domain() } else { None };
+            let failure_domain = self.owner.domain_of_maker(service, &handle);
             let pool = MakerPool { service: service.clone(), failure_domain };
             by_owner.entry(self.peers.owner(&pool.to_string())).or_default().push(handle);
         }
--- a/crates/fernring-gateway/src/store_loops/mod.rs
+++ b/crates/fernring-gateway/src/store_loops/mod.rs
@@ -1,8 +1,9 @@
 //! Keeping up with the platform's store: the configuration, the upstreams, the nodes.
 //!
 //! Each topic is read whole once, then followed by one call at a time that waits for the next
-//! record: by one node of each failure domain, whose peers follow it (see [`crate::freshness`]). [`operators`] and [`listing`] take in what is
-//! read or passed on, [`joining`] keeps this node's own records.
+//! record: by one node of each failure domain, whose peers follow it (see [`crate::freshness`]). `operators` and `listing` take in
+//! what is
+//! read or passed on, `joining` keeps this node's own records.
 
 mod joining;
 mod listing;
--- a/crates/fernring-gateway/src/store_loops/operators.rs
+++ b/crates/fernring-gateway/src/store_loops/operators.rs
@@ -7,7 +7,7 @@
         evacuations::Word,
         log, measures,
         position::Position,
-        wire::{Evacuation, KeyedRecord, Malformed, Page, Topic},
+        wire::{EvacuationRecord, Malformed, Page, Topic},
     },
     bytes::Bytes,
     fernring_core::text::LogLine,
@@ -21,49 +21,37 @@
         let mut configs = Vec::new();
         let mut words = Vec::new();
         for record in &page.records {
+            let at = page.position(record);
             match self.wire.decode_evacuation(record) {
-                None => configs.push(record),
-                Some(Ok(word)) => words.push((word, page.position(record))),
-                Some(Err(error)) => self.evacuation_refused(record, &error, &mut words),
+                None => configs.push((record, at)),
+                Some(EvacuationRecord { failure_domain, is_in_force: Ok(is_in_force) }) => {
+                    words.push((failure_domain, Word { at, is_in_force }));
+                }
+                Some(EvacuationRecord { failure_domain, is_in_force: Err(error) }) => {
+                    evacuation_refused(&failure_domain, at, &error);
+                    // What was in force before it stays so, also if all words are read anew.
+                    let known = self.upstreams.evacuations().borrow().word(&failure_domain);
+                    words.extend(known.map(|word| (failure_domain, word)));
+                }
             }
         }
         if is_whole {
             self.take_all_evacuations(words, page.end_position());
         } else {
-            for (word, at) in words {
-                self.take_evacuation(word, at, "store");
+            for (failure_domain, word) in words {
+                self.take_evacuation(failure_domain, word, "store");
             }
         }
-        for record in configs {
+        for (record, at) in configs {
             if let Some(value) = &record.value {
-                let end = page.position(record).next();
-                self.take_config(value, pack(value), end, "store");
+                self.take_config(value, pack(value), at.next(), "store");
             }
         }
     }
 
-    /// Says that an operator's word can't be read. What was in force before it stays so, also if all words are read anew.
-    pub(super) fn evacuation_refused(
-        &self,
-        record: &KeyedRecord,
-        error: &Malformed,
-        words: &mut Vec<(Evacuation, Position)>,
-    ) {
-        measures::record_refused(Topic::Config.name());
-        let line = LogLine::event("evacuation_refused").with("key", &record.key);
-        log::warn(line.with("record", record.offset).with("error", error));
-        let evacuations = self.upstreams.evacuations().borrow();
-        let named = |(domain, _): &(&Arc<str>, _)| record.key.ends_with(&***domain);
-        let known = evacuations.words().find(named).filter(|(_, word)| word.is_in_force);
-        if let Some((domain, word)) = known {
-            let kept = Evacuation { failure_domain: domain.clone(), is_in_force: true };
-            words.push((kept, word.at));
-        }
-    }
-
-    pub(super) fn take_all_evacuations(&self, words: Vec<(Evacuation, Position)>, end: Position) {
-        let present = words.into_iter().filter(|(word, _)| word.is_in_force);
-        let present = present.map(|(word, at)| (word.failure_domain, at)).collect();
+    fn take_all_evacuations(&self, words: Vec<(Arc<str>, Word)>, end: Position) {
+        let present = words.into_iter().filter(|(_, word)| word.is_in_force);
+        let present = present.map(|(failure_domain, word)| (failure_domain, word.at)).collect();
         let changed = self.upstreams.evacuations().borrow_mut().replace(present, end);
         for failure_domain in changed {
             self.evacuation_changed(&failure_domain, "store", end);
@@ -71,17 +59,16 @@
     }
 
     /// Takes in an operator's word on a failure domain, from anywhere.
-    pub fn take_evacuation(&self, word: Evacuation, at: Position, source: &str) {
-        let Evacuation { failure_domain, is_in_force } = word;
+    pub fn take_evacuation(&self, failure_domain: Arc<str>, word: Word, source: &str) {
         let mut evacuations = self.upstreams.evacuations().borrow_mut();
-        let has_changed = evacuations.learn(failure_domain.clone(), Word { at, is_in_force });
+        let has_changed = evacuations.learn(failure_domain.clone(), word);
         drop(evacuations);
         if has_changed {
-            self.evacuation_changed(&failure_domain, source, at);
+            self.evacuation_changed(&failure_domain, source, word.at);
         }
     }
 
-    pub(super) fn evacuation_changed(&self, failure_domain: &Arc<str>, source: &str, at: Position) {
+    fn evacuation_changed(&self, failure_domain: &Arc<str>, source: &str, at: Position) {
         let is_in_force = self.upstreams.evacuations().borrow().covers(failure_domain);
         let directory = self.upstreams.directory();
         let there = |upstream: &&Upstream| upstream.record.failure_domain == *failure_domain;
@@ -94,7 +81,7 @@
     }
 
     /// Takes in a configuration from anywhere: its record, the same packed, and the store's number after it.
-    pub(super) fn take_config(&self, record: &[u8], packed: Bytes, end: Position, source: &str) {
+    fn take_config(&self, record: &[u8], packed: Bytes, end: Position, source: &str) {
         let config = match self.wire.decode_config(record) {
             Ok(config) => config,
             Err(error) => return config_refused(source, &error),
@@ -125,6 +112,13 @@
     }
 }
 
+/// Says that an operator's word can't be read.
+fn evacuation_refused(failure_domain: &str, at: Position, error: &Malformed) {
+    measures::record_refused(Topic::Config.name());
+    let line = LogLine::event("evacuation_refused").with("failure_domain", failure_domain);
+    log::warn(line.with("record", at).with("error", error));
+}
+
 fn config_refused(source: &str, error: &dyn std::fmt::Display) {
     let line = LogLine::event("config_refused").with("source", source);
     log::warn(line.with("error", error));
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -1,6 +1,6 @@
 //! The upstreams of a node: who they are, their connections, and whom to choose from.
 //!
-//! [`access`] says what may be sent to one now, [`loads`] what all nodes have in hand there, [`health`] who is avoided.
+//! `access` says what may be sent to one now, `loads` what all nodes have in hand there, `health` who is avoided.
 
 mod access;
 mod health;
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -23,12 +23,12 @@
 pub struct Malformed(pub String);
 
 /// An operator's word on a failure domain.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Evacuation {
+#[derive(Debug, Clone)]
+pub struct EvacuationRecord {
     /// The domain.
     pub failure_domain: Arc<str>,
-    /// Whether it is evacuated; if not, that is taken back.
-    pub is_in_force: bool,
+    /// Whether it is evacuated; if not, that is taken back. An error if the word can't be read.
+    pub is_in_force: Result<bool, Malformed>,
 }
 
 /// The formats of a platform.
@@ -76,10 +76,7 @@
     fn decode_config(&self, value: &[u8]) -> Result<ServingConfig, Malformed>;
 
     /// Decodes an operator's word on a failure domain; `None` if the record is another one.
-    ///
-    /// # Errors
-    /// If it says nothing that can be read.
-    fn decode_evacuation(&self, record: &KeyedRecord) -> Option<Result<Evacuation, Malformed>>;
+    fn decode_evacuation(&self, record: &KeyedRecord) -> Option<EvacuationRecord>;
 
     /// Decodes an upstream's record; without a value it was removed.
     ///
