The gateway has rooms: members, store, serving, decide; its circle of modules is gone

Forty files lay flat in one folder. Each room opens with what it decides or does and from what. exchange, relay, serve and ingress imported each other: what requests use of a node (context), the body of an answer (caller_body) and the failure of a stream (in exchange) now stand below them, so ingress uses serve, serve relay, relay exchange. Names outside the crate stay as they were. No behaviour changed.

--- a/crates/fernring-gateway/src/members.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -1,4 +1,11 @@
 //! The live nodes, by heartbeats, and who of them owns what.
+//!
+//! [`delegates`] says who stands for a failure domain and whom a node tells of itself, [`peers`] carries the messages, [`stillness`]
+//! finds out that the process itself stood still.
+
+pub mod delegates;
+pub mod peers;
+pub mod stillness;
 
 use {
     std::{
--- /dev/null
+++ b/crates/fernring-gateway/src/serving/context.rs
@@ -0,0 +1,61 @@
+//! The parts of a node that requests use on their way.
+
+use {
+    crate::{
+        alarm::Alarm, blame::Blame, config::ConfigState, peers::Peers, reading::ReadingSpeeds,
+        retries::Retries, settings::DecideSettings, stages::Stages, upstreams::Upstreams,
+        wire::Wire,
+    },
+    fernring_core::clock::Clock,
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
+};
+
+/// What serves requests; shared by all connections of a node.
+pub struct Serving {
+    /// The clock.
+    pub clock: Rc<dyn Clock>,
+    /// Waits for its points.
+    pub alarm: Rc<Alarm>,
+    /// The platform's formats.
+    pub wire: Rc<dyn Wire>,
+    /// The configuration in force.
+    pub config: Rc<RefCell<ConfigState>>,
+    /// The upstreams.
+    pub upstreams: Rc<Upstreams>,
+    /// The other nodes.
+    pub peers: Rc<Peers>,
+    /// The stages.
+    pub stages: Rc<Stages>,
+    /// How fast model engines read, as learned since the start.
+    pub reading: ReadingSpeeds,
+    /// The mechanisms of the policy that are on.
+    pub rules: Rc<Cell<DecideSettings>>,
+    /// The retry budget.
+    pub retries: Rc<Retries>,
+    /// The upstreams that ended, and what ran there.
+    pub blame: Rc<Blame>,
+    /// Requests in flight.
+    pub in_flight: Cell<isize>,
+}
+
+impl std::fmt::Debug for Serving {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Serving").field("in_flight", &self.in_flight).finish_non_exhaustive()
+    }
+}
+
+impl Serving {
+    /// Returns the steady time.
+    pub fn now(&self) -> Duration {
+        self.clock.now().monotonic
+    }
+
+    /// Adds to the number of requests in flight.
+    pub fn count_in_flight(&self, change: isize) {
+        self.in_flight.set(self.in_flight.get() + change);
+    }
+}
--- a/crates/fernring-gateway/src/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -14,11 +14,10 @@
         come_back::come_back,
         connections::AnswerBody,
         content::ContentKey,
+        context::Serving,
         log, measures,
         model::{Repeat, RequestFields, Route, UpstreamKey, Workspace},
         refusal::Refusal,
-        relay::RelayError,
-        serve::Serving,
         stage_plan::StagePlan,
         upstreams::{LoadGuard, Target},
     },
@@ -27,6 +26,7 @@
     http::{HeaderMap, Method, StatusCode, Uri, response::Parts},
     rand::RngExt,
     std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration},
+    thiserror::Error,
 };
 
 /// Load of a request that is being generated, in tokens to read.
@@ -91,6 +91,17 @@
     }
 }
 
+/// Why a stream ended before its end. Its connection is closed, so that it doesn't look whole.
+#[derive(Debug, Error)]
+pub enum StreamFailure {
+    /// The upstream broke off, and nobody could go on.
+    #[error("the upstream broke off: {0}")]
+    Broken(String),
+    /// Its time was over.
+    #[error("the time of the request was over")]
+    TimedOut,
+}
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy)]
 pub enum Ended<'a> {
@@ -102,7 +113,7 @@
     /// With an answer of the gateway's own.
     Refused(&'a Refusal),
     /// In the middle of a stream.
-    Broken(&'a RelayError),
+    Broken(&'a StreamFailure),
     /// Its caller did not wait for the end.
     CallerLeft,
 }
--- a/crates/fernring-gateway/src/ingress.rs
+++ b/crates/fernring-gateway/src/serving/ingress.rs
@@ -2,10 +2,7 @@
 
 use {
     crate::{
-        config::ConfigState,
-        log,
-        model::CallerLimits,
-        serve::{CallerBody, Serving},
+        caller_body::CallerBody, config::ConfigState, context::Serving, log, model::CallerLimits,
     },
     fernring_core::{clock::Clock, text::LogLine},
     http::{HeaderValue, Request, Response, header::CONNECTION},
--- a/crates/fernring-gateway/src/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -4,33 +4,20 @@
     crate::{
         connections::{AnswerBody, BreakOff},
         events::{EventSplitter, last_number},
-        exchange::Ended,
+        exchange::{Ended, Exchange, Opened, StreamFailure},
         log,
         model::Repeat,
-        serve::{Exchange, Opened},
     },
     bytes::Bytes,
     fernring_core::text::LogLine,
     http_body_util::BodyExt,
     std::time::Duration,
-    thiserror::Error,
 };
 
 /// Silence after which a stream that may go on elsewhere does. Objectives for pauses lie around a
 /// fifth of a second, and callers give up after two seconds.
 const SILENCE_MAX: Duration = Duration::from_millis(900);
 
-/// Why a stream ended before its end. Its connection is closed, so that it doesn't look whole.
-#[derive(Debug, Error)]
-pub enum RelayError {
-    /// The upstream broke off, and nobody could go on.
-    #[error("the upstream broke off: {0}")]
-    Broken(String),
-    /// Its time was over.
-    #[error("the time of the request was over")]
-    TimedOut,
-}
-
 /// A stream that is passed on.
 pub struct Relay {
     exchange: Exchange,
@@ -53,7 +40,7 @@
     }
 
     /// Waits for the next bytes to pass on; `None` at the end.
-    pub async fn next(&mut self) -> Option<Result<Bytes, RelayError>> {
+    pub async fn next(&mut self) -> Option<Result<Bytes, StreamFailure>> {
         if self.is_done {
             return None;
         }
@@ -77,9 +64,9 @@
         }
     }
 
-    async fn step(&mut self) -> Result<Option<Bytes>, RelayError> {
+    async fn step(&mut self) -> Result<Option<Bytes>, StreamFailure> {
         if self.exchange.time_left().is_zero() {
-            return Err(RelayError::TimedOut);
+            return Err(StreamFailure::TimedOut);
         }
         let patience = self.is_resumable.then_some(SILENCE_MAX);
         let next = next_bytes(&mut self.opened.body);
@@ -90,23 +77,23 @@
             }
             Some(None) => Ok(None),
             Some(Some(Err(error))) => self.resume(error).await,
-            None if self.exchange.time_left().is_zero() => Err(RelayError::TimedOut),
+            None if self.exchange.time_left().is_zero() => Err(StreamFailure::TimedOut),
             None => self.resume(BreakOff::silent("silent")).await,
         }
     }
 
-    fn take(&mut self, bytes: Bytes) -> Result<Bytes, RelayError> {
+    fn take(&mut self, bytes: Bytes) -> Result<Bytes, StreamFailure> {
         if !self.is_resumable {
             return Ok(bytes);
         }
         let whole = self.splitter.push(&bytes);
-        let whole = whole.map_err(|error| RelayError::Broken(error.to_string()))?;
+        let whole = whole.map_err(|error| StreamFailure::Broken(error.to_string()))?;
         let number = last_number(&whole, |line| self.exchange.event_number(line));
         self.last_event = number.or(self.last_event);
         Ok(whole)
     }
 
-    async fn resume(&mut self, why: BreakOff) -> Result<Option<Bytes>, RelayError> {
+    async fn resume(&mut self, why: BreakOff) -> Result<Option<Bytes>, StreamFailure> {
         let line = LogLine::event("stream_broken").with("request", self.exchange.request_id());
         let line = line.with("content", self.exchange.content());
         let line = line.with("upstream", self.opened.instance()).with("reason", &why.reason);
@@ -116,7 +103,7 @@
         self.opened.body.close();
         self.exchange.send_broke(&self.opened, &why);
         if !self.is_resumable {
-            return Err(RelayError::Broken(why.reason));
+            return Err(StreamFailure::Broken(why.reason));
         }
         loop {
             match self.exchange.reopen(self.last_event).await {
@@ -126,7 +113,7 @@
                 }
                 // A failure's body is no event: it must not reach the caller.
                 Ok(failed) => self.exchange.answered_with_failure_head(&failed),
-                Err(_) => return Err(RelayError::Broken(why.reason)),
+                Err(_) => return Err(StreamFailure::Broken(why.reason)),
             }
         }
     }
--- a/crates/fernring-gateway/src/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -2,29 +2,21 @@
 
 use {
     crate::{
-        alarm::Alarm,
         attempts::NotRun,
-        blame::Blame,
-        config::{ConfigState, HeldConfig},
+        caller_body::CallerBody,
+        config::HeldConfig,
         connections::BreakOff,
         content::ContentKey,
-        exchange::{CallerRequest, Ended, InFlight},
-        ingress::RequestGuard,
+        context::Serving,
+        exchange::{CallerRequest, Ended, Exchange, InFlight, Opened},
         log, measures,
         model::{Route, Workspace, key_hash},
-        peers::Peers,
-        reading::ReadingSpeeds,
         refusal::{RETRY_AFTER_NOT_READY, Refusal},
-        relay::{Relay, RelayError},
-        retries::Retries,
-        settings::DecideSettings,
-        stages::Stages,
-        upstreams::Upstreams,
-        wire::Wire,
+        relay::Relay,
     },
     bytes::Bytes,
-    fernring_core::{clock::Clock, code::ResultCode, text::LogLine},
-    futures_util::stream::{self, Stream},
+    fernring_core::{code::ResultCode, text::LogLine},
+    futures_util::stream,
     http::{
         HeaderMap, HeaderName, Request, Response, StatusCode,
         header::{
@@ -34,60 +26,17 @@
         request,
     },
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::body::{Body, Frame, Incoming, SizeHint},
-    std::{
-        cell::{Cell, RefCell},
-        pin::Pin,
-        rc::Rc,
-        sync::Arc,
-        task::{Context, Poll},
-        time::Duration,
-    },
+    hyper::body::{Body, Incoming},
+    std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
-pub use crate::exchange::{Exchange, Opened};
-
 /// Longest whole answer of a plain route that is held until it is complete, in bytes. Larger ones
 /// end as failed: nothing of the kind is served today.
 const WHOLE_ANSWER_BYTES_MAX: usize = 8 << 20;
 /// How long the rest of a body that is too long is read, so that its sender sees the answer.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What serves requests; shared by all connections of a node.
-pub struct Serving {
-    /// The clock.
-    pub clock: Rc<dyn Clock>,
-    /// Waits for its points.
-    pub alarm: Rc<Alarm>,
-    /// The platform's formats.
-    pub wire: Rc<dyn Wire>,
-    /// The configuration in force.
-    pub config: Rc<RefCell<ConfigState>>,
-    /// The upstreams.
-    pub upstreams: Rc<Upstreams>,
-    /// The other nodes.
-    pub peers: Rc<Peers>,
-    /// The stages.
-    pub stages: Rc<Stages>,
-    /// How fast model engines read, as learned since the start.
-    pub reading: ReadingSpeeds,
-    /// The mechanisms of the policy that are on.
-    pub rules: Rc<Cell<DecideSettings>>,
-    /// The retry budget.
-    pub retries: Rc<Retries>,
-    /// The upstreams that ended, and what ran there.
-    pub blame: Rc<Blame>,
-    /// Requests in flight.
-    pub in_flight: Cell<isize>,
-}
-
-impl std::fmt::Debug for Serving {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Serving").field("in_flight", &self.in_flight).finish_non_exhaustive()
-    }
-}
-
 /// A request that may be served.
 struct Accepted {
     route: Arc<Route>,
@@ -96,16 +45,6 @@
 }
 
 impl Serving {
-    /// Returns the steady time.
-    pub fn now(&self) -> Duration {
-        self.clock.now().monotonic
-    }
-
-    /// Adds to the number of requests in flight.
-    pub fn count_in_flight(&self, change: isize) {
-        self.in_flight.set(self.in_flight.get() + change);
-    }
-
     /// Answers a request. Dropping the future gives it up.
     pub async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Response<CallerBody> {
         let arrived_at = self.now();
@@ -366,60 +305,3 @@
     *response.headers_mut() = headers;
     response
 }
-
-enum Kind {
-    Whole(Full<Bytes>),
-    Stream(Pin<Box<dyn Stream<Item = Result<Bytes, RelayError>>>>),
-}
-
-/// The body of an answer to a caller.
-pub struct CallerBody {
-    kind: Kind,
-    guard: Option<RequestGuard>,
-}
-
-impl CallerBody {
-    fn whole(body: Full<Bytes>) -> Self {
-        Self { kind: Kind::Whole(body), guard: None }
-    }
-
-    fn stream(events: impl Stream<Item = Result<Bytes, RelayError>> + 'static) -> Self {
-        Self { kind: Kind::Stream(Box::pin(events)), guard: None }
-    }
-
-    /// Holds a guard for as long as the body is sent.
-    pub fn hold(&mut self, guard: RequestGuard) {
-        self.guard = Some(guard);
-    }
-}
-
-impl Body for CallerBody {
-    type Data = Bytes;
-    type Error = RelayError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        match &mut self.kind {
-            Kind::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
-            Kind::Stream(events) => {
-                events.as_mut().poll_next(context).map(|item| Some(item?.map(Frame::data)))
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match &self.kind {
-            Kind::Whole(body) => body.is_end_stream(),
-            Kind::Stream(_) => false,
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match &self.kind {
-            Kind::Whole(body) => body.size_hint(),
-            Kind::Stream(_) => SizeHint::default(),
-        }
-    }
-}
