--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -290,7 +290,6 @@
         connections_max: u32,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, SendFailure> {
-        let share = f64::from(connections_max) * CONNECTIONS_PART / self.nodes.get() as f64;
         let pool = self.pool(target)?;
         let has_turn = Cell::new(false);
         let check = || {
@@ -300,7 +299,7 @@
             }
             self.barred_since(target.key)
         };
-        let sent = pool.send_if(request, share as usize, check).await;
+        let sent = pool.send_if(request, self.connections_share(connections_max), check).await;
         self.note_listener(target.key, sent.as_ref().err());
         sent
     }
@@ -315,9 +314,12 @@
         connections_max: u32,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, SendFailure> {
-        let share = f64::from(connections_max) * CONNECTIONS_PART / self.nodes.get() as f64;
-        let pool = self.pool(target)?;
-        pool.send(request, share as usize).await
+        self.pool(target)?.send(request, self.connections_share(connections_max)).await
+    }
+
+    /// Returns how many connections this node may open to an upstream that takes `connections_max` from all.
+    fn connections_share(&self, connections_max: u32) -> usize {
+        (f64::from(connections_max) * CONNECTIONS_PART / self.nodes.get() as f64) as usize
     }
 
     fn pool(&self, target: &Target) -> Result<Pool, SendFailure> {
