--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -197,6 +197,8 @@
             following: [(); 2].map(|()| RefCell::new(Following::new(rand::random()))),
             started_at,
             store_answers: Cell::new(true),
+            word_bound: Cell::new(settings.evacuation.within()),
+            is_unheard: Cell::default(),
             joined_in: Cell::default(),
         });
         spawn_local(owner.clone().run());
@@ -327,6 +329,7 @@
         self.retries.set_allowance(settings.retries.allowance());
         self.serving.rules.set(settings.decide);
         self.upstreams.set_cold_bounds(settings.cold);
+        self.loops.word_bound.set(settings.evacuation.within());
         self.peers.suggest(settings.node.seeds.iter().copied());
         *self.settings.borrow_mut() = settings;
         self.apply_link();
--- a/crates/fernring-gateway/src/settings.rs
+++ b/crates/fernring-gateway/src/settings.rs
@@ -185,6 +185,13 @@
     pub within_ms: f64,
 }
 
+impl EvacuationSettings {
+    /// Returns that time.
+    pub fn within(&self) -> Duration {
+        Duration::from_secs_f64(self.within_ms / 1_000.0)
+    }
+}
+
 impl Default for EvacuationSettings {
     /// The users' bound.
     fn default() -> Self {
--- a/crates/fernring-gateway/src/store/store_loops/mod.rs
+++ b/crates/fernring-gateway/src/store/store_loops/mod.rs
@@ -81,6 +81,10 @@
     pub started_at: Duration,
     /// Whether the last call on the upstreams' records was answered.
     pub store_answers: Cell<bool>,
+    /// Longest time for which operators' words may go unconfirmed: the bound of an evacuation.
+    pub word_bound: Cell<Duration>,
+    /// Whether that time was over at the last look.
+    pub is_unheard: Cell<bool>,
     /// Era of the store in which this node's own records were written last, once they were.
     pub joined_in: Cell<Option<u64>>,
 }
@@ -320,9 +324,25 @@
             let effects = self.upstreams.expire(self.now());
             self.upstreams_changed(&effects);
             self.upstreams.set_nodes(self.peers.nodes());
+            self.note_unheard();
         }
     }
 
+    /// Says that operators' words have gone unconfirmed for longer than an evacuation may take, and when that is over: until
+    /// then this node may send into a domain that was evacuated.
+    fn note_unheard(&self) {
+        let Some(age) = self.age(Followed::Config) else {
+            return;
+        };
+        let is_unheard = age > self.word_bound.get();
+        if self.is_unheard.replace(is_unheard) == is_unheard {
+            return;
+        }
+        let line = LogLine::event("operators_unheard").with("is_unheard", is_unheard);
+        let line = line.with("age_ms", age.as_millis());
+        log::warn(line.with("bound_ms", self.word_bound.get().as_millis()));
+    }
+
     fn now(&self) -> Duration {
         self.clock.now().monotonic
     }
