Sight: nodes say which upstreams name a limit, and tell a choice from a send

Cause: the word was in no line, and `routed` was written both for a choice of a place and for a send. Change: answers are read for the word (adapter: a number from 0 to a million, twice only if both agree); lines `upstream_limit`, `upstream_limit_refused`, `home_chosen`, a gauge. No decision uses it yet.

--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod come_back;
 pub mod endings;
 pub mod flow;
+pub mod limits;
 pub mod makers;
 pub mod pools;
 pub mod reading;
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -41,7 +41,7 @@
 pub use {
     decide::{
         admission, attempts, backlog, backlogs, barred, batching, budget, cold, come_back, endings,
-        flow, makers, pools, reading, selection, stage_plan, suspects,
+        flow, limits, makers, pools, reading, selection, stage_plan, suspects,
     },
     members::{delegates, peers, stillness},
     serving::{
--- a/crates/fernring-gateway/src/measures.rs
+++ b/crates/fernring-gateway/src/measures.rs
@@ -114,6 +114,8 @@
     pub(crate) upstream_connections: usize,
     /// Upstreams that say that they are cold.
     pub(crate) cold_upstreams: usize,
+    /// Upstreams that name a limit.
+    pub(crate) limited_upstreams: usize,
     /// Failure domains that are evacuated.
     pub(crate) evacuated_domains: usize,
     /// Whether the store answered the last call.
@@ -144,6 +146,7 @@
     gauge!("fernring_gateway_connections", "side" => "upstreams")
         .set(readings.upstream_connections as f64);
     gauge!("fernring_gateway_cold_upstreams").set(readings.cold_upstreams as f64);
+    gauge!("fernring_gateway_limited_upstreams").set(readings.limited_upstreams as f64);
     gauge!("fernring_gateway_evacuated_domains").set(readings.evacuated_domains as f64);
     gauge!("fernring_gateway_store_answers").set(f64::from(u8::from(readings.store_answers)));
 }
--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -255,7 +255,12 @@
     /// Returns a short hash of this run of the upstream's process, by which nodes tell each other of it: two starts
     /// of one instance have different ones, so that load of the first isn't counted for the second.
     pub fn run_hash(&self) -> u32 {
-        xxh3_64_with_seed(self.instance.as_bytes(), self.started_ms.unwrap_or(0)) as u32
+        self.run_id() as u32
+    }
+
+    /// Returns the same at a length at which two don't collide: what binds an upstream must not bind another.
+    pub fn run_id(&self) -> u64 {
+        xxh3_64_with_seed(self.instance.as_bytes(), self.started_ms.unwrap_or(0))
     }
 }
 
@@ -312,8 +317,20 @@
     pub resume_after: Option<u64>,
 }
 
+/// What an answer says of how much its upstream takes.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum SaidLimit {
+    /// Nothing: it takes what comes.
+    #[default]
+    None,
+    /// The requests a second that it takes from all nodes together. Invariant: finite and not below 0.
+    PerSecond(f64),
+    /// Something that is no such number.
+    Unreadable,
+}
+
 /// What an upstream's answer says of itself.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFields {
     /// The identity of the request that it answers.
     pub request_id: Option<String>,
@@ -327,6 +344,8 @@
     pub idle_timeout: Option<Duration>,
     /// Whether the body is encoded, so that it isn't the upstream's own bytes.
     pub is_encoded: bool,
+    /// What it says of how much the upstream takes.
+    pub limit: SaidLimit,
 }
 
 /// A request of the gateway's own to an upstream.
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -391,6 +391,7 @@
             caller_connections: self.ingress.open(),
             upstream_connections: self.upstreams.open_connections(),
             cold_upstreams: directory.iter().filter(|(_, u)| u.is_cold(self.serving.now())).count(),
+            limited_upstreams: self.upstreams.limited(),
             evacuated_domains: self.upstreams.evacuations().borrow().in_force(),
             store_answers: self.loops.store_answers.get(),
         });
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -164,6 +164,9 @@
         let exchange = async {
             let answer = self.upstreams.send(target, connections_max, request).await?;
             let fields = self.wire.decode_answer(answer.head.status, &answer.head.headers);
+            if !fields.wrong_instance {
+                self.upstreams.said_limit(target, now, fields.limit);
+            }
             if fields.not_run || fields.wrong_instance {
                 return Err(CallFailure::Refused);
             }
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -148,7 +148,21 @@
         self.serving.retries.take(self.serving.now(), &self.service, 1)
     }
 
-    pub(super) fn choose(&self) -> Option<Chosen> {
+    /// Chooses the upstream for the next send.
+    fn choose(&self) -> Option<Chosen> {
+        let (chosen, candidates) = self.choose_from()?;
+        self.log_choice("routed", &chosen.target, &candidates);
+        Some(chosen)
+    }
+
+    /// Chooses the upstream near which results are to lie. Nothing is sent there yet.
+    pub(super) fn choose_home(&self) -> Option<Target> {
+        let (chosen, candidates) = self.choose_from()?;
+        self.log_choice("home_chosen", &chosen.target, &candidates);
+        Some(chosen.target)
+    }
+
+    fn choose_from(&self) -> Option<(Chosen, Vec<Candidate>)> {
         let upstreams = &self.serving.upstreams;
         let is_silent = |domain: &str| self.serving.peers.is_silent(domain);
         let untried = |candidate: &Candidate| !self.tried.contains(&candidate.key);
@@ -162,15 +176,14 @@
             None => (choose(&candidates, rand::random())?, None),
         };
         let target = upstreams.target(key)?;
-        self.log_choice(&target, &candidates);
-        Some(Chosen { target, tokens })
+        Some((Chosen { target, tokens }, candidates))
     }
 
-    fn log_choice(&self, target: &Target, candidates: &[Candidate]) {
+    fn log_choice(&self, event: &'static str, target: &Target, candidates: &[Candidate]) {
         let chosen = candidates.iter().find(|candidate| candidate.key == target.key);
         let is_home = self.home.as_ref().is_some_and(|home| home.key == target.key);
         let age = self.serving.upstreams.record_age(self.serving.now());
-        let line = LogLine::event("routed")
+        let line = LogLine::event(event)
             .with("request", &self.request.id)
             .with("pipeline", &self.route.name)
             .with_some("workspace", self.workspace.as_ref().map(|workspace| &workspace.name))
@@ -228,6 +241,7 @@
         let connections_max = self.serving.config.borrow().connections_max(&self.service);
         let request = self.upstream_request(target, left);
         let held = self.serving.blame.hold(target, self.request.content);
+        let sent_at = self.serving.now();
         let sent = self.serving.upstreams.send(target, connections_max, request);
         let sent = tokio::select! {
             sent = self.wait_for(None, sent) => sent,
@@ -261,14 +275,14 @@
             _held: held,
             reads: None,
         };
-        match self.check_head(&mut opened) {
+        match self.check_head(&mut opened, sent_at) {
             None => Ok(opened),
             Some((end, why)) => Err(Unanswered::without_break(end, why)),
         }
     }
 
-    /// Finds what is wrong with the head of an answer.
-    fn check_head(&self, opened: &mut Opened) -> Option<(SendEnd, String)> {
+    /// Finds what is wrong with the head of an answer to a request that left at `sent_at`.
+    fn check_head(&self, opened: &mut Opened, sent_at: Duration) -> Option<(SendEnd, String)> {
         let status = opened.head.status;
         let fields = self.serving.wire.decode_answer(status, &opened.head.headers);
         if fields.wrong_instance {
@@ -277,6 +291,7 @@
         if fields.request_id.as_deref() != Some(&*self.request.id) {
             return Some((SendEnd::Unknown, "the answer is to another request".to_owned()));
         }
+        self.serving.upstreams.said_limit(&opened.target, sent_at, fields.limit);
         if fields.not_run {
             return Some((SendEnd::Refused, format!("refused with status {status}")));
         }
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -49,7 +49,7 @@
 
     pub(super) async fn make_admitted(&mut self) -> Result<(), Refusal> {
         if self.serving.rules.get().placing && self.plan.makes_any(NEAR_BYTES_MIN) {
-            self.home = self.choose().map(|chosen| chosen.target);
+            self.home = self.choose_home();
         }
         for _ in 0..STAGE_ROUNDS_MAX {
             match self.run_stages().await {
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -1,9 +1,10 @@
 //! The upstreams of a node: who they are, their connections, and whom to choose from.
 //!
-//! `access` says what may be sent to one now, `loads` what all nodes have in hand there, `health` who is avoided.
+//! `access` says what may be sent to one now, `limited` what they say that they take, `loads` what all nodes have in hand there, `health` who is avoided.
 
 mod access;
 mod health;
+mod limited;
 mod loads;
 
 pub use loads::LoadGuard;
@@ -17,6 +18,7 @@
         directory::{Change, Directory, Effect, Upstream},
         endings::Run,
         evacuations::Evacuations,
+        limits::Limits,
         model::UpstreamKey,
         position::Position,
         selection::Candidate,
@@ -68,6 +70,7 @@
     nodes: Cell<usize>,
     config: Rc<RefCell<ConfigState>>,
     cold: RefCell<Cold>,
+    limits: RefCell<Limits>,
     /// When records were last read from the store.
     read_at: Cell<Duration>,
 }
@@ -110,6 +113,7 @@
             clock,
             config,
             cold: RefCell::new(cold),
+            limits: RefCell::default(),
             directory: RefCell::default(),
             evacuations: RefCell::default(),
             pools: RefCell::default(),
@@ -182,6 +186,7 @@
             pool.expire();
         }
         self.forget_old_loads(now);
+        self.forget_old_limits(now);
         let effects = self.directory.borrow_mut().expire(now);
         self.settle(effects)
     }
