A limit that an upstream names is kept by all nodes together

What callers saw: two model engines that had said that they take 1 request a second went on getting what others got, 12 and 13 in 4 s; an engine in need that is pressed on ends, and with it what runs there. Cause: no line read the word; each node chose by load alone. Change: the newest word of each start is known by all (answers, heartbeats, questions and their answers, with its age); one node counts for all, found like the owners of services, and every way to an upstream asks it at the moment its first byte would leave: first sends, retries, resumed streams, calls, second makers, releases. It grants by the part of the nodes that it hears, so that parts of a cut fleet stay below 1.25 of the limit together, and starts with nothing saved up. The more urgent go first. What no upstream takes is refused at once (503, 3012) with the time in which what is asked for can be done. Forecasts count a limited maker as the calls that it takes. A word that allows more counts only if its request left after the one that is known came; a new start takes nothing over.

--- a/crates/fernring-core/src/code.rs
+++ b/crates/fernring-core/src/code.rs
@@ -133,6 +133,8 @@
     EndsUpstreams = 3010, NotRun, 429;
     /// All failure domains with upstreams of a stage are evacuated.
     Evacuated = 3011, NotRun, 503;
+    /// All upstreams of a stage have said how much they take, and that is used up.
+    Limited = 3012, NotRun, 503;
 
     /// A stage failed and no retry was possible within the window or the retry budget.
     StageFailed = 4000, Failed, 502;
--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -198,7 +198,7 @@
         request: Request<Full<Bytes>>,
         open_max: usize,
     ) -> Result<Answer, SendFailure> {
-        self.send_if(request, open_max, || Ok(())).await
+        self.send_if(request, open_max, async || Ok(())).await
     }
 
     /// Sends a request like [`Pool::send`], if `check` allows it at the moment at which its first byte would leave:
@@ -210,11 +210,11 @@
         &self,
         request: Request<Full<Bytes>>,
         open_max: usize,
-        mut check: impl FnMut() -> Result<(), Barred>,
+        mut check: impl AsyncFnMut() -> Result<(), Barred>,
     ) -> Result<Answer, SendFailure> {
         let mut request = request;
         while let Some(connection) = self.take_idle().await {
-            check().map_err(SendFailure::Barred)?;
+            check().await.map_err(SendFailure::Barred)?;
             match self.exchange(connection, request).await {
                 Ok(answer) => return Ok(answer),
                 Err(Unsent::Returned(unsent)) => request = *unsent,
@@ -225,7 +225,7 @@
             return Err(SendFailure::NotSent(format!("{} connections are open", self.open())));
         }
         let connection = self.connect().await?;
-        check().map_err(SendFailure::Barred)?;
+        check().await.map_err(SendFailure::Barred)?;
         match self.exchange(connection, request).await {
             Ok(answer) => Ok(answer),
             Err(Unsent::Returned(_)) => Err(SendFailure::NotSent("closed at once".to_owned())),
--- a/crates/fernring-gateway/src/decide/barred.rs
+++ b/crates/fernring-gateway/src/decide/barred.rs
@@ -19,4 +19,7 @@
     /// It is cold, and this node has no turn at it now: see [`crate::cold`].
     #[error("the upstream is cold")]
     Cold,
+    /// It names a limit, and what that allows from all nodes is used up: see [`crate::limits`].
+    #[error("the upstream takes no more now")]
+    Limited,
 }
--- a/crates/fernring-gateway/src/decide/flow.rs
+++ b/crates/fernring-gateway/src/decide/flow.rs
@@ -39,17 +39,17 @@
         self.pace.called(pieces, took, said_pace(shape));
     }
 
-    /// Returns the backlog of the service, which has a number of makers that take work.
+    /// Returns the backlog of the service, of which a number of whole makers take work.
     pub fn backlog(
         &self,
         now: Duration,
         shape: &BatchShape,
-        makers: usize,
+        makers: f64,
         queue: Option<&BatchQueue>,
     ) -> Backlog {
         let (waiting, late) = queue.map(|queue| queue.counts(now, shape)).unwrap_or_default();
         Backlog {
-            rate_per_s: self.pace.per_s(said_pace(shape)) * makers as f64,
+            rate_per_s: self.pace.per_s(said_pace(shape)) * makers,
             arrivals_per_s: self.arrivals.each_ref().map(|arrivals| arrivals.per_s(now)),
             waiting,
             late,
--- a/crates/fernring-gateway/src/measures.rs
+++ b/crates/fernring-gateway/src/measures.rs
@@ -91,6 +91,12 @@
     counter!("fernring_gateway_budget_refused_total", "service" => service).increment(1);
 }
 
+/// Counts a question whether an upstream that names a limit may be sent to.
+pub(crate) fn turn_asked(is_granted: bool) {
+    let outcome = if is_granted { "granted" } else { "denied" };
+    counter!("fernring_gateway_limited_turns_total", "outcome" => outcome).increment(1);
+}
+
 /// What is read off a node when its metrics are rendered.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Readings {
--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -329,6 +329,7 @@
                 if is_leftover {
                     // It would confirm what may have changed while this process stood still.
                     (heartbeat.config_age_ms, heartbeat.directory_age_ms) = (None, None);
+                    heartbeat.limits.clear();
                 }
                 self.heard(sender, &heartbeat);
             }
--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -260,10 +260,15 @@
 
     /// Returns the same at a length at which two don't collide: what binds an upstream must not bind another.
     pub fn run_id(&self) -> u64 {
-        xxh3_64_with_seed(self.instance.as_bytes(), self.started_ms.unwrap_or(0))
+        run_id(&self.instance, self.started_ms)
     }
 }
 
+/// Hashes a start of an upstream.
+pub fn run_id(instance: &str, started_ms: Option<u64>) -> u64 {
+    xxh3_64_with_seed(instance.as_bytes(), started_ms.unwrap_or(0))
+}
+
 /// A part of a prompt that requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -20,7 +20,7 @@
         settings::{NodeSettings, Settings, load},
         stages::Stages,
         store_loops::{Followed, PeerRecords, StoreLoops},
-        upstreams::Upstreams,
+        upstreams::{Counters, Upstreams},
         wire::{Store, Wire},
     },
     anyhow::Context,
@@ -28,7 +28,7 @@
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{
         ConfigBytes, DirectoryRecords, DirectoryRequest, GatewayBody, GatewayHeartbeat, LoadsOf,
-        Nothing,
+        Nothing, TurnAnswer, TurnQuestion,
     },
     http::{Request, Response, StatusCode},
     http_body_util::Full,
@@ -219,6 +219,7 @@
             render,
         });
         peers.set_handler(node.clone());
+        node.upstreams.set_counters(Rc::new(PeerCounters(peers)));
         node.apply_link();
         node
     }
@@ -505,6 +506,8 @@
             GatewayBody::WorkCancel(ticket) => self.stages.cancel(sender, ticket.ticket),
             GatewayBody::Release(release) => self.stages.released(release),
             GatewayBody::Ends(reports) => self.serving.blame.told(sender, reports),
+            GatewayBody::TurnQuestion(question) => self.upstreams.turn_asked(sender, question),
+            GatewayBody::TurnAnswer(answer) => self.upstreams.turn_answered(answer),
         }
     }
 
@@ -542,6 +545,7 @@
             let (failure_domain, word) = evacuation_from(word);
             self.loops.take_evacuation(failure_domain, word, "peer");
         }
+        self.upstreams.told_limits(&heartbeat.limits);
         heartbeat.split_services.iter().for_each(|service| self.stages.said_split(*service));
         let known = [
             (Followed::Config, heartbeat.config_version.into(), heartbeat.config_age_ms),
@@ -565,6 +569,7 @@
         heartbeat.unreachable = self.upstreams.unreachable(self.serving.now());
         let evacuations = self.upstreams.evacuations().borrow();
         heartbeat.evacuations = evacuations.words().map(evacuation_word).collect();
+        heartbeat.limits = self.upstreams.limits_to_tell();
         let link = self.settings.borrow().node.link_bytes_per_s();
         heartbeat.split_services = self.stages.to_be_split(link);
         heartbeat.stage_loads = self.stages.described(loads_of);
@@ -591,6 +596,28 @@
     }
 }
 
+/// The nodes that count at upstreams that name a limit, found like the owners of services.
+struct PeerCounters(Rc<Peers>);
+
+impl Counters for PeerCounters {
+    fn counter(&self, run: u64) -> Option<SocketAddr> {
+        let owner = self.0.owner(&format!("limit {run:016x}"));
+        (owner != self.0.address()).then_some(owner)
+    }
+
+    fn heard(&self) -> usize {
+        self.0.nodes()
+    }
+
+    fn ask(&self, counter: SocketAddr, question: TurnQuestion) {
+        self.0.send(counter, GatewayBody::TurnQuestion(question));
+    }
+
+    fn answer(&self, asker: SocketAddr, answer: TurnAnswer) {
+        self.0.send(asker, GatewayBody::TurnAnswer(answer));
+    }
+}
+
 fn modified_at(path: &Path) -> Option<SystemTime> {
     // A file that is gone for a moment counts as unchanged until it is back.
     std::fs::metadata(path).and_then(|data| data.modified()).ok()
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -3,6 +3,7 @@
 use {
     super::{Owner, outcomes::has_further_call},
     crate::{
+        backlog::{RANKS, rank},
         barred::Barred,
         batching::{Batch, BatchQueue, Bound, Task},
         connections::{BreakOff, SendFailure},
@@ -12,7 +13,7 @@
         measures,
         model::{BatchShape, Piece, PieceOutcome, Service, UpstreamKey},
         pools::MakerPool,
-        upstreams::Target,
+        upstreams::{Sending, Target},
     },
     bytes::Bytes,
     fernring_core::text::LogLine,
@@ -159,10 +160,15 @@
         let pieces: Vec<_> = tasks.iter().map(piece).collect();
         let call = self.wire.encode_batch(&pieces);
         self.count_carried(pool, call.body.len());
-        let request = self.request(target, call.path, call.body);
+        let ranks = tasks.iter().map(|task| rank(task.priority));
+        let sending = Sending {
+            request: self.request(target, call.path, call.body),
+            rank: ranks.min().unwrap_or(0),
+            connections_max,
+        };
         let expected = usual_time(shape, tasks.len());
         let exchange = async {
-            let answer = self.upstreams.send(target, connections_max, request).await?;
+            let answer = self.upstreams.send(target, sending).await?;
             let fields = self.wire.decode_answer(answer.head.status, &answer.head.headers);
             if !fields.wrong_instance {
                 self.upstreams.said_limit(target, now, fields.limit);
@@ -207,13 +213,22 @@
             return;
         };
         let call = self.wire.encode_release(&handles);
-        let request = self.request(&target, call.path, call.body);
-        let connections_max = self.connections_max(key);
+        let sending = Sending {
+            request: self.request(&target, call.path, call.body),
+            rank: RANKS - 1,
+            connections_max: self.connections_max(key),
+        };
         let work = async {
-            let answer = self.upstreams.send_release(&target, connections_max, request).await?;
+            let answer = self.upstreams.send_release(&target, sending).await?;
             answer.body.collect().await.map_err(|e| SendFailure::Broken((&e).into()))
         };
-        if let Ok(Err(error)) = timeout(CALL_GRACE, work).await {
+        let released = timeout(CALL_GRACE, work).await;
+        if let Ok(Err(SendFailure::Barred(_))) = released {
+            // Its upstream takes no more now: with the next ones.
+            self.releases.borrow_mut().entry(key).or_default().extend(handles);
+            return;
+        }
+        if let Ok(Err(error)) = released {
             // The results lapse by themselves; until then they take room.
             let line = LogLine::event("release_failed").with("upstream", &target.instance);
             log::info(line.with("error", error));
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -12,13 +12,14 @@
 use {
     crate::{
         backlog::{Backlog, rank},
+        barred::Barred,
         batching::{BatchQueue, Makers, Taker, Task},
         blame::Blame,
         config::ConfigState,
         content::ContentKey,
         directory::Effect,
         flow::Flow,
-        makers::{Maker, MakerSet},
+        makers::{Maker, MakerSet, usual_time},
         model::{BatchShape, Piece, PieceInput, Service, UpstreamKey, short_hash},
         peers::Peers,
         pools::{Carried, MakerPool, shall_split},
@@ -199,10 +200,16 @@
     /// Returns what waits for some makers; `None` if their service is no stage service.
     pub fn backlog(&self, pool: &MakerPool) -> Option<Backlog> {
         let (_, shape) = self.service(&pool.service)?;
-        Some(self.backlog_before(pool, &shape, self.usable_makers(pool).len()))
+        Some(self.backlog_before(pool, &shape, &self.usable_makers(pool)))
     }
 
-    fn backlog_before(&self, pool: &MakerPool, shape: &BatchShape, makers: usize) -> Backlog {
+    fn backlog_before(
+        &self,
+        pool: &MakerPool,
+        shape: &BatchShape,
+        makers: &[UpstreamKey],
+    ) -> Backlog {
+        let makers = self.whole_makers(pool, shape, makers);
         let queues = self.queues.borrow();
         let mut flows = self.flows.borrow_mut();
         let flow = flows.entry(pool.clone()).or_default();
@@ -274,14 +281,20 @@
     pub async fn run_releases(self: Rc<Self>) {
         loop {
             tokio::time::sleep(RELEASE_DELAY).await;
-            let releases = std::mem::take(&mut *self.releases.borrow_mut());
-            for (key, handles) in releases {
+            for (key, handles) in self.due_releases() {
                 self.forget(key, &handles);
                 spawn_local(self.clone().send_release(key, handles));
             }
         }
     }
 
+    /// Takes the results that are to be given up now. Those at upstreams that take no more wait.
+    fn due_releases(&self) -> Vec<(UpstreamKey, Vec<Arc<str>>)> {
+        let takes_no_more = |key: &UpstreamKey| self.upstreams.takes_no_release(*key);
+        let due = |key: &UpstreamKey, _: &mut Vec<Arc<str>>| !takes_no_more(key);
+        self.releases.borrow_mut().extract_if(due).collect()
+    }
+
     fn forget(&self, key: UpstreamKey, handles: &[Arc<str>]) {
         if let Some(maker) = self.makers.borrow_mut().get_mut(key) {
             for handle in handles {
@@ -321,7 +334,7 @@
             return;
         }
         self.drop_turned_away();
-        self.drop_expired(pool, &shape, makers.len());
+        self.drop_expired(pool, &shape, &makers);
         for (target, room) in self.free_makers(&makers, &shape) {
             let now = self.now();
             let batch = match self.queues.borrow_mut().get_mut(pool) {
@@ -387,7 +400,7 @@
         }
     }
 
-    fn drop_expired(&self, pool: &MakerPool, shape: &BatchShape, makers: usize) {
+    fn drop_expired(&self, pool: &MakerPool, shape: &BatchShape, makers: &[UpstreamKey]) {
         let now = self.now();
         let backlog = self.backlog_before(pool, shape, makers);
         let expired = match self.queues.borrow_mut().get_mut(pool) {
@@ -413,7 +426,7 @@
     /// avoided or cold waits for them.
     fn usable_makers(&self, pool: &MakerPool) -> Vec<UpstreamKey> {
         let is_silent = |domain: &str| self.peers.is_silent(domain);
-        let mut candidates = self.upstreams.candidates(self.now(), &pool.service, is_silent);
+        let mut candidates = self.upstreams.candidates(self.now(), &pool.service, 0, is_silent);
         if pool.failure_domain.is_some() {
             let directory = self.upstreams.directory();
             let domain_of = |key| directory.get(key).map(|u| u.record.failure_domain.clone());
@@ -425,6 +438,26 @@
         usable.map(|candidate| candidate.key).collect()
     }
 
+    /// Returns how many makers without a limit make as much as those that are usable, and those whose limit is used up now. A
+    /// limit that counted as a whole maker would have requests promised that wait for its turns until they are late.
+    fn whole_makers(&self, pool: &MakerPool, shape: &BatchShape, usable: &[UpstreamKey]) -> f64 {
+        let call_s = usual_time(shape, shape.pieces_max).as_secs_f64();
+        let directory = self.upstreams.directory();
+        let share = |key: UpstreamKey| {
+            let upstream = directory.get(key)?;
+            let limit = self.upstreams.limit_of(&upstream.record);
+            let waits = || {
+                let is_covered = pool.covers(&upstream.record.failure_domain);
+                is_covered && self.upstreams.may_send(key) == Err(Barred::Limited)
+            };
+            (usable.contains(&key) || waits()).then(|| limit.map_or(1.0, |l| (l * call_s).min(1.0)))
+        };
+        if self.upstreams.limited() == 0 {
+            return usable.len() as f64;
+        }
+        directory.of_service(&pool.service).filter_map(|(key, _)| share(key)).sum()
+    }
+
     /// Counts the makers of a service that may be sent to, by failure domain.
     pub fn makers_by_domain(&self, service: &str) -> Vec<(Arc<str>, usize)> {
         let mut counts: BTreeMap<Arc<str>, usize> = BTreeMap::new();
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -9,7 +9,7 @@
         model::{UpstreamFields, UpstreamKey},
         refusal::Refusal,
         selection::{Candidate, PromptNeed, choose, choose_model},
-        upstreams::Target,
+        upstreams::{Sending, Target},
     },
     bytes::Bytes,
     fernring_core::{code::ResultCode, text::LogLine},
@@ -90,7 +90,7 @@
         if self.time_left().is_zero() {
             return Err(self.give_up(ResultCode::WindowEnded, &reason));
         }
-        Err(self.give_up(self.no_upstream_code(&self.service), &reason))
+        Err(self.give_up_for_want(&reason))
     }
 
     /// Waits whether a request is turned away, if that is in doubt. Without it harmless requests were refused that had been in hand
@@ -136,11 +136,15 @@
         self.attempts.may_send() && !is_turned_away && !self.time_left().is_zero()
     }
 
-    /// Returns the code for a request that found no upstream of a service.
-    pub(super) fn no_upstream_code(&self, service: &str) -> ResultCode {
-        match self.serving.upstreams.is_evacuated(service) {
-            true => ResultCode::Evacuated,
-            false => ResultCode::NoUpstream,
+    /// Returns the final answer for a request that found no upstream.
+    fn give_up_for_want(&self, reason: &str) -> Refusal {
+        let upstreams = &self.serving.upstreams;
+        if upstreams.is_evacuated(&self.service) {
+            return self.give_up(ResultCode::Evacuated, reason);
+        }
+        match upstreams.limited_for(&self.service, self.rank()) {
+            Some(after) => self.give_up_until(ResultCode::Limited, reason, Some(after)),
+            None => self.give_up(ResultCode::NoUpstream, reason),
         }
     }
 
@@ -166,7 +170,8 @@
         let upstreams = &self.serving.upstreams;
         let is_silent = |domain: &str| self.serving.peers.is_silent(domain);
         let untried = |candidate: &Candidate| !self.tried.contains(&candidate.key);
-        let candidates = upstreams.candidates(self.serving.now(), &self.service, is_silent);
+        let rank = self.rank();
+        let candidates = upstreams.candidates(self.serving.now(), &self.service, rank, is_silent);
         let candidates: Vec<_> = candidates.into_iter().filter(untried).collect();
         let (key, tokens) = match self.prompt_need() {
             Some(need) => {
@@ -238,11 +243,14 @@
 
     async fn send(&self, target: &Target, left: Duration) -> Result<Opened, Unanswered> {
         let load = self.serving.upstreams.load(target.key, self.weight());
-        let connections_max = self.serving.config.borrow().connections_max(&self.service);
-        let request = self.upstream_request(target, left);
+        let sending = Sending {
+            request: self.upstream_request(target, left),
+            rank: self.rank(),
+            connections_max: self.serving.config.borrow().connections_max(&self.service),
+        };
         let held = self.serving.blame.hold(target, self.request.content);
         let sent_at = self.serving.now();
-        let sent = self.serving.upstreams.send(target, connections_max, request);
+        let sent = self.serving.upstreams.send(target, sending);
         let sent = tokio::select! {
             sent = self.wait_for(None, sent) => sent,
             // It hasn't begun to answer there: the upstream may be spared.
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -3,6 +3,7 @@
 use {
     super::Exchange,
     crate::{
+        backlog::rank,
         model::{PieceInput, StageSpec},
         owner::{Work, WorkEnd},
         refusal::Refusal,
@@ -35,6 +36,9 @@
             let detail = format!("service {service}");
             return Err(self.give_up(ResultCode::Evacuated, &detail));
         }
+        if let Some(after) = self.serving.upstreams.limited_for(&self.service, self.rank()) {
+            return Err(self.give_up_until(ResultCode::Limited, "", Some(after)));
+        }
         self.admit()?;
         self.make_admitted().await
     }
@@ -184,6 +188,11 @@
         largest.and_then(|(_, handles)| self.serving.upstreams.domain_of(handles))
     }
 
+    /// Returns the request's rank as an index.
+    pub(super) fn rank(&self) -> usize {
+        rank(self.priority())
+    }
+
     pub(super) fn priority(&self) -> u32 {
         let of_workspace = self.workspace.as_ref().and_then(|workspace| workspace.priority);
         of_workspace.unwrap_or(self.route.priority)
--- a/crates/fernring-gateway/src/upstreams/access.rs
+++ b/crates/fernring-gateway/src/upstreams/access.rs
@@ -15,6 +15,9 @@
     std::{cell::RefCell, time::Duration},
 };
 
+/// The rank that goes before all others.
+const MOST_URGENT: usize = 0;
+
 /// What is known of cold upstreams, and of this node's turns at them.
 #[derive(Debug)]
 pub(super) struct Cold {
@@ -55,7 +58,14 @@
     /// # Errors
     /// With the reason if it may not.
     pub fn may_send(&self, key: UpstreamKey) -> Result<(), Barred> {
-        self.asked(key).map(drop)
+        self.asked(key)?;
+        let directory = self.directory.borrow();
+        let upstream = directory.get(key).ok_or(Barred::Gone)?;
+        let now = self.clock.now().monotonic;
+        match self.takes_no_more(now, &upstream.record, MOST_URGENT) {
+            true => Err(Barred::Limited),
+            false => Ok(()),
+        }
     }
 
     pub(super) fn asked(&self, key: UpstreamKey) -> Result<Option<ColdBounds>, Barred> {
@@ -144,7 +154,7 @@
     /// Tells whether an upstream at which this node has taken a turn may get nothing new any more.
     pub(super) fn barred_since(&self, key: UpstreamKey) -> Result<(), Barred> {
         match self.may_send(key) {
-            Err(Barred::Cold) => Ok(()),
+            Err(Barred::Cold | Barred::Limited) => Ok(()),
             other => other,
         }
     }
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -7,10 +7,10 @@
 mod limited;
 mod loads;
 
-pub use loads::LoadGuard;
+pub use {limited::Counters, loads::LoadGuard};
 
 use {
-    self::{access::Cold, health::Health, loads::PeerLoads},
+    self::{access::Cold, health::Health, limited::Limited, loads::PeerLoads},
     crate::{
         cold::MostNodes,
         config::ConfigState,
@@ -18,8 +18,7 @@
         directory::{Change, Directory, Effect, Upstream},
         endings::Run,
         evacuations::Evacuations,
-        limits::Limits,
-        model::UpstreamKey,
+        model::{UpstreamKey, run_id},
         position::Position,
         selection::Candidate,
         settings::ColdSettings,
@@ -50,6 +49,11 @@
 }
 
 impl Target {
+    /// Returns a hash of the start that is meant, like [`crate::model::UpstreamRecord::run_id`].
+    pub fn run_id(&self) -> u64 {
+        run_id(&self.instance, self.started_ms)
+    }
+
     /// Returns the start that is meant.
     pub fn run(&self) -> Run {
         Run { instance: self.instance.clone(), started_ms: self.started_ms }
@@ -70,11 +74,22 @@
     nodes: Cell<usize>,
     config: Rc<RefCell<ConfigState>>,
     cold: RefCell<Cold>,
-    limits: RefCell<Limits>,
+    limited: RefCell<Limited>,
     /// When records were last read from the store.
     read_at: Cell<Duration>,
 }
 
+/// Something new for an upstream.
+#[derive(Debug)]
+pub struct Sending {
+    /// The request.
+    pub request: Request<Full<Bytes>>,
+    /// Its rank, as an index; 0 goes first.
+    pub rank: usize,
+    /// Connections that the upstream takes from all nodes.
+    pub connections_max: u32,
+}
+
 /// What a send needs to know of its upstream.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -113,7 +128,7 @@
             clock,
             config,
             cold: RefCell::new(cold),
-            limits: RefCell::default(),
+            limited: RefCell::default(),
             directory: RefCell::default(),
             evacuations: RefCell::default(),
             pools: RefCell::default(),
@@ -219,12 +234,13 @@
         self.pools.borrow_mut().remove(key)
     }
 
-    /// Lists the upstreams of a service that may get new work. `is_silent` tells whether a
+    /// Lists the upstreams of a service that may get new work of a rank. `is_silent` tells whether a
     /// failure domain can't be reached.
     pub fn candidates(
         &self,
         now: Duration,
         service: &str,
+        rank: usize,
         is_silent: impl Fn(&str) -> bool,
     ) -> Vec<Candidate> {
         let directory = self.directory.borrow();
@@ -235,6 +251,9 @@
         let candidate = |(key, upstream): (UpstreamKey, &Upstream)| {
             let record = &upstream.record;
             let cold = self.may_send_to(key, upstream, cold_start).ok()?;
+            if self.takes_no_more(now, &upstream.record, rank) {
+                return None;
+            }
             let failed = health.get(key).is_some_and(|health| now < health.avoid_until);
             let peers = totals.get(&record.run_hash()).copied().unwrap_or(0.0);
             Some(Candidate {
@@ -284,22 +303,18 @@
         counts.into_iter().max_by_key(|(_, count)| *count).map(|(domain, _)| domain)
     }
 
-    /// Sends something new to an upstream that takes `connections_max` connections from all nodes, if it may be sent to
-    /// at the moment at which the first byte would leave.
+    /// Sends something new to an upstream, if it may be sent to at the moment at which the first byte would leave.
     ///
     /// # Errors
     /// If no answer came.
-    pub async fn send(
-        &self,
-        target: &Target,
-        connections_max: u32,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Answer, SendFailure> {
+    pub async fn send(&self, target: &Target, sending: Sending) -> Result<Answer, SendFailure> {
+        let Sending { request, rank, connections_max } = sending;
         let pool = self.pool(target)?;
         let has_turn = Cell::new(false);
-        let check = || {
+        let check = async || {
             if !has_turn.get() {
                 self.take_turn(target.key)?;
+                self.take_limited_turn(target, rank).await?;
                 has_turn.set(true);
             }
             self.barred_since(target.key)
@@ -309,17 +324,27 @@
         sent
     }
 
-    /// Sends what is no new work: results that are given up, whatever becomes of the upstream.
+    /// Sends what is no new work: results that are given up, whatever becomes of the upstream. It counts where the upstream
+    /// names a limit.
     ///
     /// # Errors
     /// If no answer came.
     pub async fn send_release(
         &self,
         target: &Target,
-        connections_max: u32,
-        request: Request<Full<Bytes>>,
+        sending: Sending,
     ) -> Result<Answer, SendFailure> {
-        self.pool(target)?.send(request, self.connections_share(connections_max)).await
+        let Sending { request, rank, connections_max } = sending;
+        let has_turn = Cell::new(false);
+        let check = async || {
+            if !has_turn.get() {
+                self.take_limited_turn(target, rank).await?;
+                has_turn.set(true);
+            }
+            Ok(())
+        };
+        let share = self.connections_share(connections_max);
+        self.pool(target)?.send_if(request, share, check).await
     }
 
     /// Returns how many connections this node may open to an upstream that takes `connections_max` from all.
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -10,7 +10,7 @@
     #[prost(string, tag = "1")]
     pub sender: String,
     /// What is said.
-    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub body: Option<GatewayBody>,
 }
 
@@ -53,6 +53,12 @@
     /// Upstreams that ended, and what they had in hand.
     #[prost(message, tag = "13")]
     Ends(EndReports),
+    /// Asks whether a request may be sent to an upstream that names a limit.
+    #[prost(message, tag = "14")]
+    TurnQuestion(TurnQuestion),
+    /// Whether it may.
+    #[prost(message, tag = "15")]
+    TurnAnswer(TurnAnswer),
 }
 
 /// A message without content.
@@ -125,6 +131,57 @@
     /// Short hashes of the services that are to be split between owners, by what the node carries of them.
     #[prost(fixed32, repeated, tag = "21")]
     pub split_services: Vec<u32>,
+    /// What upstreams say that they take.
+    #[prost(message, repeated, tag = "22")]
+    pub limits: Vec<LimitWord>,
+}
+
+/// The newest word of an upstream on how much it takes from all nodes together.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct LimitWord {
+    /// Hash of its start.
+    #[prost(fixed64, tag = "1")]
+    pub run: u64,
+    /// Requests a second; absent if it names no limit any more.
+    #[prost(double, optional, tag = "2")]
+    pub per_s: Option<f64>,
+    /// Time since it was said, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// Asks whether a request may be sent to an upstream that names a limit.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct TurnQuestion {
+    /// The asking node's number for it.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// The upstream, and what the asking node knows of it.
+    #[prost(message, required, tag = "2")]
+    pub word: LimitWord,
+    /// Rank of the request.
+    #[prost(uint32, tag = "3")]
+    pub rank: u32,
+}
+
+/// Whether a request may be sent to an upstream that names a limit.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct TurnAnswer {
+    /// The asking node's number for it.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// The upstream, and what the answering node knows of it.
+    #[prost(message, required, tag = "2")]
+    pub word: LimitWord,
+    /// Whether it may.
+    #[prost(bool, tag = "3")]
+    pub is_granted: bool,
+    /// If not, when the asking node may ask again, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub ask_again_ms: u32,
+    /// If not, when as many requests should be done as are asked for in a second now, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub drained_ms: u32,
 }
 
 /// An operator's newest word on a failure domain.
