--- a/crates/fernring-gateway/tests/testsuite/turns_granted.rs
+++ b/crates/fernring-gateway/tests/testsuite/turns_granted.rs
@@ -250,6 +250,18 @@
     }
 }
 
+/// Nobody asks for a minute, and then a crowd does: what could have been granted meanwhile isn't owed.
+#[test]
+fn a_limit_is_kept_when_a_crowd_comes_after_a_lull() {
+    for limit_per_s in [0.0, 0.5, 1.0, 10.0, 30.0] {
+        let mut grants = Grants::new(Duration::ZERO, 1.0, 0.0);
+        let load = Load { nodes: 1, limit_per_s, wanted_per_s: 0.0, urgent: 1.0 };
+        let crowd = (0..4_000).map(|step| ms(60_000 + step));
+        let sent = crowd.filter(|now| grants.ask(*now, limit_per_s, 1.0, 0, 0.5).is_ok()).count();
+        assert!(sent as f64 <= load.allowed(), "{sent} of {}", load.allowed());
+    }
+}
+
 #[test]
 fn what_an_upstream_takes_goes_to_the_more_urgent_first() {
     for nodes in [9, 300] {
--- a/crates/fernring-standins/examples/soak/faults.rs
+++ b/crates/fernring-standins/examples/soak/faults.rs
@@ -58,8 +58,11 @@
     Config,
     /// A request comes again and again that ends each upstream that runs it.
     Deadly,
+    /// Upstreams name limits, and nothing else happens.
+    Limit,
 }
 
+/// The kinds that are drawn; limits come beside them.
 const ALL: [Kind; 9] = [
     Kind::Kill,
     Kind::Stop,
@@ -85,6 +88,27 @@
     pub(crate) ledger: Arc<Ledger>,
 }
 
+/// Limits that upstreams name, in requests a second.
+const LIMITS_PER_S: [f64; 4] = [0.5, 1.0, 3.0, 10.0];
+
+/// Has upstreams name limits until `end`, beside all other faults.
+pub(crate) async fn run_limits(world: World, mut random: StdRng, end: tokio::time::Instant) {
+    let mut running = tokio::task::JoinSet::new();
+    while tokio::time::Instant::now() + QUIET_END < end {
+        sleep(Duration::from_millis(random.random_range(500..3_000))).await;
+        let per_s = LIMITS_PER_S.choose(&mut random).copied().unwrap_or(1.0);
+        let time = Duration::from_millis(random.random_range(3_000..9_000));
+        let Some(upstream) = world.upstreams.any(random.random::<u32>() as usize) else { continue };
+        world.ledger.fault("Limit");
+        running.spawn(async move {
+            upstream.name_limit(Some(per_s));
+            sleep(time).await;
+            upstream.name_limit(None);
+        });
+    }
+    while running.join_next().await.is_some() {}
+}
+
 /// Does faults until `end`, one after the other and some at once.
 ///
 /// # Errors
@@ -135,6 +159,8 @@
             Kind::StoreSilent => self.outage(Mode::Silent, time).await,
             Kind::Config => self.configure(version).await,
             Kind::Deadly => self.repeat_deadly(draw).await,
+            // They come by themselves.
+            Kind::Limit => Ok(()),
         }
     }
 
--- a/crates/fernring-standins/examples/soak/ledger.rs
+++ b/crates/fernring-standins/examples/soak/ledger.rs
@@ -15,6 +15,14 @@
 /// Ends after that by way of sound nodes.
 const LATE_ENDS_MAX: usize = 3;
 
+/// Time after the first request to an upstream that names a limit until all nodes have to know of it.
+const LIMIT_KNOWN_WITHIN: Duration = Duration::from_millis(1_500);
+/// The span in which requests to such an upstream are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// How many times the limit may come in it, and how many requests besides.
+const LIMIT_OVERAGE: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+
 /// What a request may do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) enum Kind {
@@ -76,6 +84,34 @@
     runs: Vec<String>,
 }
 
+/// A limit that an upstream named for some time.
+#[derive(Debug)]
+struct NamedLimit {
+    per_s: f64,
+    is_over: bool,
+    /// When requests came meanwhile.
+    reached: Vec<Instant>,
+}
+
+impl NamedLimit {
+    fn allowed(&self) -> usize {
+        (self.per_s * LIMIT_OVERAGE * LIMIT_SPAN.as_secs_f64() + LIMIT_SLACK) as usize
+    }
+
+    /// Returns the most requests in any span in which all nodes have to know of it.
+    fn most_in_span(&self) -> usize {
+        let Some(first) = self.reached.first() else {
+            return 0;
+        };
+        let known_at = *first + LIMIT_KNOWN_WITHIN;
+        let known = &self.reached[self.reached.partition_point(|at| *at < known_at)..];
+        let within = |(index, from): (usize, &Instant)| {
+            known[index..].partition_point(|at| *at < *from + LIMIT_SPAN)
+        };
+        known.iter().enumerate().map(within).max().unwrap_or(0)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     asked: HashMap<String, Asked>,
@@ -85,6 +121,8 @@
     faults: BTreeMap<String, u32>,
     /// When upstreams ended under a deadly request, and at which node it had been asked, by its body.
     ends: BTreeMap<String, Vec<(Instant, usize)>>,
+    /// Limits that upstreams named, those in force last.
+    limits: BTreeMap<String, Vec<NamedLimit>>,
     /// Results that a stage has made, by request and stage.
     results: HashMap<(String, u32), HashMap<String, u32>>,
 }
@@ -158,6 +196,24 @@
         self.lock().leaving.insert(instance.to_owned(), Instant::now());
     }
 
+    /// Takes in that an upstream names a limit, or none any more.
+    pub(crate) fn names_limit(&self, instance: &str, per_s: Option<f64>) {
+        let mut inner = self.lock();
+        let named = inner.limits.entry(instance.to_owned()).or_default();
+        named.iter_mut().for_each(|limit| limit.is_over = true);
+        let new = |per_s| NamedLimit { per_s, is_over: false, reached: Vec::new() };
+        named.extend(per_s.map(new));
+    }
+
+    /// Takes in that a request of any kind has reached the upstream that it was meant for.
+    pub(crate) fn reached(&self, instance: &str) {
+        let mut inner = self.lock();
+        let named = inner.limits.get_mut(instance).and_then(|named| named.last_mut());
+        if let Some(limit) = named.filter(|limit| !limit.is_over) {
+            limit.reached.push(Instant::now());
+        }
+    }
+
     /// Takes in that an upstream runs a request.
     pub(crate) fn runs(&self, id: &str, path: &str, instance: &str) {
         let mut inner = self.lock();
@@ -219,6 +275,17 @@
                 broken.push(format!("{body} ended {} upstreams", ends.len()));
             }
         }
+        let named =
+            || inner.limits.iter().flat_map(|(of, named)| named.iter().map(move |l| (of, l)));
+        for (instance, limit) in named() {
+            let (most, allowed) = (limit.most_in_span(), limit.allowed());
+            if most > allowed {
+                let per_s = limit.per_s;
+                broken.push(format!(
+                    "{instance} takes {per_s} a second and got {most} in 4 s, of {allowed}"
+                ));
+            }
+        }
         let mut numbers: BTreeMap<(Kind, String), usize> = BTreeMap::new();
         for (id, asked) in &inner.asked {
             if asked.kind.runs_once() && asked.runs.len() > 1 {
@@ -246,6 +313,10 @@
         for (fault, number) in &inner.faults {
             summary.push_str(&format!("fault    {fault:14} {number}\n"));
         }
+        let limits: Vec<_> = named()
+            .map(|(_, limit)| (limit.per_s, limit.most_in_span(), limit.allowed()))
+            .collect();
+        summary.push_str(&format!("limits   {limits:?} (a second, most in 4 s, allowed)\n"));
         let ends: Vec<_> = inner.ends.values().map(Vec::len).collect();
         summary.push_str(&format!("ends     {ends:?}\nasked {asked} served {served}"));
         Report { summary, broken, served, asked }
--- a/crates/fernring-standins/examples/soak/main.rs
+++ b/crates/fernring-standins/examples/soak/main.rs
@@ -60,9 +60,15 @@
     nodes.until_ready().await.context("the nodes did not get ready")?;
     let end = tokio::time::Instant::now() + Duration::from_secs(args.seconds);
     let world = faults::World { store, upstreams, nodes: nodes.clone(), ledger: ledger.clone() };
-    let faults = faults::run(world, StdRng::seed_from_u64(args.seed), args.only, end);
+    let has_limits = args.only.is_none_or(|kind| kind == faults::Kind::Limit);
+    let limits = async {
+        if has_limits {
+            faults::run_limits(world.clone(), StdRng::seed_from_u64(!args.seed), end).await;
+        }
+    };
+    let faults = faults::run(world.clone(), StdRng::seed_from_u64(args.seed), args.only, end);
     let load = callers::run(nodes.clone(), ledger.clone(), args.seed, args.rate, end);
-    let (faults, ()) = tokio::join!(faults, load);
+    let (faults, (), ()) = tokio::join!(faults, limits, load);
     faults?;
     tokio::time::sleep(REST).await;
     let report = ledger
--- a/crates/fernring-standins/examples/soak/upstreams.rs
+++ b/crates/fernring-standins/examples/soak/upstreams.rs
@@ -64,6 +64,8 @@
     pub(crate) address: SocketAddr,
     /// Set when it is gone: connections end at once.
     gone: watch::Sender<bool>,
+    /// Requests a second that it says it takes from all nodes.
+    limit_per_s: Mutex<Option<f64>>,
     ledger: Arc<Ledger>,
     made: AtomicU64,
 }
@@ -102,6 +104,7 @@
             service,
             address: listener.local_addr()?,
             gone: watch::Sender::new(false),
+            limit_per_s: Mutex::default(),
             ledger: self.ledger.clone(),
             made: AtomicU64::new(0),
         });
@@ -123,12 +126,30 @@
         (index < live.len()).then(|| live.swap_remove(index))
     }
 
+    /// Returns any upstream.
+    pub(crate) fn any(&self, draw: usize) -> Option<Arc<Upstream>> {
+        let live = self.lock();
+        live.get(draw % live.len().max(1)).cloned()
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Arc<Upstream>>> {
         self.live.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Upstream {
+    /// Names a limit from now on, or none any more.
+    pub(crate) fn name_limit(&self, per_s: Option<f64>) {
+        *self.limit_per_s.lock().unwrap_or_else(PoisonError::into_inner) = per_s;
+        self.ledger.names_limit(&self.instance, per_s);
+    }
+
+    /// Returns what its answers say of how much it takes.
+    fn limit_header(&self) -> String {
+        let per_s = *self.limit_per_s.lock().unwrap_or_else(PoisonError::into_inner);
+        per_s.map(|per_s| format!("Server-Limit: {per_s}\r\n")).unwrap_or_default()
+    }
+
     /// Ends it at once, with all its connections.
     pub(crate) fn crash(&self) {
         self.gone.send_replace(true);
@@ -164,16 +185,19 @@
 
     /// Answers a request; tells whether the connection is kept.
     async fn reply(&self, request: &Message, stream: &mut TcpStream) -> bool {
-        if request.path() == "/fernring/stage-free" {
-            return write(stream, "200 OK", "", "").await;
-        }
         let id = request.header("request-id").unwrap_or_default().to_owned();
+        let limit = self.limit_header();
         if request.header("expect-instance") != Some(&self.instance) {
-            return write(stream, "421 Misdirected", &format!("Request-Id: {id}\r\n"), "").await;
+            let headers = format!("Request-Id: {id}\r\n{limit}");
+            return write(stream, "421 Misdirected", &headers, "").await;
+        }
+        self.ledger.reached(&self.instance);
+        if request.path() == "/fernring/stage-free" {
+            return write(stream, "200 OK", &limit, "").await;
         }
         let fate = rand::rng().random::<f64>();
         if fate < REFUSED_PART {
-            let headers = format!("Request-Id: {id}\r\nNot-Run: 1\r\n");
+            let headers = format!("Request-Id: {id}\r\nNot-Run: 1\r\n{limit}");
             return write(stream, "503 Full", &headers, "").await;
         }
         let fate = fate - REFUSED_PART;
@@ -199,7 +223,7 @@
         if fate < LOST_PART {
             return false;
         }
-        let headers = format!("Request-Id: {id}\r\nServer-Stamp: {}\r\n", self.instance);
+        let headers = format!("Request-Id: {id}\r\nServer-Stamp: {}\r\n{limit}", self.instance);
         if fate < LOST_PART + FAILED_PART {
             return write(stream, "500 Failed", &headers, "failed").await;
         }
@@ -237,7 +261,8 @@
         if fate < LOST_PART + FAILED_PART + CUT_PART {
             return false;
         }
-        write(stream, "200 OK", "", &json!({"items": results}).to_string()).await
+        let limit = self.limit_header();
+        write(stream, "200 OK", &limit, &json!({"items": results}).to_string()).await
     }
 
     fn make(&self, item: &Value) -> Value {
--- a/crates/fernring-standins/tests/testsuite/soak.rs
+++ b/crates/fernring-standins/tests/testsuite/soak.rs
@@ -23,6 +23,12 @@
     soak(303, 15, 60, &["--only", "deadly"]);
 }
 
+/// Upstreams of plain requests, streams and pieces name limits one after the other, and several at once.
+#[test]
+fn limits_that_upstreams_name_are_kept() {
+    soak(501, 15, 80, &["--only", "limit"]);
+}
+
 #[test]
 fn promises_hold_under_faults_of_all_kinds() {
     soak(311, 20, 40, &[]);
