Pieces of a failure domain whose makers have gone are made in another

Cause: while a service is split, pieces wait for the makers of one failure domain; when these left, nobody looked at the pieces again before their time was over, and the asking node kept to that domain. Change: the owner ends such works at once with a word of their own (outcome 5), and the asking node asks the owner of another domain that has makers, within the three tries that a lost owner has. A node from before takes the word for a failure.

--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -263,6 +263,11 @@
         &self.upstreams
     }
 
+    /// Returns the number of live nodes that this one knows, itself included.
+    pub fn peer_count(&self) -> usize {
+        self.peers.nodes()
+    }
+
     /// Returns the version of the configuration in force.
     pub fn config_version(&self) -> u64 {
         self.config.borrow().version()
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -92,6 +92,8 @@
     OwnerLost,
     /// Upstreams ended under their request.
     TurnedAway,
+    /// The failure domain that they wait for has no makers any more, and others have some.
+    NoMakers,
 }
 
 impl WorkEnd {
@@ -104,6 +106,7 @@
             Self::Failed => "failed",
             Self::OwnerLost => "owner_lost",
             Self::TurnedAway => "turned_away",
+            Self::NoMakers => "no_makers",
         }
     }
 }
@@ -329,9 +332,16 @@
             return;
         }
         let makers = self.usable_makers(pool);
-        if makers.is_empty() && self.upstreams.is_evacuated(&pool.service) {
-            self.fail_waiting(pool);
-            return;
+        if makers.is_empty() {
+            if self.upstreams.is_evacuated(&pool.service) {
+                self.end_waiting(pool, &WorkEnd::Failed);
+                return;
+            }
+            // They would wait here until their time is over, while makers elsewhere may be idle.
+            if pool.failure_domain.is_some() && !self.makers_by_domain(&pool.service).is_empty() {
+                self.end_waiting(pool, &WorkEnd::NoMakers);
+                return;
+            }
         }
         self.drop_turned_away();
         self.drop_expired(pool, &shape, &makers);
@@ -378,11 +388,11 @@
         }
     }
 
-    /// Fails the works of which pieces wait: nobody may make them, and their callers are told now.
-    fn fail_waiting(&self, pool: &MakerPool) {
+    /// Ends the works of which pieces wait: nobody may make them here, and who asked is told now.
+    fn end_waiting(&self, pool: &MakerPool, end: &WorkEnd) {
         let waiting = self.queues.borrow().get(pool).map(BatchQueue::works).unwrap_or_default();
         for work in waiting {
-            self.end_work(work, WorkEnd::Failed);
+            self.end_work(work, end.clone());
         }
     }
 
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -70,7 +70,7 @@
                     return Err(self.give_up(ResultCode::NoUpstream, "a stage failed"));
                 }
                 WorkEnd::Late => return Err(self.give_up(ResultCode::ExpiredInQueue, "stage")),
-                WorkEnd::Failed | WorkEnd::OwnerLost => {
+                WorkEnd::Failed | WorkEnd::OwnerLost | WorkEnd::NoMakers => {
                     let evacuated = self.evacuated_service();
                     let code = evacuated.map_or(ResultCode::NoUpstream, |_| ResultCode::Evacuated);
                     return Err(self.give_up(code, "a stage failed"));
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -179,7 +179,7 @@
     }
 
     /// Has the pieces of a stage made. Dropping the future cancels them.
-    pub async fn make(&self, work: Work) -> WorkEnd {
+    pub async fn make(&self, mut work: Work) -> WorkEnd {
         let started = self.clock.now().monotonic;
         for _ in 0..OWNERS_MAX {
             let owner = self.owner_of(&work.pool);
@@ -189,6 +189,11 @@
             let end = receiver.await.unwrap_or(WorkEnd::OwnerLost);
             guard.cancel = None;
             drop(guard);
+            if end == WorkEnd::NoMakers {
+                self.log_end(&work, owner, started, &end);
+                work.pool = self.pool_for(&work.pool.service, None, &work.request_id);
+                continue;
+            }
             if end != WorkEnd::OwnerLost {
                 self.log_end(&work, owner, started, &end);
                 return end;
@@ -310,6 +315,7 @@
             1 => WorkEnd::Late,
             2 => WorkEnd::InputGone,
             4 => WorkEnd::TurnedAway,
+            5 => WorkEnd::NoMakers,
             _ => WorkEnd::Failed,
         };
         drop(pending.reply.send(end));
@@ -398,6 +404,7 @@
         WorkEnd::InputGone => (2, Vec::new()),
         WorkEnd::Failed | WorkEnd::OwnerLost => (3, Vec::new()),
         WorkEnd::TurnedAway => (4, Vec::new()),
+        WorkEnd::NoMakers => (5, Vec::new()),
     };
     StageDone { ticket, outcome, handles: handles.iter().map(|h| h.to_string()).collect() }
 }
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -386,7 +386,7 @@
     /// The asking node's number for them.
     #[prost(uint64, tag = "1")]
     pub ticket: u64,
-    /// 0 made, 1 late, 2 an input is gone, 3 failed, 4 turned away.
+    /// 0 made, 1 late, 2 an input is gone, 3 failed, 4 turned away, 5 the failure domain has no makers.
     #[prost(uint32, tag = "2")]
     pub outcome: u32,
     /// Handles of the results, in the order of the pieces.
