--- a/crates/fernring-gateway/tests/testsuite/delegates.rs
+++ b/crates/fernring-gateway/tests/testsuite/delegates.rs
@@ -39,6 +39,8 @@
     nodes: usize,
     interval: Duration,
     named: Vec<usize>,
+    /// Whether it tells a word that the sender knows.
+    tells: bool,
 }
 
 struct Node {
@@ -52,6 +54,8 @@
     /// Live peers that it has taken for lost.
     wrongly_lost: usize,
     frames: usize,
+    /// Whether it knows a word that heartbeats tell.
+    knows: bool,
 }
 
 struct Fleet {
@@ -103,6 +107,7 @@
                 frozen_until: Duration::ZERO,
                 wrongly_lost: 0,
                 frames: 0,
+                knows: false,
             }
         });
         let nodes = nodes.collect();
@@ -190,6 +195,7 @@
             nodes: sender.me.nodes,
             interval: pace.interval(),
             named: named.sample(&mut self.random, 4),
+            tells: sender.knows,
         };
         let mut transit = self.random.random_range(TRANSIT);
         if self.random.random_ratio(1, RESENT_ONE_IN) {
@@ -221,6 +227,7 @@
             ..Member::new(address(from), domain(from).into())
         };
         let is_new = hearer.members.heard(now, member);
+        hearer.knows |= frame.tells;
         let others = frame.named.iter().filter(|other| **other != to);
         hearer.members.suggest(now, others.map(|other| address(*other)));
         if !is_new {
@@ -458,3 +465,35 @@
         }
     }
 }
+
+/// What an upstream says of how much it takes rides on heartbeats. All nodes have to know it well before the three seconds from
+/// which on it binds, whichever node has heard it first, and also right after more than half of all nodes are gone.
+#[test]
+fn a_word_in_heartbeats_is_everywhere_within_a_second_and_a_half() {
+    let bound = Duration::from_millis(1_500);
+    for (seed, count) in [(31, 9), (32, 89), (33, 300)] {
+        let mut fleet = Fleet::settled(seed, count);
+        let mut longest = Duration::ZERO;
+        for (turn, from) in [count - 1, count / 2, 0].into_iter().enumerate() {
+            if turn == 2 {
+                (0..count)
+                    .filter(|node| node % 9 < 5)
+                    .for_each(|node| fleet.nodes[node].is_up = false);
+                fleet.until_agreed();
+                fleet.run_for(SECOND * 3);
+            }
+            let from = (from..count).find(|node| fleet.nodes[*node].is_up).unwrap();
+            fleet.nodes.iter_mut().for_each(|node| node.knows = false);
+            // What is still on the way is of the turn before.
+            fleet.events.retain(|Reverse((.., event))| !matches!(event, Event::Heartbeat { frame, .. } if frame.tells));
+            fleet.nodes[from].knows = true;
+            let start = fleet.now;
+            while !fleet.up().all(|node| node.knows) {
+                fleet.run_for(Duration::from_millis(50));
+                assert!(fleet.now <= start + bound, "{count} nodes, from {from}");
+            }
+            longest = longest.max(fleet.now - start);
+        }
+        println!("{count} nodes: {longest:?}");
+    }
+}
