Times to come back count what all limited upstreams of a service do together; an absurd limit is said once

Cause: the time of the upstream that is done first was told, though nearly every request was asked for at each of them: three times too long with three alike (worked out: 9 s each alone, 3 s together). A line was written with every answer that named no number.

--- a/crates/fernring-gateway/src/decide/turns_granted.rs
+++ b/crates/fernring-gateway/src/decide/turns_granted.rs
@@ -22,6 +22,8 @@
 const ASK_AGAIN_MAX: Duration = Duration::from_secs(1);
 /// Shortest such time.
 const ASK_AGAIN_MIN: Duration = Duration::from_millis(10);
+/// Shortest time in which an upstream can do what is asked for.
+const DRAINED_MIN: Duration = Duration::from_millis(10);
 /// Longest time that is told until what is asked for now can be done.
 const DRAINED_MAX: Duration = Duration::from_secs(60);
 
@@ -40,6 +42,13 @@
     (part * OVERSIZE).min(1.0)
 }
 
+/// Returns when several upstreams together should have done what is asked for that each would have done alone after some time:
+/// nearly every request was asked for at each of them. `None` if there are none.
+pub fn drained_together(alone: &[Duration]) -> Option<Duration> {
+    let per_s = |time: &Duration| 1.0 / (*time).max(DRAINED_MIN).as_secs_f64();
+    (!alone.is_empty()).then(|| seconds(1.0 / alone.iter().map(per_s).sum::<f64>()))
+}
+
 /// What a node has granted at one upstream.
 #[derive(Debug)]
 pub struct Grants {
--- a/crates/fernring-gateway/src/upstreams/limited.rs
+++ b/crates/fernring-gateway/src/upstreams/limited.rs
@@ -11,7 +11,7 @@
         limits::{LimitChange, LimitWord, Limits},
         log, measures,
         model::{SaidLimit, UpstreamKey, UpstreamRecord},
-        turns_granted::{Denied, Grants, part_of},
+        turns_granted::{Denied, Grants, drained_together, part_of},
     },
     fernring_core::text::LogLine,
     fernring_protocol::gateway::{self, TurnAnswer, TurnQuestion},
@@ -66,6 +66,8 @@
     grants: HashMap<u64, Grants>,
     /// Questions that wait for their answers.
     pending: HashMap<u64, oneshot::Sender<TurnAnswer>>,
+    /// Starts whose last answer named a limit that is no number: said once, not with each answer.
+    refused: HashSet<u64>,
     last_ticket: u64,
     /// Words told so far, for whose turn it is.
     told: usize,
@@ -110,15 +112,19 @@
 
     /// Takes in what an answer of an upstream says of how much it takes, whose request left at `sent_at`.
     pub fn said_limit(&self, target: &Target, sent_at: Duration, said: SaidLimit) {
+        let (now, run) = (self.clock.now().monotonic, target.run_id());
+        let mut limited = self.limited.borrow_mut();
         if said == SaidLimit::Unreadable {
             // What was known stays.
-            log::warn(LogLine::event("upstream_limit_refused").with("upstream", &target.instance));
+            if limited.refused.insert(run) {
+                let line = LogLine::event("upstream_limit_refused");
+                log::warn(line.with("upstream", &target.instance));
+            }
             return;
         }
-        let now = self.clock.now().monotonic;
-        let change = self.limited.borrow_mut().limits.heard(now, target.run_id(), sent_at, said);
-        if let Some(change) = change {
-            log_limit(target.run_id(), change, &target.instance);
+        limited.refused.remove(&run);
+        if let Some(change) = limited.limits.heard(now, run, sent_at, said) {
+            log_limit(run, change, &target.instance);
         }
     }
 
@@ -189,16 +195,16 @@
         let able = directory
             .of_service(service)
             .filter(|(key, upstream)| self.may_send_to(*key, upstream, cold_start).is_ok());
-        let mut soonest = None;
+        let mut drained = Vec::new();
         for (_, upstream) in able {
             let run = upstream.record.run_id();
             if !limited.is_closed(now, run, rank) {
                 return None;
             }
             let drained_at = limited.closed.get(&run).map(|closed| closed.drained_at)?;
-            soonest = Some(soonest.map_or(drained_at, |soonest: Duration| soonest.min(drained_at)));
+            drained.push(drained_at.saturating_sub(now));
         }
-        soonest.map(|at| at.saturating_sub(now))
+        drained_together(&drained)
     }
 
     /// Asks for a turn at an upstream if it names a limit.
@@ -318,12 +324,13 @@
 
     pub(super) fn forget_old_limits(&self, now: Duration) {
         let mut limited = self.limited.borrow_mut();
-        if limited.limits.is_empty() {
+        if limited.limits.is_empty() && limited.refused.is_empty() {
             return;
         }
         let directory = self.directory.borrow();
         let runs: HashSet<_> = directory.iter().map(|(_, u)| u.record.run_id()).collect();
-        let Limited { limits, closed, grants, .. } = &mut *limited;
+        let Limited { limits, closed, grants, refused, .. } = &mut *limited;
+        refused.retain(|run| runs.contains(run));
         limits.retain(now, |run| runs.contains(&run));
         closed.retain(|run, _| limits.of(*run).is_some());
         grants.retain(|run, _| limits.of(*run).is_some());
--- a/crates/fernring-gateway/tests/testsuite/turns_granted.rs
+++ b/crates/fernring-gateway/tests/testsuite/turns_granted.rs
@@ -9,7 +9,7 @@
         backlog::RANKS,
         cold::{Asker, Turns},
         model::ColdBounds,
-        turns_granted::{Denied, Grants, part_of},
+        turns_granted::{Denied, Grants, drained_together, part_of},
     },
     rand::{RngExt, SeedableRng, rngs::StdRng},
     std::{collections::VecDeque, time::Duration},
@@ -296,3 +296,14 @@
     // A hundred a second come, and five are taken.
     assert!((ms(15_000)..ms(25_000)).contains(&longest), "{longest:?}");
 }
+
+/// Callers were told the time of the upstream that is done first, three times as long as three alike take together.
+#[test]
+fn upstreams_do_together_what_each_would_have_done_alone() {
+    let together = drained_together(&[ms(9_000), ms(9_000), ms(9_000)]).unwrap();
+    assert!((ms(2_990)..=ms(3_010)).contains(&together), "{together:?}");
+    let unlike = drained_together(&[ms(1_000), ms(60_000)]).unwrap();
+    assert!((ms(950)..ms(1_000)).contains(&unlike), "{unlike:?}");
+    assert!(drained_together(&[Duration::ZERO]).unwrap() > Duration::ZERO);
+    assert_eq!(drained_together(&[]), None);
+}
