A node that wakes reads what binds it before it sends

The users' rule excuses a node that stood still; ours doesn't. Cause: a node that had stood still for 2.4 s sent what callers had asked for meanwhile, eight requests within 8 ms of waking, before it read what its peers had said (20:05.797 stood_still, 20:05.799 to .807 routed, 20:05.814 upstream_limit).

--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -183,6 +183,11 @@
         role.is_delegate() && !role.is_mesh()
     }
 
+    /// Tells whether peers may have said something that binds this node and that it hasn't read yet.
+    pub fn is_behind(&self) -> bool {
+        self.stillness.get().is_behind(self.now())
+    }
+
     /// Tells whether all peers of another failure domain are silent.
     pub fn is_silent(&self, failure_domain: &str) -> bool {
         let own = *self.me.borrow().failure_domain == *failure_domain;
@@ -329,7 +334,8 @@
                 if is_leftover {
                     // It would confirm what may have changed while this process stood still.
                     (heartbeat.config_age_ms, heartbeat.directory_age_ms) = (None, None);
-                    heartbeat.limits.clear();
+                    // That one is over may have been said before it was named; a limit that is over is lifted by the next answer.
+                    heartbeat.limits.retain(|word| word.per_s.is_some());
                 }
                 self.heard(sender, &heartbeat);
             }
@@ -378,6 +384,9 @@
             }
             handler.heartbeat(sender, heartbeat);
         }
+        let mut stillness = self.stillness.get();
+        stillness.heard();
+        self.stillness.set(stillness);
     }
 
     /// Sends heartbeats for as long as the process runs.
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -614,6 +614,10 @@
         self.0.nodes()
     }
 
+    fn is_behind(&self) -> bool {
+        self.0.is_behind()
+    }
+
     fn ask(&self, counter: SocketAddr, question: TurnQuestion) {
         self.0.send(counter, GatewayBody::TurnQuestion(question));
     }
--- a/crates/fernring-gateway/src/upstreams/limited.rs
+++ b/crates/fernring-gateway/src/upstreams/limited.rs
@@ -21,7 +21,10 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{sync::oneshot, time::timeout},
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
 };
 
 /// Longest wait for the node that counts: some round trips between failure domains. A request that got no word goes elsewhere.
@@ -30,6 +33,9 @@
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(200);
 /// Time after its start in which a node grants nothing: it may count while it doesn't know of the others yet.
 const START_TIME: Duration = Duration::from_secs(1);
+/// Pause between two looks whether this node has caught up, and how often it looks at most.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(5);
+const CATCH_UP_LOOKS: usize = 80;
 /// Most words that a heartbeat tells, some 400 bytes. Further ones have their turn in the next.
 const TOLD_MAX: usize = 24;
 
@@ -41,6 +47,9 @@
     /// Returns how many nodes are heard, this one included.
     fn heard(&self) -> usize;
 
+    /// Tells whether peers may have named a limit that this node hasn't read yet.
+    fn is_behind(&self) -> bool;
+
     /// Sends a question.
     fn ask(&self, counter: SocketAddr, question: TurnQuestion);
 
@@ -214,6 +223,7 @@
         rank: usize,
     ) -> Result<(), Barred> {
         let run = target.run_id();
+        self.catch_up(run).await;
         let now = self.clock.now().monotonic;
         let counters = {
             let limited = self.limited.borrow();
@@ -238,6 +248,23 @@
         })
     }
 
+    /// Waits for what peers have said while this node stood still, unless a limit of the upstream is known. Without it, what callers
+    /// had asked for meanwhile was all sent at once: 8 requests in 8 ms to an upstream that takes one in two seconds.
+    async fn catch_up(&self, run: u64) {
+        for _ in 0..CATCH_UP_LOOKS {
+            if !self.may_lack_limit(run) {
+                return;
+            }
+            sleep(CATCH_UP_PAUSE).await;
+        }
+    }
+
+    fn may_lack_limit(&self, run: u64) -> bool {
+        let limited = self.limited.borrow();
+        let is_behind = || limited.counters.as_ref().is_some_and(|counters| counters.is_behind());
+        limited.limits.of(run).is_none() && is_behind()
+    }
+
     async fn ask(
         &self,
         counters: &dyn Counters,
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod selection;
 mod settings;
 mod stage_plan;
+mod stillness;
 mod suspects;
 mod turns_granted;
 mod upstreams;
--- a/crates/fernring-standins/tests/testsuite/soak.rs
+++ b/crates/fernring-standins/tests/testsuite/soak.rs
@@ -29,6 +29,20 @@
     soak(501, 15, 80, &["--only", "limit"]);
 }
 
+/// A node stood still for 2.4 s while an upstream named a limit of a request in two seconds. When it woke, it sent what callers
+/// had asked for meanwhile before it read what its peers had said:
+///
+/// ```text
+/// 20:05.797 node-5 stood_still for_ms=2402
+/// 20:05.799 to 20:05.807 node-5 routed upstream=i-19, eight times
+/// 20:05.814 node-5 upstream_limit per_s=0.5
+/// BROKEN i-19 takes 0.5 a second and got 10 in 4 s, of 8
+/// ```
+#[test]
+fn a_node_that_wakes_reads_what_binds_it_before_it_sends() {
+    soak(703, 12, 60, &[]);
+}
+
 #[test]
 fn promises_hold_under_faults_of_all_kinds() {
     soak(311, 20, 40, &[]);
