--- a/crates/fernring-gateway/src/upstreams/limited.rs
+++ b/crates/fernring-gateway/src/upstreams/limited.rs
@@ -249,7 +249,7 @@
     }
 
     /// Waits for what peers have said while this node stood still, unless a limit of the upstream is known. Without it, what callers
-    /// had asked for meanwhile was all sent at once: 8 requests in 8 ms to an upstream that takes one in two seconds.
+    /// had asked for meanwhile is all sent on waking, whatever the upstream takes.
     async fn catch_up(&self, run: u64) {
         for _ in 0..CATCH_UP_LOOKS {
             if !self.may_lack_limit(run) {
