Responses of upstreams: leaving and requested pauses are decoded, logged and counted

All responses of upstreams, those to releases included, now pass one place that decodes them: lines upstream_leaving, upstream_backoff, upstream_header_refused and unknown_response_header, gauges of both states, counters. No decision changes; a limit is now also read from the response to a release. A header that nothing here knows is logged once by name, so that the next new one shows up in the logs.

--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -5,7 +5,7 @@
 //! |---|---|
 //! | is a request admitted? | [`admission`], from [`backlog`] and [`backlogs`] (queued pieces) and [`throughput`] (processing rate) |
 //! | may it be sent again, and when may its caller retry? | [`attempts`], [`budget`], [`retry_after`] |
-//! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`selection`], [`prefill_speed`] |
+//! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`leaving`], [`backoff`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`selection`], [`prefill_speed`] |
 //! | in which regions may it be served? | [`residency`] |
 //! | which pieces go into which call, and which node sends it? | [`batching`], [`workers`], [`worker_pools`], [`dispatch_round`], [`stage_plan`] |
 //! | has an upstream crashed, and under which request? | [`crash_detection`], [`quarantine`] |
@@ -14,12 +14,14 @@
 pub mod attempts;
 pub mod backlog;
 pub mod backlogs;
+pub mod backoff;
 pub mod batching;
 pub mod budget;
 pub mod cold;
 pub mod crash_detection;
 pub mod dispatch_round;
 pub mod eligibility;
+pub mod leaving;
 pub mod limits;
 pub mod permit_issuer;
 pub mod prefill_speed;
--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -388,6 +388,30 @@
     Unreadable,
 }
 
+/// Whether an upstream announces in a response that it is leaving.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LeavingHeader {
+    /// It doesn't.
+    #[default]
+    None,
+    /// It is leaving.
+    Leaving,
+    /// The announced value has no known meaning.
+    Unreadable,
+}
+
+/// Pause that an upstream requests in a response by which it rejects a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum BackoffHeader {
+    /// No pause is requested.
+    #[default]
+    None,
+    /// How long the upstream wants no requests from this node.
+    For(Duration),
+    /// The requested pause is no valid duration.
+    Unreadable,
+}
+
 /// The gateway's own fields in an upstream's response.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseFields {
@@ -407,6 +431,10 @@
     pub is_encoded: bool,
     /// The announced rate limit.
     pub limit: LimitHeader,
+    /// Whether the upstream is leaving.
+    pub leaving: LeavingHeader,
+    /// The requested pause.
+    pub backoff: BackoffHeader,
 }
 
 /// A request that the gateway itself makes to an upstream.
--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -448,6 +448,8 @@
             upstream_connections: self.upstreams.open_connections(),
             cold_upstreams: directory.iter().filter(|(_, u)| u.is_cold(self.serving.now())).count(),
             limited_upstreams: self.upstreams.limited_count(),
+            leaving_upstreams: self.upstreams.announced_leaving_count(),
+            backoff_upstreams: self.upstreams.backoff_count(),
             evacuated_domains: self.upstreams.evacuations().borrow().evacuated_count(),
             store_answers: self.loops.store_answers.get(),
         });
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -186,16 +186,13 @@
                 .iter()
                 .fold(Residency::default(), |all, piece| all.intersect(&piece.residency)),
             connections_max,
+            request_id: None,
         };
         let expected = expected_call_time(batch_config, queued.len());
         let tracked = self.rollouts.track_call(&pool.service, target);
         let exchange = async {
-            let response = self.upstreams.send(target, send).await?;
-            let fields = self.wire.decode_response(response.head.status, &response.head.headers);
-            if !fields.wrong_instance {
-                self.upstreams.record_announced_limit(target, now, fields.limit);
-            }
-            if fields.not_run || fields.wrong_instance {
+            let response = self.upstreams.send(&*self.wire, target, send).await?;
+            if response.fields.not_run || response.fields.wrong_instance {
                 return Err(CallFailure::Refused);
             }
             if response.head.status != StatusCode::OK {
@@ -251,9 +248,10 @@
             // A release holds only handles, and no data of a request.
             residency: Residency::default(),
             connections_max: self.connections_max(key),
+            request_id: None,
         };
         let exchange = async {
-            let response = self.upstreams.send_release(&target, send).await?;
+            let response = self.upstreams.send_release(&*self.wire, &target, send).await?;
             response.body.collect().await.map_err(|e| SendFailure::Broken((&e).into()))
         };
         let released = timeout(CALL_TIMEOUT_EXTRA, exchange).await;
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -11,7 +11,7 @@
         rollout::orders::AdmittedVersions,
         selection::{Candidate, PromptDemand, choose, choose_model},
         telemetry,
-        upstreams::{Target, UpstreamSend},
+        upstreams::{DecodedResponse, Target, UpstreamSend},
     },
     bytes::Bytes,
     fernring_core::{code::ResultCode, text::LogLine},
@@ -306,6 +306,7 @@
             rank: self.rank(),
             residency: self.residency.clone(),
             connections_max: self.serving.config.borrow().connections_max(&self.service),
+            request_id: Some(self.request.id.clone()),
         };
         let guard =
             self.serving.crash_attribution.track_in_flight(target, self.request.fingerprint);
@@ -320,8 +321,7 @@
             }
             failed_send
         };
-        let sent_at = self.serving.now();
-        let sent = self.serving.upstreams.send(target, upstream_send);
+        let sent = self.serving.upstreams.send(&*self.serving.wire, target, upstream_send);
         let sent = tokio::select! {
         sent = self.wait_at_most(None, sent) => sent,
         // The upstream hasn't started to respond, so cancelling the request may prevent its crash.
@@ -349,18 +349,22 @@
             }
             Some(Ok(response)) => response,
         };
+        if let Some((outcome, reason)) = check_head(&response) {
+            return Err(failed(FailedSend::without_connection_loss(outcome, reason)));
+        }
+        let DecodedResponse { head, mut body, fields, .. } = response;
+        if let Some(idle_timeout) = fields.idle_timeout {
+            body.set_idle_timeout(idle_timeout);
+        }
         let mut opened = OpenedResponse {
-            head: response.head,
-            body: response.body,
+            head,
+            body,
             target: target.clone(),
             load,
             _attribution_guard: guard,
             tracked: None,
             prefill: None,
         };
-        if let Some((outcome, reason)) = self.check_head(&mut opened, sent_at) {
-            return Err(failed(FailedSend::without_connection_loss(outcome, reason)));
-        }
         if let Some(tracked) = tracked.as_ref().filter(|_| opened.is_failure()) {
             tracked.record_failure();
         }
@@ -368,40 +372,6 @@
         Ok(opened)
     }
 
-    /// Checks the head of a response to a request that was sent at `sent_at`; returns the fault if
-    /// there is one.
-    fn check_head(
-        &self,
-        opened: &mut OpenedResponse,
-        sent_at: Duration,
-    ) -> Option<(SendOutcome, String)> {
-        let status = opened.head.status;
-        let fields = self.serving.wire.decode_response(status, &opened.head.headers);
-        if fields.wrong_instance {
-            return Some((
-                SendOutcome::WrongInstance,
-                "another instance responded at this address".to_owned(),
-            ));
-        }
-        if fields.request_id.as_deref() != Some(&*self.request.id) {
-            return Some((SendOutcome::Unknown, "the response is for another request".to_owned()));
-        }
-        self.serving.upstreams.record_announced_limit(&opened.target, sent_at, fields.limit);
-        if fields.not_run {
-            return Some((SendOutcome::Refused, format!("refused with status {status}")));
-        }
-        if status.is_success() && (!fields.is_signed || fields.is_encoded) {
-            return Some((
-                SendOutcome::Unknown,
-                "the response is unsigned or encoded, so it is not the upstream's own".to_owned(),
-            ));
-        }
-        if let Some(idle_timeout) = fields.idle_timeout {
-            opened.body.set_idle_timeout(idle_timeout);
-        }
-        None
-    }
-
     fn upstream_request(&self, target: &Target, left: Duration) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.request.body.clone()));
         *request.method_mut() = self.request.method.clone();
@@ -448,3 +418,27 @@
         log::info(line);
     }
 }
+
+/// Checks the head of a response; returns the fault if there is one.
+fn check_head(response: &DecodedResponse) -> Option<(SendOutcome, String)> {
+    let DecodedResponse { head, fields, .. } = response;
+    if fields.wrong_instance {
+        return Some((
+            SendOutcome::WrongInstance,
+            "another instance responded at this address".to_owned(),
+        ));
+    }
+    if !response.is_for_request {
+        return Some((SendOutcome::Unknown, "the response is for another request".to_owned()));
+    }
+    if fields.not_run {
+        return Some((SendOutcome::Refused, format!("refused with status {}", head.status)));
+    }
+    if head.status.is_success() && (!fields.is_signed || fields.is_encoded) {
+        return Some((
+            SendOutcome::Unknown,
+            "the response is unsigned or encoded, so it is not the upstream's own".to_owned(),
+        ));
+    }
+    None
+}
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -100,6 +100,16 @@
     counter!("fernring_gateway_limited_turns_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a response by which an upstream requests a pause.
+pub(crate) fn record_backoff() {
+    counter!("fernring_gateway_backoffs_total").increment(1);
+}
+
+/// Counts a header of a response that neither the platform's formats nor HTTP define.
+pub(crate) fn record_unknown_header(name: &str) {
+    counter!("fernring_gateway_unknown_headers_total", "name" => name.to_owned()).increment(1);
+}
+
 /// Values of the gauges, read from a node when its metrics are rendered.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct GaugeValues {
@@ -126,6 +136,10 @@
     pub(crate) cold_upstreams: usize,
     /// Number of upstreams that announce a limit.
     pub(crate) limited_upstreams: usize,
+    /// Number of upstreams that announced in a response that they are leaving.
+    pub(crate) leaving_upstreams: usize,
+    /// Number of upstreams that want no requests from this node at present.
+    pub(crate) backoff_upstreams: usize,
     /// Number of evacuated failure domains.
     pub(crate) evacuated_domains: usize,
     /// Whether the last call to the store succeeded.
@@ -157,6 +171,8 @@
         .set(values.upstream_connections as f64);
     gauge!("fernring_gateway_cold_upstreams").set(values.cold_upstreams as f64);
     gauge!("fernring_gateway_limited_upstreams").set(values.limited_upstreams as f64);
+    gauge!("fernring_gateway_leaving_upstreams").set(values.leaving_upstreams as f64);
+    gauge!("fernring_gateway_backoff_upstreams").set(values.backoff_upstreams as f64);
     gauge!("fernring_gateway_evacuated_domains").set(values.evacuated_domains as f64);
     gauge!("fernring_gateway_store_answers").set(f64::from(u8::from(values.store_answers)));
 }
--- a/crates/fernring-gateway/src/upstreams/announced_limits.rs
+++ b/crates/fernring-gateway/src/upstreams/announced_limits.rs
@@ -140,7 +140,7 @@
 
     /// Records the limit that a response of an upstream announces. The request was sent at
     /// `sent_at`.
-    pub fn record_announced_limit(
+    pub(super) fn record_announced_limit(
         &self,
         target: &Target,
         sent_at: Duration,
--- /dev/null
+++ b/crates/fernring-gateway/src/upstreams/announcements.rs
@@ -0,0 +1,165 @@
+//! What upstreams announce in their responses: that they are leaving, that they want a pause, and
+//! which requests a second they take ([`super::announced_limits`]).
+//!
+//! All responses of upstreams pass through [`Upstreams::record_response`].
+
+use {
+    super::{Target, Upstreams},
+    crate::{
+        backoff::Backoffs,
+        leaving::LeavingUpstreams,
+        log,
+        model::{BackoffHeader, LeavingHeader, ResponseFields},
+        telemetry,
+        wire::Wire,
+    },
+    fernring_core::text::LogLine,
+    http::{HeaderMap, HeaderName},
+    std::{
+        collections::{HashMap, HashSet},
+        time::Duration,
+    },
+};
+
+/// Most names of unknown headers that are logged and counted.
+const UNKNOWN_HEADERS_MAX: usize = 64;
+/// How long an unreadable header of an incarnation isn't logged again.
+const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(60);
+
+/// What upstreams announced in their responses, except limits.
+#[derive(Debug, Default)]
+pub(super) struct Announcements {
+    leaving: LeavingUpstreams,
+    backoffs: Backoffs,
+    /// When each incarnation last sent a header that can't be decoded. Logged once, not for each
+    /// response.
+    unreadable: HashMap<(u64, &'static str), Duration>,
+    unknown_headers: HashSet<HeaderName>,
+}
+
+impl Announcements {
+    fn log_unreadable(&mut self, now: Duration, target: &Target, what: &'static str) {
+        let entry = self.unreadable.entry((target.incarnation_id(), what));
+        let mut is_new = false;
+        entry.or_insert_with(|| {
+            is_new = true;
+            now
+        });
+        if is_new {
+            let line = LogLine::event("upstream_header_refused").with("upstream", &target.instance);
+            log::warn(line.with("header", what));
+        }
+    }
+}
+
+impl Upstreams {
+    /// Records what a response of an upstream announces. `sent_at` is when its request was sent;
+    /// `is_for_request` says whether it is the response to that request. A connection may still
+    /// deliver the response to an earlier one, whose limit may be outdated.
+    pub(super) fn record_response(
+        &self,
+        target: &Target,
+        sent_at: Duration,
+        fields: &ResponseFields,
+        is_for_request: bool,
+    ) {
+        if fields.wrong_instance {
+            return;
+        }
+        self.record_leaving(target, fields.leaving);
+        self.record_backoff(target, fields.backoff);
+        if is_for_request {
+            self.record_announced_limit(target, sent_at, fields.limit);
+        }
+    }
+
+    fn record_leaving(&self, target: &Target, announced: LeavingHeader) {
+        let now = self.clock.now().monotonic;
+        let mut announcements = self.announcements.borrow_mut();
+        match announced {
+            LeavingHeader::None => {}
+            LeavingHeader::Unreadable => announcements.log_unreadable(now, target, "leaving"),
+            LeavingHeader::Leaving => {
+                if announcements.leaving.record(now, target.incarnation_id()) {
+                    let line =
+                        LogLine::event("upstream_leaving").with("upstream", &target.instance);
+                    log::warn(line.with("from", "response"));
+                }
+            }
+        }
+    }
+
+    fn record_backoff(&self, target: &Target, requested: BackoffHeader) {
+        let now = self.clock.now().monotonic;
+        let mut announcements = self.announcements.borrow_mut();
+        match requested {
+            BackoffHeader::None => {}
+            BackoffHeader::Unreadable => announcements.log_unreadable(now, target, "backoff"),
+            BackoffHeader::For(pause) => {
+                telemetry::record_backoff();
+                let (incarnation_id, draw) = (target.incarnation_id(), rand::random());
+                if announcements.backoffs.record(now, incarnation_id, pause, draw) {
+                    let line =
+                        LogLine::event("upstream_backoff").with("upstream", &target.instance);
+                    log::info(line.with("pause_ms", pause.as_millis()));
+                }
+            }
+        }
+    }
+
+    /// Counts the headers of a response that neither the platform's formats nor HTTP define, and
+    /// logs each name once.
+    pub(super) fn record_unknown_headers(
+        &self,
+        wire: &dyn Wire,
+        target: &Target,
+        headers: &HeaderMap,
+    ) {
+        for name in headers.keys().filter(|name| !wire.is_known_response_header(name)) {
+            let mut announcements = self.announcements.borrow_mut();
+            let unknown_headers = &mut announcements.unknown_headers;
+            if !unknown_headers.contains(name) {
+                if unknown_headers.len() >= UNKNOWN_HEADERS_MAX {
+                    continue;
+                }
+                unknown_headers.insert(name.clone());
+                let line = LogLine::event("unknown_response_header").with("name", name);
+                log::info(line.with("upstream", &target.instance));
+            }
+            telemetry::record_unknown_header(name.as_str());
+        }
+    }
+
+    /// Returns the number of recorded upstreams that announced in a response that they are leaving.
+    pub fn announced_leaving_count(&self) -> usize {
+        let announcements = self.announcements.borrow();
+        let directory = self.directory.borrow();
+        let mut incarnation_ids =
+            directory.iter().map(|(_, upstream)| upstream.record.incarnation_id());
+        match announcements.leaving.is_empty() {
+            true => 0,
+            false => {
+                incarnation_ids.by_ref().filter(|id| announcements.leaving.contains(*id)).count()
+            }
+        }
+    }
+
+    /// Returns the number of upstreams that want no requests from this node at present.
+    pub fn backoff_count(&self) -> usize {
+        self.announcements.borrow().backoffs.active_count(self.clock.now().monotonic)
+    }
+
+    pub(super) fn expire_announcements(&self, now: Duration) {
+        let mut announcements = self.announcements.borrow_mut();
+        let Announcements { leaving, backoffs, unreadable, .. } = &mut *announcements;
+        backoffs.expire(now);
+        unreadable.retain(|_, logged_at| now < *logged_at + UNREADABLE_LOG_INTERVAL);
+        if leaving.is_empty() {
+            return;
+        }
+        let directory = self.directory.borrow();
+        let recorded: HashSet<_> =
+            directory.iter().map(|(_, upstream)| upstream.record.incarnation_id()).collect();
+        leaving.expire(now, |incarnation_id| recorded.contains(&incarnation_id));
+    }
+}
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -1,11 +1,13 @@
 //! The upstreams of a node: their records, their connections, and the candidates for a request.
 //!
-//! The module `access` checks which sends to an upstream are allowed now, `announced_limits`
-//! handles the limits that upstreams announce, `loads` adds up the work of all nodes in flight
-//! there, `health` decides which upstreams are avoided, `versions` which versions get requests.
+//! The module `access` checks which sends to an upstream are allowed now, `announcements`
+//! handles what upstreams announce in their responses, `announced_limits` the limits among it,
+//! `loads` adds up the work of all nodes in flight there, `health` decides which upstreams are
+//! avoided, `versions` which versions get requests.
 
 mod access;
 mod announced_limits;
+mod announcements;
 mod health;
 mod loads;
 mod versions;
@@ -14,25 +16,26 @@
 
 use {
     self::{
-        access::ColdState, announced_limits::LimitedUpstreams, health::Health, loads::PeerLoads,
-        versions::VersionRules,
+        access::ColdState, announced_limits::LimitedUpstreams, announcements::Announcements,
+        health::Health, loads::PeerLoads, versions::VersionRules,
     },
     crate::{
         cold::PeakNodeCount,
         config::ConfigState,
-        connections::{ConnectionPool, SendFailure, UpstreamResponse},
+        connections::{ConnectionPool, ResponseBody, SendFailure, UpstreamResponse},
         crash_detection::Incarnation,
         directory::{Change, Directory, Effect, Upstream},
         evacuations::Evacuations,
-        model::{UpstreamKey, incarnation_id},
+        model::{ResponseFields, UpstreamKey, incarnation_id},
         position::Position,
         residency::{Regions, Residency},
         selection::Candidate,
         settings::ColdSettings,
+        wire::Wire,
     },
     bytes::Bytes,
     fernring_core::clock::Clock,
-    http::Request,
+    http::{Request, response::Parts},
     http_body_util::Full,
     slotmap::SecondaryMap,
     std::{
@@ -99,6 +102,7 @@
     config: Rc<RefCell<ConfigState>>,
     cold: RefCell<ColdState>,
     limited_upstreams: RefCell<LimitedUpstreams>,
+    announcements: RefCell<Announcements>,
     /// When records were last read from the store.
     records_read_at: Cell<Duration>,
 }
@@ -114,6 +118,21 @@
     pub residency: Residency,
     /// Connections that the upstream accepts from all nodes together.
     pub connections_max: u32,
+    /// Identifier that the response has to carry; `None` if responses to this request carry none.
+    pub request_id: Option<Arc<str>>,
+}
+
+/// A response of an upstream whose body is still to be read.
+#[derive(Debug)]
+pub struct DecodedResponse {
+    /// Status and headers.
+    pub head: Parts,
+    /// Body of the response.
+    pub body: ResponseBody,
+    /// The gateway's own fields in the headers.
+    pub fields: ResponseFields,
+    /// Whether it is the response to the request that was sent, by its identifier.
+    pub is_for_request: bool,
 }
 
 /// The upstream that a send goes to, as it was when the upstream was chosen.
@@ -157,6 +176,7 @@
             config,
             cold: RefCell::new(cold),
             limited_upstreams: RefCell::default(),
+            announcements: RefCell::default(),
             directory: RefCell::default(),
             evacuations: RefCell::default(),
             regions: RefCell::default(),
@@ -240,6 +260,7 @@
         }
         self.expire_loads(now);
         self.expire_limits(now);
+        self.expire_announcements(now);
         let effects = self.directory.borrow_mut().expire(now);
         self.drop_gone(effects)
     }
@@ -357,10 +378,11 @@
     /// Returns an error if no response arrived.
     pub async fn send(
         &self,
+        wire: &dyn Wire,
         target: &Target,
         send: UpstreamSend,
-    ) -> Result<UpstreamResponse, SendFailure> {
-        let UpstreamSend { request, rank, residency, connections_max } = send;
+    ) -> Result<DecodedResponse, SendFailure> {
+        let UpstreamSend { request, rank, residency, connections_max, request_id } = send;
         let pool = self.pool(target)?;
         let has_permit = Cell::new(false);
         let check = async || {
@@ -372,9 +394,10 @@
             }
             self.ineligible_since(target.key)
         };
+        let sent_at = self.clock.now().monotonic;
         let sent = pool.send_if(request, self.connections_share(connections_max), check).await;
         self.record_connect_result(target.key, sent.as_ref().err());
-        sent
+        Ok(self.decode(wire, target, sent_at, request_id.as_deref(), sent?))
     }
 
     /// Sends a release of results, which is no new work and doesn't depend on the state of the
@@ -384,10 +407,11 @@
     /// Returns an error if no response arrived.
     pub async fn send_release(
         &self,
+        wire: &dyn Wire,
         target: &Target,
         send: UpstreamSend,
-    ) -> Result<UpstreamResponse, SendFailure> {
-        let UpstreamSend { request, rank, connections_max, .. } = send;
+    ) -> Result<DecodedResponse, SendFailure> {
+        let UpstreamSend { request, rank, connections_max, request_id, .. } = send;
         let has_permit = Cell::new(false);
         let check = async || {
             if !has_permit.get() {
@@ -397,7 +421,25 @@
             Ok(())
         };
         let share = self.connections_share(connections_max);
-        self.pool(target)?.send_if(request, share, check).await
+        let sent_at = self.clock.now().monotonic;
+        let response = self.pool(target)?.send_if(request, share, check).await?;
+        Ok(self.decode(wire, target, sent_at, request_id.as_deref(), response))
+    }
+
+    fn decode(
+        &self,
+        wire: &dyn Wire,
+        target: &Target,
+        sent_at: Duration,
+        request_id: Option<&str>,
+        response: UpstreamResponse,
+    ) -> DecodedResponse {
+        let UpstreamResponse { head, body } = response;
+        let fields = wire.decode_response(head.status, &head.headers);
+        let is_for_request = request_id.is_none() || fields.request_id.as_deref() == request_id;
+        self.record_response(target, sent_at, &fields, is_for_request);
+        self.record_unknown_headers(wire, target, &head.headers);
+        DecodedResponse { head, body, fields, is_for_request }
     }
 
     /// Returns how many connections this node may open to an upstream that accepts
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -13,7 +13,7 @@
     },
     async_trait::async_trait,
     bytes::Bytes,
-    http::{HeaderMap, StatusCode},
+    http::{HeaderMap, HeaderName, StatusCode},
     std::{sync::Arc, time::Duration},
     thiserror::Error,
 };
@@ -76,6 +76,9 @@
     /// Decodes the gateway's fields in a response.
     fn decode_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseFields;
 
+    /// Returns whether the platform's formats define a header of responses, or HTTP does.
+    fn is_known_response_header(&self, name: &HeaderName) -> bool;
+
     /// Adds the time after which the caller may retry to a refusal.
     fn encode_retry_after(&self, headers: &mut HeaderMap, after: Duration);
 
