Upstreams that announce in a response that they are leaving get no new work

Callers saw their requests sent to an upstream seconds after the same node had forwarded its announcement; had the upstream ended, they would have been cut off. An announcement now holds for the incarnation until its process ends, whatever its record, a lapse or a configuration says, and is checked wherever the record's state was: candidates, the check right before the first byte, owners, roll-outs; an upstream that ends after it has not crashed.

--- a/crates/fernring-gateway/src/crash_attribution/mod.rs
+++ b/crates/fernring-gateway/src/crash_attribution/mod.rs
@@ -228,7 +228,7 @@
         disconnect: Disconnect,
         fingerprint: Option<Fingerprint>,
     ) {
-        if self.upstreams.is_leaving(target.key) {
+        if self.upstreams.is_leaving(target) {
             return;
         }
         let (now, incarnation) = (self.now(), target.incarnation());
@@ -307,6 +307,7 @@
         let entry = self.in_flight.borrow().get(&key).map(|entry| {
             (entry.target.clone(), entry.fingerprints.keys().copied().collect::<Vec<_>>())
         });
+        let entry = entry.filter(|(target, _)| !self.upstreams.is_leaving(target));
         let mut crash_detector = self.crash_detector.borrow_mut();
         if let Some((target, fingerprints)) = &entry {
             for fingerprint in fingerprints {
--- a/crates/fernring-gateway/src/decide/eligibility.rs
+++ b/crates/fernring-gateway/src/decide/eligibility.rs
@@ -11,7 +11,7 @@
     /// It is no longer known.
     #[error("the upstream is gone")]
     Gone,
-    /// It has announced that it is leaving.
+    /// It has announced that it is leaving, in its record or in a response: see [`crate::leaving`].
     #[error("the upstream is leaving")]
     Leaving,
     /// Its failure domain is evacuated.
--- a/crates/fernring-gateway/src/rollout/coordinator.rs
+++ b/crates/fernring-gateway/src/rollout/coordinator.rs
@@ -703,7 +703,7 @@
         let directory = self.upstreams.directory();
         let mut counts = UpstreamCounts::default();
         for (_, upstream) in directory.of_service(service) {
-            if !upstream.accepts_work() || upstream.is_cold(now) {
+            if !self.upstreams.accepts_work(upstream) || upstream.is_cold(now) {
                 continue;
             }
             match upstream.record.version == *destination {
--- a/crates/fernring-gateway/src/upstreams/access.rs
+++ b/crates/fernring-gateway/src/upstreams/access.rs
@@ -143,7 +143,7 @@
         upstream: &Upstream,
         cold_start: Option<ColdStart>,
     ) -> Result<Option<ColdRateLimit>, Ineligible> {
-        if !upstream.accepts_work() {
+        if !self.accepts_work(upstream) {
             return Err(Ineligible::Leaving);
         }
         if self.evacuations.borrow().is_evacuated(&upstream.record.failure_domain) {
--- a/crates/fernring-gateway/src/upstreams/announcements.rs
+++ b/crates/fernring-gateway/src/upstreams/announcements.rs
@@ -7,6 +7,7 @@
     super::{Target, Upstreams},
     crate::{
         backoff::Backoffs,
+        directory::Upstream,
         leaving::LeavingUpstreams,
         log,
         model::{BackoffHeader, LeavingHeader, ResponseFields},
@@ -130,18 +131,33 @@
         }
     }
 
+    /// Returns whether an upstream accepts new work: neither its record nor a response has said that
+    /// it is leaving.
+    pub fn accepts_work(&self, upstream: &Upstream) -> bool {
+        let leaving = &self.announcements.borrow().leaving;
+        upstream.accepts_work()
+            && (leaving.is_empty() || !leaving.contains(upstream.record.incarnation_id()))
+    }
+
+    /// Returns whether the targeted incarnation has announced that it is leaving, even if its record
+    /// is gone by now.
+    pub fn is_leaving(&self, target: &Target) -> bool {
+        let directory = self.directory.borrow();
+        let is_draining =
+            directory.get(target.key).is_some_and(|upstream| !upstream.accepts_work());
+        is_draining || self.announcements.borrow().leaving.contains(target.incarnation_id())
+    }
+
     /// Returns the number of recorded upstreams that announced in a response that they are leaving.
     pub fn announced_leaving_count(&self) -> usize {
-        let announcements = self.announcements.borrow();
+        let leaving = &self.announcements.borrow().leaving;
+        if leaving.is_empty() {
+            return 0;
+        }
         let directory = self.directory.borrow();
-        let mut incarnation_ids =
+        let incarnation_ids =
             directory.iter().map(|(_, upstream)| upstream.record.incarnation_id());
-        match announcements.leaving.is_empty() {
-            true => 0,
-            false => {
-                incarnation_ids.by_ref().filter(|id| announcements.leaving.contains(*id)).count()
-            }
-        }
+        incarnation_ids.filter(|incarnation_id| leaving.contains(*incarnation_id)).count()
     }
 
     /// Returns the number of upstreams that want no requests from this node at present.
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -353,12 +353,6 @@
         })
     }
 
-    /// Returns whether an upstream has announced that it is leaving.
-    pub fn is_leaving(&self, key: UpstreamKey) -> bool {
-        let directory = self.directory.borrow();
-        directory.get(key).is_some_and(|upstream| !upstream.accepts_work())
-    }
-
     /// Returns the failure domain that stores most of some results, by their handles.
     pub fn domain_with_most_results(&self, handles: &[Arc<str>]) -> Option<Arc<str>> {
         let directory = self.directory.borrow();
