Overloaded upstreams get the pause that they request

A pause now holds for the node that was asked and for the incarnation that asked, on the clock that counts suspension; it is checked when upstreams are listed and right before the first byte, on every way: first sends, retries, resumed streams, calls, releases.

--- a/crates/fernring-gateway/src/decide/eligibility.rs
+++ b/crates/fernring-gateway/src/decide/eligibility.rs
@@ -3,7 +3,7 @@
 //! The check is made twice: when the upstreams to choose from are listed, and again right before
 //! the first byte leaves. First sends, retries, streams that continue elsewhere, calls on pieces
 //! and their second workers all make it in the same place, [`crate::upstreams::Upstreams::send`].
-//! Releasing results is not new work and is not checked.
+//! Releasing results is not new work: only announced limits and requested pauses delay it.
 
 /// Why an upstream may get nothing new at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -29,4 +29,7 @@
     /// It announces a limit, and the permits of all nodes are used up: see [`crate::limits`].
     #[error("the upstream takes no more now")]
     Limited,
+    /// It is overloaded and requested a pause from this node: see [`crate::backoff`].
+    #[error("the upstream requested a pause")]
+    BackingOff,
 }
--- a/crates/fernring-gateway/src/decide/retry_after.rs
+++ b/crates/fernring-gateway/src/decide/retry_after.rs
@@ -15,17 +15,32 @@
 /// Ranks that retry one after the other; all less urgent ones retry with the last.
 const SPREAD_RANKS: usize = 4;
 
-/// Returns the pause for a caller of a rank that has `time_left`. `drained_after` is the time until
-/// the present backlog is processed, if known; `draw` is between 0 and 1 and spreads the callers of
-/// a rank.
+/// What is known of when a retry may be served.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RetryForecast {
+    /// Nothing.
+    #[default]
+    Unknown,
+    /// The present backlog is processed after this time.
+    DrainedAfter(Duration),
+    /// No upstream takes requests before this time has passed.
+    NotBefore(Duration),
+}
+
+/// Returns the pause for a caller of a rank that has `time_left`; `draw` is between 0 and 1 and
+/// spreads the callers of a rank.
 pub fn retry_after(
-    drained_after: Option<Duration>,
+    forecast: RetryForecast,
     time_left: Duration,
     rank: usize,
     draw: f64,
 ) -> Duration {
     let latest = time_left.mul_f64(PAUSE_PART_MAX);
-    let pause = drained_after.unwrap_or(latest).min(latest);
     let offset = (rank.min(SPREAD_RANKS - 1) as f64 + draw) / SPREAD_RANKS as f64;
-    pause.mul_f64(FIRST_RANK_PART + (1.0 - FIRST_RANK_PART) * offset)
+    let spread = (1.0 - FIRST_RANK_PART) * offset;
+    match forecast {
+        RetryForecast::Unknown => latest.mul_f64(FIRST_RANK_PART + spread),
+        RetryForecast::DrainedAfter(time) => time.min(latest).mul_f64(FIRST_RANK_PART + spread),
+        RetryForecast::NotBefore(time) => time.mul_f64(1.0 + spread),
+    }
 }
--- a/crates/fernring-gateway/src/serving/exchange/admitting.rs
+++ b/crates/fernring-gateway/src/serving/exchange/admitting.rs
@@ -8,6 +8,7 @@
         backlog::rank_index,
         log,
         refusal::Refusal,
+        retry_after::RetryForecast,
         worker_pools::WorkerPool,
         workers::expected_call_time,
     },
@@ -39,7 +40,12 @@
         log::info(line);
         self.forecast_time = forecast;
         if let AdmissionDecision::Refused(after) = decision {
-            return Err(self.refusal_with_forecast(ResultCode::ExpiredInQueue, "overload", after));
+            let forecast = after.map_or(RetryForecast::Unknown, RetryForecast::DrainedAfter);
+            return Err(self.refusal_with_forecast(
+                ResultCode::ExpiredInQueue,
+                "overload",
+                forecast,
+            ));
         }
         let backlogs = self.serving.stages.backlogs();
         for stage in (0..stages).filter(|stage| self.plan.piece_count(*stage) > 0) {
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -18,7 +18,7 @@
         model::{RequestFields, RetryPolicy, Route, UpstreamKey, Workspace},
         refusal::Refusal,
         residency::Residency,
-        retry_after::retry_after,
+        retry_after::{RetryForecast, retry_after},
         rollout::coordinator::TrackedSend,
         stage_plan::StagePlan,
         telemetry,
@@ -336,16 +336,16 @@
     /// Returns the final answer for an abandoned request. It guarantees that the request has not
     /// run if that is certain.
     pub fn refusal_for(&self, code: ResultCode, detail: &str) -> Refusal {
-        self.refusal_with_forecast(code, detail, None)
+        self.refusal_with_forecast(code, detail, RetryForecast::Unknown)
     }
 
-    /// Returns the same as [`Exchange::refusal_for`], with a forecast of when the work that waits
-    /// now is done.
+    /// Returns the same as [`Exchange::refusal_for`], with a forecast of when a retry may be
+    /// served.
     fn refusal_with_forecast(
         &self,
         code: ResultCode,
         detail: &str,
-        forecast: Option<Duration>,
+        forecast: RetryForecast,
     ) -> Refusal {
         let not_run = self.attempts.not_run();
         let fingerprint = self.request.fingerprint;
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -157,8 +157,8 @@
         if upstreams.is_outside_regions(&self.service, &self.residency) {
             return self.refusal_for(ResultCode::OutsideRegions, reason);
         }
-        match upstreams.limit_retry_after(&self.service, self.rank()) {
-            Some(after) => self.refusal_with_forecast(ResultCode::Limited, reason, Some(after)),
+        match upstreams.throttled_until(&self.service, self.rank()) {
+            Some(forecast) => self.refusal_with_forecast(ResultCode::Limited, reason, forecast),
             None => self.refusal_for(ResultCode::NoUpstream, reason),
         }
     }
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -43,8 +43,8 @@
             let detail = format!("service {service}");
             return Err(self.refusal_for(ResultCode::OutsideRegions, &detail));
         }
-        if let Some(after) = self.serving.upstreams.limit_retry_after(&self.service, self.rank()) {
-            return Err(self.refusal_with_forecast(ResultCode::Limited, "", Some(after)));
+        if let Some(forecast) = self.serving.upstreams.throttled_until(&self.service, self.rank()) {
+            return Err(self.refusal_with_forecast(ResultCode::Limited, "", forecast));
         }
         self.admit()?;
         self.run_admitted_stages().await
--- a/crates/fernring-gateway/src/upstreams/access.rs
+++ b/crates/fernring-gateway/src/upstreams/access.rs
@@ -9,7 +9,7 @@
         directory::Upstream,
         eligibility::Ineligible,
         evacuations::Evacuations,
-        model::{ColdRateLimit, ColdStart, UpstreamKey},
+        model::{ColdRateLimit, ColdStart, UpstreamKey, UpstreamRecord},
         residency::{Regions, Residency},
         settings::ColdSettings,
     },
@@ -116,7 +116,21 @@
         let directory = self.directory.borrow();
         let upstream = directory.get(key).ok_or(Ineligible::Gone)?;
         let now = self.clock.now().monotonic;
-        match self.is_limit_exhausted(now, &upstream.record, MOST_URGENT_RANK) {
+        self.check_throttling(now, &upstream.record, MOST_URGENT_RANK)
+    }
+
+    /// Checks that an upstream takes requests of a rank from this node now: it hasn't requested a
+    /// pause, and the permits for its announced limit aren't known to be used up.
+    pub(super) fn check_throttling(
+        &self,
+        now: Duration,
+        record: &UpstreamRecord,
+        rank: usize,
+    ) -> Result<(), Ineligible> {
+        if self.backoff_remaining(now, || record.incarnation_id()).is_some() {
+            return Err(Ineligible::BackingOff);
+        }
+        match self.is_limit_exhausted(now, record, rank) {
             true => Err(Ineligible::Limited),
             false => Ok(()),
         }
@@ -135,8 +149,8 @@
         self.config.borrow().cold_start(service)
     }
 
-    /// Checks whether an upstream may be sent new work, its announced limit aside. Returns the
-    /// rate limit that applies if it is cold.
+    /// Checks whether an upstream may be sent new work, its announced limit and the pauses that it
+    /// requests aside. Returns the rate limit that applies if it is cold.
     pub(super) fn check_upstream(
         &self,
         key: UpstreamKey,
--- a/crates/fernring-gateway/src/upstreams/announced_limits.rs
+++ b/crates/fernring-gateway/src/upstreams/announced_limits.rs
@@ -14,6 +14,7 @@
         log,
         model::{LimitHeader, UpstreamKey, UpstreamRecord},
         permit_issuer::{PermitDenied, PermitIssuer, combined_drain_time, limit_share},
+        retry_after::RetryForecast,
         telemetry,
     },
     fernring_core::text::LogLine,
@@ -225,19 +226,19 @@
             && limited_upstreams.is_exhausted(now, record.incarnation_id(), rank)
     }
 
-    /// Returns whether an upstream accepts no releases of results now, because its permits are used
-    /// up.
+    /// Returns whether an upstream accepts no releases of results now, because it requested a pause
+    /// or its permits are used up.
     pub fn refuses_release(&self, key: UpstreamKey) -> bool {
         let now = self.clock.now().monotonic;
         let directory = self.directory.borrow();
-        directory
-            .get(key)
-            .is_some_and(|upstream| self.is_limit_exhausted(now, &upstream.record, RANKS - 1))
+        directory.get(key).is_some_and(|upstream| {
+            self.check_throttling(now, &upstream.record, RANKS - 1).is_err()
+        })
     }
 
-    /// Returns the time until a service may accept requests of a rank again, if all its eligible
-    /// upstreams announce limits and have no permits left for that rank; otherwise `None`.
-    pub fn limit_retry_after(&self, service: &str, rank: usize) -> Option<Duration> {
+    /// Returns when a service accepts requests of a rank again, if each of its eligible upstreams
+    /// has requested a pause or has no permits left for that rank; otherwise `None`.
+    pub fn throttled_until(&self, service: &str, rank: usize) -> Option<RetryForecast> {
         let now = self.clock.now().monotonic;
         let directory = self.directory.borrow();
         let limited_upstreams = self.limited_upstreams.borrow();
@@ -246,8 +247,13 @@
             .of_service(service)
             .filter(|(key, upstream)| self.check_upstream(*key, upstream, cold_start).is_ok());
         let mut drain_times = Vec::new();
+        let mut first_pause_end = None;
         for (_, upstream) in eligible {
             let incarnation_id = upstream.record.incarnation_id();
+            if let Some(remaining) = self.backoff_remaining(now, || incarnation_id) {
+                first_pause_end = first_pause_end.into_iter().chain([remaining]).min();
+                continue;
+            }
             if !limited_upstreams.is_exhausted(now, incarnation_id, rank) {
                 return None;
             }
@@ -257,7 +263,11 @@
                 .map(|exhausted| exhausted.drained_at)?;
             drain_times.push(drained_at.saturating_sub(now));
         }
-        combined_drain_time(&drain_times)
+        match (combined_drain_time(&drain_times), first_pause_end) {
+            (Some(drained_after), _) => Some(RetryForecast::DrainedAfter(drained_after)),
+            (None, Some(end)) => Some(RetryForecast::NotBefore(end)),
+            (None, None) => None,
+        }
     }
 
     /// Acquires a permit for a send to an upstream if it announces a limit.
--- a/crates/fernring-gateway/src/upstreams/announcements.rs
+++ b/crates/fernring-gateway/src/upstreams/announcements.rs
@@ -8,6 +8,7 @@
     crate::{
         backoff::Backoffs,
         directory::Upstream,
+        eligibility::Ineligible,
         leaving::LeavingUpstreams,
         log,
         model::{BackoffHeader, LeavingHeader, ResponseFields},
@@ -160,6 +161,29 @@
         incarnation_ids.filter(|incarnation_id| leaving.contains(*incarnation_id)).count()
     }
 
+    /// Returns how long an incarnation still wants no requests from this node; `None` if it takes
+    /// some.
+    pub(super) fn backoff_remaining(
+        &self,
+        now: Duration,
+        incarnation_id: impl FnOnce() -> u64,
+    ) -> Option<Duration> {
+        let backoffs = &self.announcements.borrow().backoffs;
+        if backoffs.is_empty() {
+            return None;
+        }
+        backoffs.remaining(now, incarnation_id())
+    }
+
+    /// Returns an error if a targeted incarnation wants no requests from this node now.
+    pub(super) fn check_backoff(&self, target: &Target) -> Result<(), Ineligible> {
+        let now = self.clock.now().monotonic;
+        match self.backoff_remaining(now, || target.incarnation_id()) {
+            Some(_) => Err(Ineligible::BackingOff),
+            None => Ok(()),
+        }
+    }
+
     /// Returns the number of upstreams that want no requests from this node at present.
     pub fn backoff_count(&self) -> usize {
         self.announcements.borrow().backoffs.active_count(self.clock.now().monotonic)
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -316,9 +316,7 @@
                 return None;
             }
             let cold = self.check_upstream(key, upstream, cold_start).ok()?;
-            if self.is_limit_exhausted(now, &upstream.record, rank) {
-                return None;
-            }
+            self.check_throttling(now, record, rank).ok()?;
             let has_failed = health.get(key).is_some_and(|health| now < health.avoid_until);
             let peer_load = totals.get(&record.incarnation_hash()).copied().unwrap_or(0.0);
             Some(Candidate {
@@ -395,7 +393,8 @@
     }
 
     /// Sends a release of results, which is no new work and doesn't depend on the state of the
-    /// upstream. It counts against the limit of an upstream that announces one.
+    /// upstream. It counts against the limit of an upstream that announces one, and isn't sent within
+    /// a pause that the upstream requested.
     ///
     /// # Errors
     /// Returns an error if no response arrived.
@@ -412,7 +411,7 @@
                 self.acquire_limit_permit(target, rank).await?;
                 has_permit.set(true);
             }
-            Ok(())
+            self.check_backoff(target)
         };
         let share = self.connections_share(connections_max);
         let sent_at = self.clock.now().monotonic;
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempts;
 mod backlogs;
+mod backoff;
 mod batching;
 mod bootstrap;
 mod budget;
@@ -17,6 +18,7 @@
 mod fingerprint;
 mod fleet;
 mod freshness;
+mod leaving;
 mod limits;
 mod members;
 mod pause_detector;
--- a/crates/fernring-gateway/tests/testsuite/retry_after.rs
+++ b/crates/fernring-gateway/tests/testsuite/retry_after.rs
@@ -1,22 +1,26 @@
 //! When refused callers should retry.
 
-use {fernring_gateway::retry_after::retry_after, std::time::Duration};
+use {
+    fernring_gateway::retry_after::{RetryForecast, retry_after},
+    std::time::Duration,
+};
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
 #[test]
 fn pause_stays_within_what_callers_follow() {
     for (rank, draw) in [(0, 0.0), (3, 0.99), (100, 0.99)] {
-        let pause = retry_after(None, MS(6_000), rank, draw);
+        let pause = retry_after(RetryForecast::Unknown, MS(6_000), rank, draw);
         assert!((MS(1_200)..=MS(2_000)).contains(&pause), "{pause:?}");
     }
-    assert_eq!(retry_after(Some(MS(100)), Duration::ZERO, 0, 0.5), Duration::ZERO);
+    let drained_after = RetryForecast::DrainedAfter(MS(100));
+    assert_eq!(retry_after(drained_after, Duration::ZERO, 0, 0.5), Duration::ZERO);
 }
 
 /// Replays a burst of which 30 callers of three ranks are refused within a moment.
 #[test]
 fn retries_are_spread_and_urgent_ones_come_first() {
-    let drained_after = Some(MS(1_000));
+    let drained_after = RetryForecast::DrainedAfter(MS(1_000));
     let pause =
         |rank, index: u32| retry_after(drained_after, MS(6_000), rank, f64::from(index) / 10.0);
     let of_rank = |rank| (0..10).map(move |index| pause(rank, index));
@@ -26,3 +30,13 @@
     let smallest_gap = all.windows(2).map(|pair| pair[1] - pair[0]).min();
     assert!(smallest_gap >= Some(MS(9)), "{smallest_gap:?}");
 }
+
+/// A caller that retried earlier would be refused again.
+#[test]
+fn retries_never_precede_the_end_of_a_pause() {
+    let end = MS(1_000);
+    let pause = |rank, draw| retry_after(RetryForecast::NotBefore(end), MS(600), rank, draw);
+    assert_eq!(pause(0, 0.0), end);
+    assert!(pause(0, 0.9) > end && pause(0, 0.9) < pause(3, 0.0));
+    assert!(pause(100, 0.99) <= MS(1_400));
+}
