Nodes tell peers which upstreams are leaving

A response reaches one node; the others sent the upstream requests until a response of their own or its record told them, and while the store is unavailable no record does. Heartbeats carry the incarnations (8 bytes each, 50 at most) while their records say ready. Nodes from before this change read over the field. The rotation that limits use is shared.

--- a/crates/fernring-gateway/src/node.rs
+++ b/crates/fernring-gateway/src/node.rs
@@ -657,6 +657,7 @@
         }
         self.serving.rollouts.handle_messages(&heartbeat.rollouts);
         self.upstreams.apply_peer_limits(&heartbeat.limits);
+        self.upstreams.apply_peer_leaving(&heartbeat.leaving);
         heartbeat.sharded_services.iter().for_each(|service| self.stages.mark_sharded(*service));
         let known = [
             (TailedTopic::Config, heartbeat.config_version.into(), heartbeat.config_age_ms),
@@ -681,6 +682,7 @@
         let evacuations = self.upstreams.evacuations().borrow();
         heartbeat.evacuations = evacuations.orders().map(encode_evacuation).collect();
         heartbeat.limits = self.upstreams.limits_to_publish();
+        heartbeat.leaving = self.upstreams.leaving_to_publish();
         heartbeat.rollouts = self.serving.rollouts.messages();
         let bytes_per_s = self.settings.borrow().node.link_bytes_per_s();
         heartbeat.sharded_services = self.stages.services_to_shard(bytes_per_s);
--- a/crates/fernring-gateway/src/upstreams/announced_limits.rs
+++ b/crates/fernring-gateway/src/upstreams/announced_limits.rs
@@ -6,7 +6,7 @@
 //! same members. Limits are passed on in heartbeats, in permit requests and in their responses.
 
 use {
-    super::{Target, Upstreams},
+    super::{Target, Upstreams, rotate},
     crate::{
         backlog::RANKS,
         eligibility::Ineligible,
@@ -195,12 +195,10 @@
             .map(|(incarnation_id, _)| incarnation_id)
             .collect();
         incarnation_ids.sort_unstable();
-        let count = incarnation_ids.len().min(PUBLISHED_LIMITS_MAX);
-        let first = limited_upstreams.published_count % incarnation_ids.len().max(1);
-        limited_upstreams.published_count = first + count;
-        let selected = incarnation_ids.iter().cycle().skip(first).take(count);
-        selected
-            .map(|incarnation_id| limited_upstreams.limit_report(now, *incarnation_id))
+        let published_count = &mut limited_upstreams.published_count;
+        rotate(&incarnation_ids, PUBLISHED_LIMITS_MAX, published_count)
+            .into_iter()
+            .map(|incarnation_id| limited_upstreams.limit_report(now, incarnation_id))
             .collect()
     }
 
--- a/crates/fernring-gateway/src/upstreams/announcements.rs
+++ b/crates/fernring-gateway/src/upstreams/announcements.rs
@@ -4,7 +4,7 @@
 //! All responses of upstreams pass through [`Upstreams::record_response`].
 
 use {
-    super::{Target, Upstreams},
+    super::{Target, Upstreams, rotate},
     crate::{
         backoff::Backoffs,
         directory::Upstream,
@@ -25,6 +25,8 @@
 
 /// Most names of unknown headers that are logged and counted.
 const UNKNOWN_HEADERS_MAX: usize = 64;
+/// Most incarnations in a heartbeat: 400 bytes. Further ones follow in the next heartbeats.
+const PUBLISHED_MAX: usize = 50;
 /// How long an unreadable header of an incarnation isn't logged again.
 const UNREADABLE_LOG_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -37,6 +39,8 @@
     /// response.
     unreadable: HashMap<(u64, &'static str), Duration>,
     unknown_headers: HashSet<HeaderName>,
+    /// Announcements published so far; selects the ones for the next heartbeat.
+    published_count: usize,
 }
 
 impl Announcements {
@@ -149,6 +153,35 @@
         is_draining || self.announcements.borrow().leaving.contains(target.incarnation_id())
     }
 
+    /// Lists incarnations that announced that they are leaving for the next heartbeat. Those whose
+    /// records are gone, or say so themselves, are left out: peers know of them from the store, and
+    /// nodes that published them would remind each other forever.
+    pub fn leaving_to_publish(&self) -> Vec<u64> {
+        let mut announcements = self.announcements.borrow_mut();
+        let Announcements { leaving, published_count, .. } = &mut *announcements;
+        if leaving.is_empty() {
+            return Vec::new();
+        }
+        let directory = self.directory.borrow();
+        let ready = directory.iter().filter(|(_, upstream)| upstream.accepts_work());
+        let ready = ready.map(|(_, upstream)| upstream.record.incarnation_id());
+        let mut unknown: Vec<_> = ready.filter(|id| leaving.contains(*id)).collect();
+        unknown.sort_unstable();
+        rotate(&unknown, PUBLISHED_MAX, published_count)
+    }
+
+    /// Records incarnations that announced to peers that they are leaving.
+    pub fn apply_peer_leaving(&self, incarnation_ids: &[u64]) {
+        let now = self.clock.now().monotonic;
+        let mut announcements = self.announcements.borrow_mut();
+        for incarnation_id in incarnation_ids {
+            if announcements.leaving.record(now, *incarnation_id) {
+                let line = LogLine::event("upstream_leaving").with("from", "peer");
+                log::info(line.with("run", format_args!("{incarnation_id:016x}")));
+            }
+        }
+    }
+
     /// Returns the number of recorded upstreams that announced in a response that they are leaving.
     pub fn announced_leaving_count(&self) -> usize {
         let leaving = &self.announcements.borrow().leaving;
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -71,6 +71,15 @@
     }
 }
 
+/// Selects at most `max` items, continuing where the previous selection ended. `selected_count` is
+/// the number of items selected so far, modulo the number of items.
+fn rotate<T: Copy>(items: &[T], max: usize, selected_count: &mut usize) -> Vec<T> {
+    let count = items.len().min(max);
+    let first = *selected_count % items.len().max(1);
+    *selected_count = first + count;
+    items.iter().cycle().skip(first).take(count).copied().collect()
+}
+
 /// Wraps a predicate on failure domains so that it is computed once for each domain, regardless of
 /// the number of upstreams there.
 fn cached_by_domain(compute: impl Fn(&str) -> bool) -> impl FnMut(&Arc<str>) -> bool {
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -146,6 +146,9 @@
     /// Known orders to roll out versions, with their progress.
     #[prost(message, repeated, tag = "23")]
     pub rollouts: Vec<RolloutOrderMessage>,
+    /// Incarnations of upstreams that announced in a response that they are leaving.
+    #[prost(fixed64, repeated, tag = "24")]
+    pub leaving: Vec<u64>,
 }
 
 /// Progress of a roll-out.
