Soak: upstreams that announce leaving and that request pauses

A planned leave is announced in responses a second before the record says so, and upstreams are overloaded in parallel to all other faults. A connection belongs to one node, which has read what came on it: after an announcement no new work, and within a pause nothing, may come on it, without grace and without excuse for disturbed nodes.

--- a/crates/fernring-standins/examples/soak/faults.rs
+++ b/crates/fernring-standins/examples/soak/faults.rs
@@ -29,6 +29,8 @@
 const CONFIG_IN_FORCE_MAX: Duration = Duration::from_millis(2_600);
 /// How long a leaving upstream continues to serve.
 const LEAVING_TIME: Duration = Duration::from_secs(3);
+/// Time from the first response that announces that an upstream is leaving until its record says so.
+const RECORD_DELAY: Duration = Duration::from_secs(1);
 /// Number of times that a deadly request is sent, and the pause between two of them.
 const DEADLY_REQUESTS: usize = 24;
 const DEADLY_PAUSE: Duration = Duration::from_millis(300);
@@ -64,9 +66,11 @@
     Limit,
     /// Versions are rolled out; no other fault is injected.
     Rollout,
+    /// Upstreams are overloaded; no other fault is injected.
+    Overload,
 }
 
-/// The kinds that are drawn at random; limits and roll-outs run in parallel to them.
+/// The kinds that are drawn at random; limits, roll-outs and overload run in parallel to them.
 const DRAWN_KINDS: [FaultKind; 10] = [
     FaultKind::Kill,
     FaultKind::Stop,
@@ -125,6 +129,29 @@
     while running.join_next().await.is_some() {}
 }
 
+/// Overloads upstreams until `end`, in parallel to all other faults.
+pub(crate) async fn overload_upstreams(
+    system: SystemUnderTest,
+    mut random: StdRng,
+    end: tokio::time::Instant,
+) {
+    let mut running = tokio::task::JoinSet::new();
+    while tokio::time::Instant::now() + QUIESCE_TIME < end {
+        sleep(Duration::from_millis(random.random_range(500..4_000))).await;
+        let time = Duration::from_millis(random.random_range(300..2_000));
+        let Some(upstream) = system.upstreams.pick(random.random::<u32>() as usize) else {
+            continue;
+        };
+        system.ledger.record_fault("Overload");
+        running.spawn(async move {
+            upstream.set_overloaded(true);
+            sleep(time).await;
+            upstream.set_overloaded(false);
+        });
+    }
+    while running.join_next().await.is_some() {}
+}
+
 /// Orders roll-outs of versions until `end`, one after the other, in parallel to all other faults.
 /// Every second version is bad.
 ///
@@ -204,8 +231,8 @@
                 let node = draw as usize % self.nodes.count();
                 self.nodes.rewrite_settings(node).await
             }
-            // `announce_limits` and `order_rollouts` inject these.
-            FaultKind::Limit | FaultKind::Rollout => Ok(()),
+            // `announce_limits`, `order_rollouts` and `overload_upstreams` inject these.
+            FaultKind::Limit | FaultKind::Rollout | FaultKind::Overload => Ok(()),
         }
     }
 
@@ -246,6 +273,8 @@
             self.ledger.record_leaving(instance);
         };
         if is_planned {
+            upstream.announce_leaving();
+            sleep(RECORD_DELAY).await;
             write_record(Some("draining"));
         } else {
             upstream.crash();
--- a/crates/fernring-standins/examples/soak/ledger.rs
+++ b/crates/fernring-standins/examples/soak/ledger.rs
@@ -199,6 +199,8 @@
     arrivals: Vec<(Instant, String)>,
     /// Limits that each upstream announced, the newest last.
     limits: BTreeMap<String, Vec<AnnouncedLimit>>,
+    /// Number of pauses that overloaded upstreams requested.
+    pauses: usize,
     /// Results that a stage has produced: the piece by handle, by request and stage.
     results: HashMap<(String, u32), HashMap<String, u32>>,
 }
@@ -282,6 +284,11 @@
         named.extend(per_s.map(new));
     }
 
+    /// Records that an overloaded upstream requests a pause.
+    pub(crate) fn record_pause(&self) {
+        self.lock().pauses += 1;
+    }
+
     /// Records that an upstream starts.
     pub(crate) fn record_start(&self, instance: &str, service: &str, version: &str) {
         if service == ROLLOUT_SERVICE {
@@ -425,6 +432,7 @@
             .map(|(_, limit)| (limit.per_s, limit.peak_in_window(), limit.max_requests()))
             .collect();
         summary.push_str(&format!("limits   {limits:?} (a second, most in 4 s, allowed)\n"));
+        summary.push_str(&format!("pauses   {}\n", inner.pauses));
         for ordered in &inner.ordered {
             summary.push_str(&ordered.summary(&inner.arrivals));
         }
--- a/crates/fernring-standins/examples/soak/main.rs
+++ b/crates/fernring-standins/examples/soak/main.rs
@@ -67,6 +67,13 @@
             faults::announce_limits(system.clone(), StdRng::seed_from_u64(!args.seed), end).await;
         }
     };
+    let has_overload = args.only.is_none_or(|kind| kind == faults::FaultKind::Overload);
+    let overload = async {
+        if has_overload {
+            let random = StdRng::seed_from_u64(!args.seed.rotate_left(1));
+            faults::overload_upstreams(system.clone(), random, end).await;
+        }
+    };
     let faults =
         faults::inject_faults(system.clone(), StdRng::seed_from_u64(args.seed), args.only, end);
     let load = callers::generate_load(nodes.clone(), ledger.clone(), args.seed, args.rate, end);
@@ -80,7 +87,7 @@
             false => Ok(()),
         }
     };
-    let (faults, (), rollouts, ()) = tokio::join!(faults, limits, rollouts, load);
+    let (faults, (), (), rollouts, ()) = tokio::join!(faults, limits, overload, rollouts, load);
     faults?;
     rollouts?;
     tokio::time::sleep(SETTLE_TIME).await;
--- a/crates/fernring-standins/examples/soak/upstreams.rs
+++ b/crates/fernring-standins/examples/soak/upstreams.rs
@@ -14,9 +14,9 @@
         ops::Range,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         io::AsyncWriteExt,
@@ -40,6 +40,9 @@
 const TRUNCATED_SHARE: f64 = 0.02;
 const FAILED_SHARE: f64 = 0.01;
 
+/// Pauses that an overloaded upstream requests, drawn for each rejection.
+const PAUSE: Range<Duration> = Duration::from_millis(100)..Duration::from_millis(1_500);
+
 /// The service whose versions are rolled out.
 pub(crate) const ROLLOUT_SERVICE: &str = "app";
 /// The version that all upstreams run at the start.
@@ -75,10 +78,33 @@
     crashed: watch::Sender<bool>,
     /// The limit that it announces: requests per second from all nodes together.
     limit_per_s: Mutex<Option<f64>>,
+    /// Whether its responses announce that it is leaving.
+    is_leaving: AtomicBool,
+    /// Whether it rejects all requests and requests a pause.
+    is_overloaded: AtomicBool,
     ledger: Arc<Ledger>,
     results: AtomicU64,
 }
 
+/// What the responses on a connection have announced to the node at its other end. The node has read
+/// them before it sends the next request on the connection.
+#[derive(Debug, Default)]
+struct Announced {
+    is_leaving: bool,
+    paused_until: Option<Instant>,
+}
+
+impl Announced {
+    /// Returns what is wrong with a request that arrives now, if anything.
+    fn violation(&self, path: &str) -> Option<&'static str> {
+        if self.paused_until.is_some_and(|until| Instant::now() < until) {
+            return Some("got a request within the pause that it had requested");
+        }
+        let is_new_work = path != "/fernring/stage-free";
+        (self.is_leaving && is_new_work).then_some("got new work after it had announced to leave")
+    }
+}
+
 /// All upstreams.
 #[derive(Debug)]
 pub(crate) struct Upstreams {
@@ -137,6 +163,8 @@
             address: listener.local_addr()?,
             crashed: watch::Sender::new(false),
             limit_per_s: Mutex::default(),
+            is_leaving: AtomicBool::default(),
+            is_overloaded: AtomicBool::default(),
             ledger: self.ledger.clone(),
             results: AtomicU64::new(0),
         });
@@ -192,10 +220,23 @@
         self.ledger.record_limit(&self.instance, per_s);
     }
 
-    /// Returns the response header that announces its limit, if it has one.
-    fn limit_header(&self) -> String {
+    /// Announces in all responses from now on that it is leaving.
+    pub(crate) fn announce_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Rejects all requests from now on, or no longer.
+    pub(crate) fn set_overloaded(&self, is_overloaded: bool) {
+        self.is_overloaded.store(is_overloaded, Ordering::Relaxed);
+    }
+
+    /// Returns the response headers that announce its limit and that it is leaving.
+    fn announcements(&self, announced: &mut Announced) -> String {
         let per_s = *self.limit_per_s.lock().unwrap_or_else(PoisonError::into_inner);
-        per_s.map(|per_s| format!("Server-Limit: {per_s}\r\n")).unwrap_or_default()
+        let limit = per_s.map(|per_s| format!("Server-Limit: {per_s}\r\n")).unwrap_or_default();
+        announced.is_leaving = self.is_leaving.load(Ordering::Relaxed);
+        let leaving = if announced.is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+        limit + leaving
     }
 
     /// Ends it and all its connections at once.
@@ -219,8 +260,9 @@
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
         let mut crashed = self.crashed.subscribe();
         let connection = async {
+            let mut announced = Announced::default();
             while let Some(request) = read_message(&mut stream).await {
-                if !self.respond(&request, &mut stream).await {
+                if !self.respond(&request, &mut announced, &mut stream).await {
                     return;
                 }
             }
@@ -232,14 +274,31 @@
     }
 
     /// Responds to a request. Returns whether the connection stays open.
-    async fn respond(&self, request: &Message, stream: &mut TcpStream) -> bool {
+    async fn respond(
+        &self,
+        request: &Message,
+        announced: &mut Announced,
+        stream: &mut TcpStream,
+    ) -> bool {
         let id = request.header("request-id").unwrap_or_default().to_owned();
-        let limit = self.limit_header();
+        if let Some(violation) = announced.violation(request.path()) {
+            self.ledger.record_violation(format!("{} {violation}: {id}", self.instance));
+        }
+        let limit = self.announcements(announced);
         if request.header("expect-instance") != Some(&self.instance) {
             let headers = format!("Request-Id: {id}\r\n{limit}");
             return write_response(stream, "421 Misdirected", &headers, "").await;
         }
         self.ledger.record_arrival(&self.instance);
+        if self.is_overloaded.load(Ordering::Relaxed) {
+            let pause = rand::rng().random_range(PAUSE);
+            let seconds = pause.as_secs_f64();
+            announced.paused_until = Some(Instant::now() + pause);
+            self.ledger.record_pause();
+            let headers =
+                format!("Request-Id: {id}\r\nNot-Run: 1\r\nRetry-After: {seconds}\r\n{limit}");
+            return write_response(stream, "503 Overloaded", &headers, "").await;
+        }
         if request.path() == "/fernring/stage-free" {
             return write_response(stream, "200 OK", &limit, "").await;
         }
@@ -255,7 +314,7 @@
         }
         let fate = fate - REFUSED_SHARE;
         if request.path() == "/fernring/stage-run" {
-            return self.respond_to_pieces(request, fate, stream).await;
+            return self.respond_to_pieces(request, fate, &limit, stream).await;
         }
         let count = |stage: usize| {
             let counts = request.header("pieces").unwrap_or_default().split(',').nth(stage);
@@ -310,6 +369,7 @@
         &self,
         request: &Message,
         fate: f64,
+        headers: &str,
         stream: &mut TcpStream,
     ) -> bool {
         let batch: Value = serde_json::from_slice(&request.body).unwrap_or_default();
@@ -319,8 +379,7 @@
         if fate < LOST_SHARE + FAILED_SHARE + TRUNCATED_SHARE {
             return false;
         }
-        let limit = self.limit_header();
-        write_response(stream, "200 OK", &limit, &json!({"items": results}).to_string()).await
+        write_response(stream, "200 OK", headers, &json!({"items": results}).to_string()).await
     }
 
     fn run_piece(&self, item: &Value) -> Value {
--- a/crates/fernring-standins/tests/testsuite/soak.rs
+++ b/crates/fernring-standins/tests/testsuite/soak.rs
@@ -32,6 +32,18 @@
     run_soak(501, 15, 80, &["--only", "limit"]);
 }
 
+/// Upstreams reject requests and request pauses, one after the other and several at once.
+#[test]
+fn requested_pauses_are_respected() {
+    run_soak(811, 12, 80, &["--only", "overload"]);
+}
+
+/// Upstreams announce that they are leaving a second before their records say so.
+#[test]
+fn leaving_upstreams_get_no_new_work() {
+    run_soak(812, 12, 80, &["--only", "leave"]);
+}
+
 /// Guards against exceeding a limit after a pause. A node was paused for 2.4 s while an upstream
 /// announced a limit of one request in two seconds. When it resumed, it sent the requests that had
 /// arrived meanwhile before it read the messages of its peers:
