--- a/crates/fernring-core/src/code.rs
+++ b/crates/fernring-core/src/code.rs
@@ -134,7 +134,8 @@
     EndsUpstreams = 3010, NotRun, 429;
     /// All failure domains with upstreams of a stage are evacuated.
     Evacuated = 3011, NotRun, 503;
-    /// All upstreams of a stage have said how much they take, and that is used up.
+    /// All upstreams of a stage have said how much they take, and that is used up, or requested a
+    /// pause.
     Limited = 3012, NotRun, 503;
     /// No upstream of a stage lies in a region where the request may be served.
     OutsideRegions = 3013, NotRun, 503;
