--- a/crates/fernring-standins/examples/soak/main.rs
+++ b/crates/fernring-standins/examples/soak/main.rs
@@ -94,16 +94,16 @@
     let report = ledger
         .check(|node, since| !nodes.was_disturbed(node, since) && !nodes.was_stopping(node, since));
     println!("{}", report.summary);
+    report.violations.iter().for_each(|violation| println!("BROKEN {violation}"));
+    let mut failures = Vec::new();
+    if !report.violations.is_empty() {
+        failures.push(format!("{} promises broken", report.violations.len()));
+    }
     if report.served_share() < SERVED_SHARE_MIN {
-        bail!("only {:.2} of the requests were served", report.served_share());
+        failures.push(format!("only {:.2} of the requests were served", report.served_share()));
     }
-    if !report.violations.is_empty() {
-        report.violations.iter().for_each(|violation| println!("BROKEN {violation}"));
-        bail!(
-            "{} promises broken; logs in {}",
-            report.violations.len(),
-            nodes.keep_logs().display()
-        );
+    if !failures.is_empty() {
+        bail!("{}; logs in {}", failures.join(", "), nodes.keep_logs().display());
     }
     Ok(())
 }
