--- a/crates/fernring-standins/examples/soak/callers.rs
+++ b/crates/fernring-standins/examples/soak/callers.rs
@@ -53,7 +53,7 @@
 impl Caller {
     async fn send_request(self, id: String) {
         let sent_at = Instant::now();
-        self.ledger.record_request(&id, self.kind);
+        self.ledger.record_request(&id, self.kind, self.node);
         let connecting = TcpStream::connect(self.nodes.caller_address(self.node));
         let connected = timeout(Duration::from_secs(1), connecting).await;
         let Ok(Ok(mut stream)) = connected else {
--- a/crates/fernring-standins/examples/soak/ledger.rs
+++ b/crates/fernring-standins/examples/soak/ledger.rs
@@ -26,6 +26,9 @@
 const LIMIT_OVERAGE: f64 = 1.5;
 const LIMIT_SLACK: f64 = 5.0;
 
+/// Time after a rejection in which requests that were on their way may still arrive.
+const PAUSE_KNOWN_WITHIN: Duration = Duration::from_millis(500);
+
 /// Requests that a bad version may get until its deadline: a share of the requests to its service,
 /// plus a fixed number.
 const EXPOSURE_SHARE: f64 = 0.1;
@@ -90,6 +93,8 @@
 #[derive(Debug)]
 struct RequestRecord {
     kind: RequestKind,
+    /// The node that it was sent to.
+    node: usize,
     /// The node that it was sent to, if it is a deadly request.
     deadly_node: Option<usize>,
     outcome: Option<Outcome>,
@@ -125,6 +130,16 @@
     }
 }
 
+/// A pause that an overloaded upstream requested.
+#[derive(Debug)]
+struct RequestedPause {
+    instance: String,
+    /// The node that it was requested from, if known.
+    node: Option<usize>,
+    at: Instant,
+    time: Duration,
+}
+
 /// An ordered roll-out of a version.
 #[derive(Debug)]
 struct RolloutOrder {
@@ -199,8 +214,10 @@
     arrivals: Vec<(Instant, String)>,
     /// Limits that each upstream announced, the newest last.
     limits: BTreeMap<String, Vec<AnnouncedLimit>>,
-    /// Number of pauses that overloaded upstreams requested.
-    pauses: usize,
+    /// Pauses that overloaded upstreams requested.
+    pauses: Vec<RequestedPause>,
+    /// When callers' requests arrived, by upstream and the node that each was sent to.
+    arrivals_from: HashMap<(String, usize), Vec<Instant>>,
     /// Results that a stage has produced: the piece by handle, by request and stage.
     results: HashMap<(String, u32), HashMap<String, u32>>,
 }
@@ -233,15 +250,16 @@
     }
 
     /// Records that a caller sends a request.
-    pub(crate) fn record_request(&self, id: &str, kind: RequestKind) {
-        let record = RequestRecord { kind, deadly_node: None, outcome: None, runs: Vec::new() };
+    pub(crate) fn record_request(&self, id: &str, kind: RequestKind, node: usize) {
+        let record =
+            RequestRecord { kind, node, deadly_node: None, outcome: None, runs: Vec::new() };
         self.lock().requests.insert(id.to_owned(), record);
     }
 
     /// Records that a deadly request is sent to a node.
     pub(crate) fn record_deadly_request(&self, id: &str, kind: RequestKind, node: usize) {
         let record =
-            RequestRecord { kind, deadly_node: Some(node), outcome: None, runs: Vec::new() };
+            RequestRecord { kind, node, deadly_node: Some(node), outcome: None, runs: Vec::new() };
         self.lock().requests.insert(id.to_owned(), record);
     }
 
@@ -284,9 +302,13 @@
         named.extend(per_s.map(new));
     }
 
-    /// Records that an overloaded upstream requests a pause.
-    pub(crate) fn record_pause(&self) {
-        self.lock().pauses += 1;
+    /// Records that an overloaded upstream rejects a request and requests a pause. Calls with pieces
+    /// have no id: the node that sent them is unknown.
+    pub(crate) fn record_pause(&self, instance: &str, id: &str, time: Duration) {
+        let mut inner = self.lock();
+        let node = inner.requests.get(id).map(|record| record.node);
+        let at = Instant::now();
+        inner.pauses.push(RequestedPause { instance: instance.to_owned(), node, at, time });
     }
 
     /// Records that an upstream starts.
@@ -311,8 +333,12 @@
     }
 
     /// Records that a request of any kind has arrived at the upstream that it was meant for.
-    pub(crate) fn record_arrival(&self, instance: &str) {
+    pub(crate) fn record_arrival(&self, instance: &str, id: &str) {
         let mut inner = self.lock();
+        if let Some(node) = inner.requests.get(id).map(|record| record.node) {
+            let arrivals = inner.arrivals_from.entry((instance.to_owned(), node)).or_default();
+            arrivals.push(Instant::now());
+        }
         if let Some(version) = inner.versions.get(instance).cloned() {
             inner.arrivals.push((Instant::now(), version));
         }
@@ -397,6 +423,22 @@
                 ));
             }
         }
+        for pause in &inner.pauses {
+            let Some(node) = pause.node.filter(|node| was_undisturbed(*node, pause.at)) else {
+                continue;
+            };
+            let instance = &pause.instance;
+            let arrivals = inner.arrivals_from.get(&(instance.clone(), node));
+            let within = |at: &&Instant| {
+                (pause.at + PAUSE_KNOWN_WITHIN..pause.at + pause.time).contains(*at)
+            };
+            let count = arrivals.into_iter().flatten().filter(within).count();
+            if count > 0 {
+                let time = pause.time;
+                violations
+                    .push(format!("{instance} got {count} requests of node {node} in {time:?}"));
+            }
+        }
         for ordered in &inner.ordered {
             violations.extend(ordered.violations(&inner.arrivals));
         }
@@ -432,7 +474,7 @@
             .map(|(_, limit)| (limit.per_s, limit.peak_in_window(), limit.max_requests()))
             .collect();
         summary.push_str(&format!("limits   {limits:?} (a second, most in 4 s, allowed)\n"));
-        summary.push_str(&format!("pauses   {}\n", inner.pauses));
+        summary.push_str(&format!("pauses   {}\n", inner.pauses.len()));
         for ordered in &inner.ordered {
             summary.push_str(&ordered.summary(&inner.arrivals));
         }
