--- a/crates/fernring-gateway/src/store/directory.rs
+++ b/crates/fernring-gateway/src/store/directory.rs
@@ -252,6 +252,13 @@
         self.index.with_incarnation(incarnation_hash)
     }
 
+    /// Returns the upstream of an incarnation ([`UpstreamRecord::incarnation_id`]).
+    pub fn find_incarnation(&self, incarnation_id: u64) -> Option<&Upstream> {
+        let keys = self.by_incarnation(incarnation_id as u32).iter();
+        keys.filter_map(|key| self.upstreams.get(*key))
+            .find(|upstream| upstream.record.incarnation_id() == incarnation_id)
+    }
+
     /// Finds the upstream of a service at an address.
     pub fn find(&self, service: &str, address: SocketAddr) -> Option<UpstreamKey> {
         let mut at_address = self.at_address(address);
--- a/crates/fernring-gateway/src/upstreams/announcements.rs
+++ b/crates/fernring-gateway/src/upstreams/announcements.rs
@@ -159,13 +159,11 @@
     pub fn leaving_to_publish(&self) -> Vec<u64> {
         let mut announcements = self.announcements.borrow_mut();
         let Announcements { leaving, published_count, .. } = &mut *announcements;
-        if leaving.is_empty() {
-            return Vec::new();
-        }
         let directory = self.directory.borrow();
-        let ready = directory.iter().filter(|(_, upstream)| upstream.accepts_work());
-        let ready = ready.map(|(_, upstream)| upstream.record.incarnation_id());
-        let mut unknown: Vec<_> = ready.filter(|id| leaving.contains(*id)).collect();
+        let is_ready = |incarnation_id: &u64| {
+            directory.find_incarnation(*incarnation_id).is_some_and(Upstream::accepts_work)
+        };
+        let mut unknown: Vec<_> = leaving.iter().filter(is_ready).collect();
         unknown.sort_unstable();
         rotate(&unknown, PUBLISHED_MAX, published_count)
     }
@@ -184,14 +182,10 @@
 
     /// Returns the number of recorded upstreams that announced in a response that they are leaving.
     pub fn announced_leaving_count(&self) -> usize {
-        let leaving = &self.announcements.borrow().leaving;
-        if leaving.is_empty() {
-            return 0;
-        }
         let directory = self.directory.borrow();
-        let incarnation_ids =
-            directory.iter().map(|(_, upstream)| upstream.record.incarnation_id());
-        incarnation_ids.filter(|incarnation_id| leaving.contains(*incarnation_id)).count()
+        let is_recorded =
+            |incarnation_id: &u64| directory.find_incarnation(*incarnation_id).is_some();
+        self.announcements.borrow().leaving.iter().filter(is_recorded).count()
     }
 
     /// Returns how long an incarnation still wants no requests from this node; `None` if it takes
@@ -227,12 +221,7 @@
         let Announcements { leaving, backoffs, unreadable, .. } = &mut *announcements;
         backoffs.expire(now);
         unreadable.retain(|_, logged_at| now < *logged_at + UNREADABLE_LOG_INTERVAL);
-        if leaving.is_empty() {
-            return;
-        }
         let directory = self.directory.borrow();
-        let recorded: HashSet<_> =
-            directory.iter().map(|(_, upstream)| upstream.record.incarnation_id()).collect();
-        leaving.expire(now, |incarnation_id| recorded.contains(&incarnation_id));
+        leaving.expire(now, |incarnation_id| directory.find_incarnation(incarnation_id).is_some());
     }
 }
