Nodes that start at the same moment hear each other

Callers saw 14 in 100 of their requests served in a soak whose nodes had started together: requests that end upstreams were quarantined after up to 17 ends instead of 3, as each node counted alone. Cause: a node reads the records of the nodes and then writes its own; nodes that all read before any has written know nobody, and no node read again (no peer_joined in the logs of any of the six).

A node that has heard no peer a second after its write reads the records once more. Of any two such nodes, the one that wrote later finds the other; those that heard somebody are linked to an earlier writer already. With seeds or known peers nothing more is read.

--- a/crates/fernring-gateway/src/store/store_loops/node_records.rs
+++ b/crates/fernring-gateway/src/store/store_loops/node_records.rs
@@ -42,8 +42,9 @@
                         sleep(write_pause(node_count)).await;
                     }
                     self.write_own_records().await;
-                    if let Some(next) = newest.next {
-                        self.read_other_nodes(next).await;
+                    match newest.next {
+                        Some(next) => self.read_other_nodes(next).await,
+                        None => self.read_again_without_peers().await,
                     }
                     return;
                 }
@@ -86,6 +87,25 @@
         }
     }
 
+    /// Reads the records again if this node has heard no peer. Nodes that start at the same moment
+    /// all read before any of them has written its record; of any two, the one that wrote later
+    /// finds the other now.
+    async fn read_again_without_peers(&self) {
+        sleep(PEER_DISCOVERY_TIME).await;
+        while self.peers.node_count() == 1 {
+            match self.store.read_newest(Topic::Nodes, None).await {
+                Ok(newest) => {
+                    self.apply_nodes(&newest.page);
+                    return;
+                }
+                Err(error) => {
+                    self.record_failure(Topic::Nodes, &error);
+                    sleep(jitter(RETRY_PAUSE_MAX)).await;
+                }
+            }
+        }
+    }
+
     /// Writes this node's record; retries until the store has it.
     pub(super) async fn write_own_records(&self) {
         let own_address = self.peers.address().to_string();
