Announced limits expire by a look-up of each incarnation; simpler bookkeeping of unreadable headers

The expiry of limits went through all records while any limit was known, as that of leaving announcements did before; it uses the same look-up now.

--- a/crates/fernring-gateway/src/upstreams/announced_limits.rs
+++ b/crates/fernring-gateway/src/upstreams/announced_limits.rs
@@ -426,12 +426,11 @@
             return;
         }
         let directory = self.directory.borrow();
-        let incarnation_ids: HashSet<_> =
-            directory.iter().map(|(_, upstream)| upstream.record.incarnation_id()).collect();
+        let is_recorded = |incarnation_id| directory.find_incarnation(incarnation_id).is_some();
         let LimitedUpstreams { limits, exhausted, permit_issuers, unreadable, .. } =
             &mut *limited_upstreams;
-        unreadable.retain(|incarnation_id| incarnation_ids.contains(incarnation_id));
-        limits.retain(now, |incarnation_id| incarnation_ids.contains(&incarnation_id));
+        unreadable.retain(|incarnation_id| is_recorded(*incarnation_id));
+        limits.retain(now, is_recorded);
         exhausted.retain(|incarnation_id, _| limits.limit_per_s(*incarnation_id).is_some());
         permit_issuers.retain(|incarnation_id, _| limits.limit_per_s(*incarnation_id).is_some());
     }
--- a/crates/fernring-gateway/src/upstreams/announcements.rs
+++ b/crates/fernring-gateway/src/upstreams/announcements.rs
@@ -18,7 +18,7 @@
     fernring_core::text::LogLine,
     http::{HeaderMap, HeaderName},
     std::{
-        collections::{HashMap, HashSet},
+        collections::{HashMap, HashSet, hash_map::Entry},
         time::Duration,
     },
 };
@@ -45,13 +45,8 @@
 
 impl Announcements {
     fn log_unreadable(&mut self, now: Duration, target: &Target, what: &'static str) {
-        let entry = self.unreadable.entry((target.incarnation_id(), what));
-        let mut is_new = false;
-        entry.or_insert_with(|| {
-            is_new = true;
-            now
-        });
-        if is_new {
+        if let Entry::Vacant(entry) = self.unreadable.entry((target.incarnation_id(), what)) {
+            entry.insert(now);
             let line = LogLine::event("upstream_header_refused").with("upstream", &target.instance);
             log::warn(line.with("header", what));
         }
