Admission logs the size of a request; requests are counted by size

A line of admission named the forecast and the objective, not how large the request is or what the forecast consists of; a refusal had no forecast at all. Added: prompt_tokens, prefill_ms, processing_ms, in_rank_ms, and fernring_gateway_requests_by_size_total (offered, admitted, answered by pipeline and size). No decision changed.

One test of the size bands.

--- a/crates/fernring-gateway/src/decide/admission.rs
+++ b/crates/fernring-gateway/src/decide/admission.rs
@@ -46,6 +46,19 @@
     pub time_left: Duration,
 }
 
+impl RequestDemand {
+    /// Returns the time until the first event if no piece had to wait.
+    pub fn processing_time(&self) -> Duration {
+        path_time(self, |_| Some(Duration::ZERO)).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns the time until the first event if the request waits as its rank does; `None` if the
+    /// event would never come.
+    pub fn time_in_rank(&self) -> Option<Duration> {
+        path_time(self, |backlog| backlog.wait_for_rank(self.rank))
+    }
+}
+
 /// The decision about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionDecision {
@@ -59,8 +72,7 @@
 
 /// Decides whether a request is admitted.
 pub fn decide(demand: &RequestDemand) -> AdmissionDecision {
-    let in_time = path_time(demand, |backlog| backlog.wait_for_rank(demand.rank));
-    if let Some(time) = in_time.filter(|time| *time <= demand.objective_left) {
+    if let Some(time) = demand.time_in_rank().filter(|time| *time <= demand.objective_left) {
         return AdmissionDecision::InTime(time);
     }
     let late = path_time(demand, Backlog::wait_for_late);
--- a/crates/fernring-gateway/src/serving/exchange/admitting.rs
+++ b/crates/fernring-gateway/src/serving/exchange/admitting.rs
@@ -9,6 +9,7 @@
         log,
         model::short_hash,
         refusal::Refusal,
+        request_size::SizeBand,
         retry_after::RetryForecast,
         retry_schedule::RefusedRequest,
         stage_shares::{LimitedRequest, PoolPieces},
@@ -25,15 +26,20 @@
 impl Exchange {
     /// Decides at arrival whether the request is admitted, and reserves capacity for its stages.
     pub(super) fn admit(&mut self) -> Result<(), Refusal> {
+        let demand = self.admission_demand();
+        let processing_time = demand.processing_time();
+        let size = SizeBand::new(processing_time, self.route.objective);
+        self.size = Some(size);
+        telemetry::record_size(&self.route.name, size, "offered");
         let stages = self.route.stages.len();
         let has_no_pieces = (0..stages).all(|stage| self.plan.piece_count(stage) == 0);
         if has_no_pieces || !self.serving.decide_settings.get().admission {
+            telemetry::record_size(&self.route.name, size, "admitted");
             return Ok(());
         }
         let has_shares = self.serving.stages.shares().is_enabled();
         let path = if has_shares { self.path() } else { Vec::new() };
         let limit = if has_shares { self.limit_by_share(&path) } else { None };
-        let demand = self.admission_demand();
         let decision = match &limit {
             Some(limit) => decide_limited(&demand, limit.is_admitted),
             None => decide(&demand),
@@ -50,6 +56,10 @@
             .with("verdict", name)
             .with_some("forecast_ms", forecast.map(|time| time.as_millis()))
             .with("objective_ms", demand.objective_left.as_millis())
+            .with("prompt_tokens", self.prompt_tokens())
+            .with("prefill_ms", demand.prefill_time.as_millis())
+            .with("processing_ms", processing_time.as_millis())
+            .with_some("in_rank_ms", demand.time_in_rank().map(|time| time.as_millis()))
             .with_some("share", limit.as_ref().map(|l| format!("{:.3}", l.binding.share)))
             .with_some("short_service", limit.as_ref().map(|limit| &limit.pool))
             .with_some("is_workspace_share", limit.as_ref().map(|l| l.binding.is_of_workspace))
@@ -71,6 +81,7 @@
                 forecast,
             ));
         }
+        telemetry::record_size(&self.route.name, size, "admitted");
         let backlogs = self.serving.stages.backlogs();
         for stage in (0..stages).filter(|stage| self.plan.piece_count(*stage) > 0) {
             let (pieces, spec) = (self.plan.piece_count(stage), self.plan.spec(stage));
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -21,6 +21,7 @@
         model::{RequestFields, RetryPolicy, Route, UpstreamKey, Workspace},
         prefill_budget::STREAM_TOKENS,
         refusal::Refusal,
+        request_size::SizeBand,
         residency::Residency,
         retry_after::{RetryForecast, retry_after},
         rollout::coordinator::TrackedSend,
@@ -178,6 +179,8 @@
     plan: StagePlan,
     /// Forecast time from the arrival to the first event; `None` if there is no forecast.
     forecast_time: Option<Duration>,
+    /// Size of the request; `None` before its admission and for requests without stages and prompt.
+    size: Option<SizeBand>,
     /// The reservations of stages that haven't started, by index.
     reservations: HashMap<usize, Reservation>,
     inputs: Vec<Arc<str>>,
@@ -239,6 +242,7 @@
             tried: Vec::new(),
             is_drawn_for_rollout: Cell::default(),
             forecast_time: None,
+            size: None,
             reservations: HashMap::new(),
             inputs: Vec::new(),
             home: None,
@@ -397,6 +401,9 @@
             && status.is_success()
         {
             self.serving.crash_attribution.record_answer(self.request.fingerprint);
+            if let Some(size) = self.size {
+                telemetry::record_size(&self.route.name, size, "answered");
+            }
         }
         self.record_event_gaps();
         let took = self.serving.now().saturating_sub(self.arrived_at);
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -4,7 +4,7 @@
 //! them on the node's ready address.
 
 use {
-    crate::admission_shares::SharesByRank,
+    crate::{admission_shares::SharesByRank, request_size::SizeBand},
     metrics::{counter, gauge, histogram},
     std::{
         cell::RefCell,
@@ -46,6 +46,17 @@
         .record(duration.as_secs_f64());
 }
 
+/// Counts a request with stages or a prompt by its size: `outcome` says whether it was offered,
+/// admitted or answered.
+pub(crate) fn record_size(pipeline: &Arc<str>, size: SizeBand, outcome: &'static str) {
+    let labels = [
+        ("pipeline", bounded_label(pipeline).to_string()),
+        ("size", size.name().to_owned()),
+        ("outcome", outcome.to_owned()),
+    ];
+    counter!("fernring_gateway_requests_by_size_total", &labels).increment(1);
+}
+
 /// Counts a request that was rejected because it was invalid or matched no pipeline.
 pub(crate) fn record_request_refused(code: u16) {
     counter!("fernring_gateway_refused_total", "code" => code.to_string()).increment(1);
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod prefix_demand;
 mod quarantine;
 mod refusal;
+mod request_size;
 mod residency;
 mod retry_after;
 mod retry_schedule;
