Failing test: large requests starve in a crowd

Admission, stage queues and calls of two services in virtual time, one kind of request with prompts of ten sizes. On unchanged logic, at 1.5 times what the first service completes, 0.67 of all requests are answered, 1.00 of the smallest and 0.04 of the largest tenth (0.17 of the fifth below it): the sizes are cut off one after the other. The bound is the users': a tenth by size is answered at least half as often as the whole kind.

--- /dev/null
+++ b/crates/fernring-gateway/tests/testsuite/large_requests.rs
@@ -0,0 +1,37 @@
+//! Requests of one kind with prompts of different sizes, in a crowd, in virtual time.
+
+use {
+    crate::stage_simulation::{Crowd, StageSimulation},
+    std::time::Duration,
+};
+
+/// Prefill times of nine small requests and a large one; the large one needs most of the objective.
+const PREFILL_MS: [u64; 10] = [150, 200, 250, 300, 350, 400, 450, 550, 650, 900];
+
+/// The largest tenth of the requests, and the fifth below it.
+const LARGEST: std::ops::Range<usize> = 9..10;
+const SECOND_LARGEST: std::ops::Range<usize> = 7..9;
+
+fn crowd(load: f64) -> StageSimulation {
+    let mut simulation = StageSimulation::new(Duration::from_millis(1_700));
+    simulation.run(&Crowd { load, prefill_ms: PREFILL_MS.to_vec() }, 30.0);
+    simulation
+}
+
+/// While a third or more is refused, large requests are answered at least half as often as the kind
+/// as a whole.
+#[test]
+fn large_requests_starve_in_a_crowd() {
+    for load in [1.5, 2.0, 3.0] {
+        let simulation = crowd(load);
+        let all = simulation.answered_share(0..10);
+        assert!(all < 0.75, "the load is no crowd: {all} are answered");
+        for part in [LARGEST, SECOND_LARGEST] {
+            let answered = simulation.answered_share(part.clone());
+            assert!(
+                answered >= all / 2.0,
+                "load {load}: of the sizes {part:?} {answered:.2} are answered, of all {all:.2}"
+            );
+        }
+    }
+}
