Requests of all sizes are admitted by the mean slack of their pipeline

Cause: a request was admitted as in time if its own processing and the queue's wait fitted the objective. The queue therefore grew until as many as necessary were refused, and those were the largest. What was left of the objective after the later stages and the prefill was less than one full call for the largest, so that their pieces were late when they were queued, behind all others, whatever the queue.

Change: what is limited is the wait, by the mean slack of the pipeline's requests, so that size doesn't decide who is admitted. The queue already serves least slack first: a queue as long as the mean slack lets small requests wait longer than it and large ones less. A request that its own work leaves no time to wait is due after full calls and one call in progress, not before it arrives. The engine is chosen by the same due time.

The test's harness passes the mean slack on and takes the due time from the decision; load and bound are unchanged, and the check now covers the small sizes too.

--- a/crates/fernring-gateway/src/decide/admission.rs
+++ b/crates/fernring-gateway/src/decide/admission.rs
@@ -7,9 +7,10 @@
 //! An admitted request is not refused later.
 //!
 //! The state of the queues is up to one heartbeat old; the arrival and completion rates extrapolate
-//! it to the present. The limits are the caller's own: the objective for requests that can be in
-//! time, the caller's patience for the others. Queue length itself is not limited, since a queue
-//! that can be served in time may have any length.
+//! it to the present. What is limited is the wait. Requests that can be in time may wait as long as
+//! the requests of their pipeline can on average, whatever their own size, since the queue serves
+//! those first that are due first. The others wait behind all of these, at most as long as their
+//! callers do.
 
 use {crate::backlog::Backlog, std::time::Duration};
 
@@ -29,6 +30,8 @@
     /// Duration of a call that holds this request's pieces and other queued pieces, up to a full
     /// call.
     pub call_time: Duration,
+    /// Duration of a full call.
+    pub full_call_time: Duration,
 }
 
 /// A request to be admitted or refused.
@@ -49,20 +52,49 @@
 impl RequestDemand {
     /// Returns the time until the first event if no piece had to wait.
     pub fn processing_time(&self) -> Duration {
-        path_time(self, |_| Some(Duration::ZERO)).unwrap_or(Duration::MAX)
+        let no_wait = |_: &Backlog| Some(Duration::ZERO);
+        path_time(self, |stage| stage.call_time, no_wait).unwrap_or(Duration::MAX)
     }
 
     /// Returns the time until the first event if the request waits as its rank does; `None` if the
     /// event would never come.
     pub fn time_in_rank(&self) -> Option<Duration> {
-        path_time(self, |backlog| backlog.wait_for_rank(self.rank))
+        let wait = |backlog: &Backlog| backlog.wait_for_rank(self.rank);
+        path_time(self, |stage| stage.call_time, wait)
+    }
+
+    /// Returns the time until the first event is due: the objective, or the time that full calls
+    /// take if that leaves less than the wait for a call in progress. A request that can hardly meet
+    /// its objective would otherwise be late from the start, behind all others.
+    pub fn due_time(&self) -> Duration {
+        let no_wait = |_: &Backlog| Some(Duration::ZERO);
+        let full_calls = path_time(self, |stage| stage.full_call_time, no_wait);
+        let least = full_calls.unwrap_or(Duration::MAX).saturating_add(self.longest_call_time());
+        self.objective_left.max(least).min(self.time_left)
+    }
+
+    /// Returns how long the request can wait and still be answered when it is due.
+    pub fn slack(&self) -> Duration {
+        self.due_time().saturating_sub(self.processing_time())
+    }
+
+    fn longest_call_time(&self) -> Duration {
+        let used = self.stages.iter().filter(|stage| stage.pieces > 0);
+        used.map(|stage| stage.full_call_time).max().unwrap_or_default()
+    }
+
+    /// Returns whether the caller still waits when the answer comes, if the request waits for
+    /// `wait` or, since requests with less time go first, for a call in progress.
+    fn is_awaited_after(&self, wait: Duration) -> bool {
+        self.processing_time() + wait.min(self.longest_call_time()) <= self.time_left
     }
 }
 
 /// The decision about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionDecision {
-    /// Admitted; the answer is expected in time, after the given duration.
+    /// Admitted; the answer is expected when it is due. The duration is the expected one without
+    /// regard to how much earlier or later than others the request is due.
     InTime(Duration),
     /// Admitted, though the answer will come late, after the given duration.
     Late(Duration),
@@ -70,12 +102,13 @@
     Refused(Option<Duration>),
 }
 
-/// Decides whether a request is admitted.
-pub fn decide(demand: &RequestDemand) -> AdmissionDecision {
-    if let Some(time) = demand.time_in_rank().filter(|time| *time <= demand.objective_left) {
+/// Decides whether a request is admitted. `mean_slack` is that of its pipeline.
+pub fn decide(demand: &RequestDemand, mean_slack: Duration) -> AdmissionDecision {
+    let in_time = demand.time_in_rank().filter(|time| is_in_time(demand, *time, mean_slack));
+    if let Some(time) = in_time {
         return AdmissionDecision::InTime(time);
     }
-    let late = path_time(demand, Backlog::wait_for_late);
+    let late = path_time(demand, |stage| stage.call_time, Backlog::wait_for_late);
     match late {
         Some(time) if time <= demand.time_left => AdmissionDecision::Late(time),
         _ => AdmissionDecision::Refused(drained_after(demand)),
@@ -85,21 +118,35 @@
 /// Decides about a request whose rank is short of a service. `is_admitted` says whether the share
 /// of the rank admits it. The forecast then only refuses what would be late; since the share leaves
 /// the capacity that more urgent ranks need, the request waits for the pieces queued ahead of it.
-pub fn decide_limited(demand: &RequestDemand, is_admitted: bool) -> AdmissionDecision {
-    let time = path_time(demand, |backlog| {
+pub fn decide_limited(
+    demand: &RequestDemand,
+    mean_slack: Duration,
+    is_admitted: bool,
+) -> AdmissionDecision {
+    let wait = |backlog: &Backlog| {
         let wait = backlog.wait_behind_queue(demand.rank)?;
         Some(wait.mul_f64(SHORT_WAIT_MARGIN))
-    });
-    match time.filter(|time| is_admitted && *time <= demand.objective_left) {
+    };
+    let time = path_time(demand, |stage| stage.call_time, wait);
+    match time.filter(|time| is_admitted && is_in_time(demand, *time, mean_slack)) {
         Some(time) => AdmissionDecision::InTime(time),
         None => AdmissionDecision::Refused(None),
     }
 }
 
-/// Returns the time until the first event, where `wait_of` estimates how long a piece waits before
-/// it enters a call; `None` if the event would never come.
+/// Returns whether a request that would take `time` waits no longer than requests of its pipeline
+/// can on average.
+fn is_in_time(demand: &RequestDemand, time: Duration, mean_slack: Duration) -> bool {
+    let wait = time.saturating_sub(demand.processing_time());
+    wait <= mean_slack && demand.is_awaited_after(wait)
+}
+
+/// Returns the time until the first event, where `call_time_of` is the duration of a stage's calls
+/// and `wait_of` estimates how long a piece waits before it enters one; `None` if the event would
+/// never come.
 fn path_time(
     demand: &RequestDemand,
+    call_time_of: impl Fn(&StageDemand) -> Duration,
     wait_of: impl Fn(&Backlog) -> Option<Duration>,
 ) -> Option<Duration> {
     let mut completed_at: Vec<Duration> = Vec::with_capacity(demand.stages.len());
@@ -107,9 +154,9 @@
         let ready_at = stage.depends_on.iter().map(|s| completed_at[*s]).max().unwrap_or_default();
         let completes_at = match (stage.pieces, &stage.backlog) {
             (0, _) => ready_at,
-            (_, None) => ready_at + stage.call_time,
+            (_, None) => ready_at + call_time_of(stage),
             // The queue ahead shrinks while earlier stages run.
-            (_, Some(backlog)) => ready_at.max(wait_of(backlog)?) + stage.call_time,
+            (_, Some(backlog)) => ready_at.max(wait_of(backlog)?) + call_time_of(stage),
         };
         completed_at.push(completes_at);
     }
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -50,8 +50,8 @@
         batching, budget, cold, crash_detection, demand, dispatch_round, domain_preference,
         eligibility, engine_speeds, leaving, limits, permit_issuer, prefill_budget, prefill_pauses,
         prefill_speed, prefix_demand, quarantine, request_size, residency, retry_after,
-        retry_schedule, selection, stage_plan, throughput, worker_pools, worker_speeds, workers,
-        workspace_demands, workspace_reports, workspace_shares,
+        retry_schedule, selection, slack, stage_plan, throughput, worker_pools, worker_speeds,
+        workers, workspace_demands, workspace_reports, workspace_shares,
     },
     members::{delegates, pause_detector, peers},
     serving::{
--- a/crates/fernring-gateway/src/serving/exchange/admitting.rs
+++ b/crates/fernring-gateway/src/serving/exchange/admitting.rs
@@ -40,10 +40,13 @@
         let has_shares = self.serving.stages.shares().is_enabled();
         let path = if has_shares { self.path() } else { Vec::new() };
         let limit = if has_shares { self.limit_by_share(&path) } else { None };
+        let (now, pipeline) = (self.serving.now(), &self.route.name);
+        let mean_slack = self.serving.pipeline_slacks.record(now, pipeline, demand.slack());
         let decision = match &limit {
-            Some(limit) => decide_limited(&demand, limit.is_admitted),
-            None => decide(&demand),
+            Some(limit) => decide_limited(&demand, mean_slack, limit.is_admitted),
+            None => decide(&demand, mean_slack),
         };
+        self.due_at = now + demand.due_time();
         let (name, forecast) = match decision {
             AdmissionDecision::InTime(time) => ("in_time", Some(time)),
             AdmissionDecision::Late(time) => ("late", Some(time)),
@@ -59,6 +62,8 @@
             .with("prompt_tokens", self.prompt_tokens())
             .with("prefill_ms", demand.prefill_time.as_millis())
             .with("processing_ms", processing_time.as_millis())
+            .with("due_ms", demand.due_time().as_millis())
+            .with("mean_slack_ms", mean_slack.as_millis())
             .with_some("in_rank_ms", demand.time_in_rank().map(|time| time.as_millis()))
             .with_some("share", limit.as_ref().map(|l| format!("{:.3}", l.binding.share)))
             .with_some("short_service", limit.as_ref().map(|limit| &limit.pool))
@@ -159,19 +164,25 @@
                 current.as_ref().and_then(|current| current.config.services.get(&spec.service));
             let batch_config = service.and_then(|service| service.batch);
             let waiting = backlog.map_or(0, |backlog| backlog.waiting.iter().sum());
-            let call_time = batch_config.map_or(Duration::ZERO, |batch_config| {
-                expected_call_time(
-                    &batch_config,
-                    batch_config.pieces_max.min((pieces + waiting) as usize),
-                )
-            });
-            StageDemand { depends_on: spec.depends_on.clone(), pieces, backlog, call_time }
+            let call_time = |pieces: usize| {
+                batch_config.map_or(Duration::ZERO, |batch_config| {
+                    let pieces = pieces.min(batch_config.pieces_max);
+                    expected_call_time(&batch_config, pieces)
+                })
+            };
+            StageDemand {
+                depends_on: spec.depends_on.clone(),
+                pieces,
+                backlog,
+                call_time: call_time((pieces + waiting) as usize),
+                full_call_time: call_time(usize::MAX),
+            }
         };
         RequestDemand {
             rank: rank_index(self.priority()),
             stages: (0..self.route.stages.len()).map(stage_demand).collect(),
             prefill_time: self.prefill_time(),
-            objective_left: self.objective_at.saturating_sub(now),
+            objective_left: (self.arrived_at + self.route.objective).saturating_sub(now),
             time_left: self.patience_ends_at.saturating_sub(now),
         }
     }
--- a/crates/fernring-gateway/src/serving/exchange/choosing.rs
+++ b/crates/fernring-gateway/src/serving/exchange/choosing.rs
@@ -15,7 +15,7 @@
     std::time::Duration,
 };
 
-/// Share of the time left until the objective that prefill may take. The rest is for load unknown
+/// Share of the time left until the first event is due that prefill may take. The rest is for load unknown
 /// to this node: requests of other nodes since their last heartbeat.
 const PREFILL_SHARE: f64 = 0.7;
 /// The unit of time of the prefill speed in log lines.
@@ -119,7 +119,7 @@
         );
         EngineDemand {
             prompt,
-            time_left: self.objective_at.saturating_sub(now).mul_f64(PREFILL_SHARE),
+            time_left: self.due_at.saturating_sub(now).mul_f64(PREFILL_SHARE),
             pause_max: service.and_then(|service| service.event_gap_objective),
             usual_pause: self.serving.prefill_pauses.for_service(&self.service),
             speed,
@@ -201,7 +201,7 @@
         let prompt = &self.request.fields.prompt;
         let shared = prompt.len().checked_sub(2).and_then(|index| prompt.get(index));
         let own = prompt.last()?;
-        let time_left = self.objective_at.saturating_sub(self.serving.now());
+        let time_left = self.due_at.saturating_sub(self.serving.now());
         let speed = self.serving.prefill_speeds.for_service(&self.service);
         Some(PromptDemand {
             prefix: shared.unwrap_or(own).id,
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -167,7 +167,8 @@
     residency: Residency,
     service: Arc<str>,
     arrived_at: Duration,
-    objective_at: Duration,
+    /// When the first event is due: at the objective, or later if the request itself needs longer.
+    due_at: Duration,
     /// When the caller disconnects if it has received nothing.
     patience_ends_at: Duration,
     end_at: Duration,
@@ -235,7 +236,7 @@
             attempts: Attempts::new(route.retry_policy, route.attempts_max),
             plan: StagePlan::new(&route.stages, &request.fields.piece_counts),
             resume_after: request.fields.last_event,
-            objective_at: arrived_at + route.objective,
+            due_at: arrived_at + route.objective,
             patience_ends_at: arrived_at + time_limit.min(route.event_gap_max),
             end_at: arrived_at + time_limit,
             _in_flight: InFlight::new(serving.clone()),
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -173,7 +173,7 @@
             stage: stage as u32,
             pieces: self.plan.piece_count(stage),
             input,
-            due_at: self.due_at(stage),
+            due_at: self.stage_due_at(stage),
             consumer_domain,
             deadline_at: self
                 .patience_ends_at
@@ -185,9 +185,9 @@
         })
     }
 
-    /// Returns when the results of a stage are due for the first event to meet the objective.
-    fn due_at(&self, stage: usize) -> Duration {
-        self.objective_at.saturating_sub(self.time_after(stage) + self.prefill_time())
+    /// Returns when the results of a stage are due for the first event to come when it is due.
+    fn stage_due_at(&self, stage: usize) -> Duration {
+        self.due_at.saturating_sub(self.time_after(stage) + self.prefill_time())
     }
 
     /// Returns the expected time of the stages that follow a stage.
--- a/crates/fernring-gateway/tests/testsuite/admission.rs
+++ b/crates/fernring-gateway/tests/testsuite/admission.rs
@@ -2,7 +2,7 @@
 
 use {
     fernring_gateway::{
-        admission::{AdmissionDecision, RequestDemand, StageDemand, decide},
+        admission::{self, AdmissionDecision, RequestDemand, StageDemand},
         backlog::{Backlog, RANKS},
         throughput::{ArrivalRate, WorkerThroughput},
     },
@@ -31,6 +31,7 @@
         pieces: 2,
         backlog: Some(backlog),
         call_time: MS(300),
+        full_call_time: MS(300),
     }
 }
 
@@ -44,6 +45,11 @@
     }
 }
 
+/// Decides about a request of a pipeline whose requests are all alike.
+fn decide(demand: &RequestDemand) -> AdmissionDecision {
+    admission::decide(demand, demand.slack())
+}
+
 #[test]
 fn path_time_is_longest_chain_with_shrinking_queues() {
     let chain =
@@ -160,3 +166,42 @@
     }
     assert!((throughput.per_s(50.0) - 20.0).abs() < 1.0, "{}", throughput.per_s(50.0));
 }
+
+#[test]
+fn large_request_is_due_after_full_calls_and_a_call_in_progress() {
+    let chain = vec![stage(&[], backlog_of(0)), stage(&[0], backlog_of(0))];
+    let small = demand(chain);
+    assert_eq!(small.due_time(), MS(1_500), "the objective leaves time to wait");
+    assert_eq!(small.slack(), MS(800));
+    let large = RequestDemand { prefill_time: MS(1_200), ..small.clone() };
+    assert_eq!(large.due_time(), MS(2_100), "two calls, the prefill, and a call in progress");
+    assert_eq!(large.slack(), MS(300));
+    let impatient = RequestDemand { time_left: MS(2_000), ..large };
+    assert_eq!(impatient.due_time(), MS(2_000), "its caller doesn't wait longer");
+}
+
+#[test]
+fn requests_of_all_sizes_are_admitted_by_the_mean_slack() {
+    // 500 ms of work are queued.
+    let decide_size = |prefill_ms, mean_slack_ms| {
+        let demand = demand(vec![stage(&[], backlog_of(50))]);
+        let demand = RequestDemand { prefill_time: MS(prefill_ms), ..demand };
+        admission::decide(&demand, MS(mean_slack_ms))
+    };
+    assert_eq!(decide_size(100, 500), AdmissionDecision::InTime(MS(900)));
+    assert_eq!(decide_size(1_100, 500), AdmissionDecision::InTime(MS(1_900)));
+    assert!(!matches!(decide_size(100, 499), AdmissionDecision::InTime(_)));
+    assert!(!matches!(decide_size(1_100, 499), AdmissionDecision::InTime(_)));
+}
+
+#[test]
+fn request_is_refused_if_its_caller_leaves_before_the_answer() {
+    let demand = |time_left_ms| {
+        let demand = demand(vec![stage(&[], backlog_of(50))]);
+        RequestDemand { time_left: MS(time_left_ms), ..demand }
+    };
+    // 300 ms for the call, 100 ms of prefill, and a wait of at most a call since it goes first.
+    assert_eq!(admission::decide(&demand(700), MS(500)), AdmissionDecision::InTime(MS(900)));
+    let refused = admission::decide(&demand(699), MS(500));
+    assert!(matches!(refused, AdmissionDecision::Refused(_)), "{refused:?}");
+}
--- a/crates/fernring-gateway/tests/testsuite/admission_simulation.rs
+++ b/crates/fernring-gateway/tests/testsuite/admission_simulation.rs
@@ -165,6 +165,7 @@
                 pieces: PIECES[rank][stage],
                 backlog: node.backlogs.estimate(self.now, &self.pools[stage], own),
                 call_time: CALL,
+                full_call_time: CALL,
             }
         });
         let demand = RequestDemand {
@@ -175,8 +176,8 @@
             time_left: OBJECTIVE,
         };
         let decision = match limit {
-            Some(limit) => decide_limited(&demand, limit.is_admitted),
-            None => decide(&demand),
+            Some(limit) => decide_limited(&demand, demand.slack(), limit.is_admitted),
+            None => decide(&demand, demand.slack()),
         };
         let is_admitted = matches!(decision, AdmissionDecision::InTime(_));
         node.shares.record_decision(self.now, rank, &path, is_admitted);
--- a/crates/fernring-gateway/tests/testsuite/large_requests.rs
+++ b/crates/fernring-gateway/tests/testsuite/large_requests.rs
@@ -2,15 +2,14 @@
 
 use {
     crate::stage_simulation::{Crowd, StageSimulation},
-    std::time::Duration,
+    std::{ops::Range, time::Duration},
 };
 
 /// Prefill times of nine small requests and a large one; the large one needs most of the objective.
 const PREFILL_MS: [u64; 10] = [150, 200, 250, 300, 350, 400, 450, 550, 650, 900];
 
-/// The largest tenth of the requests, and the fifth below it.
-const LARGEST: std::ops::Range<usize> = 9..10;
-const SECOND_LARGEST: std::ops::Range<usize> = 7..9;
+/// The largest tenth of the requests, the fifth below it, and the others.
+const PARTS: [Range<usize>; 3] = [9..10, 7..9, 0..7];
 
 fn crowd(load: f64) -> StageSimulation {
     let mut simulation = StageSimulation::new(Duration::from_millis(1_700));
@@ -18,7 +17,7 @@
     simulation
 }
 
-/// While a third or more is refused, large requests are answered at least half as often as the kind
+/// While a quarter or more is refused, requests of each size are answered at least half as often as the kind
 /// as a whole.
 #[test]
 fn large_requests_starve_in_a_crowd() {
@@ -26,7 +25,7 @@
         let simulation = crowd(load);
         let all = simulation.answered_share(0..10);
         assert!(all < 0.75, "the load is no crowd: {all} are answered");
-        for part in [LARGEST, SECOND_LARGEST] {
+        for part in PARTS {
             let answered = simulation.answered_share(part.clone());
             assert!(
                 answered >= all / 2.0,
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod rollouts;
 mod selection;
 mod settings;
+mod slack;
 mod stage_plan;
 mod stage_simulation;
 mod tailing;
--- a/crates/fernring-gateway/tests/testsuite/stage_simulation.rs
+++ b/crates/fernring-gateway/tests/testsuite/stage_simulation.rs
@@ -11,6 +11,7 @@
         model::{BatchConfig, Piece, PieceInput},
         residency::Residency,
         settings::DecideSettings,
+        slack::PipelineSlacks,
         throughput::ServiceThroughput,
         worker_pools::WorkerPool,
         workers::expected_call_time,
@@ -54,6 +55,7 @@
     size: usize,
     prefill_time: Duration,
     arrived_at: Duration,
+    due_at: Duration,
     /// Pieces that are not completed, by stage.
     missing: [u32; STAGES],
     reservation: Option<Reservation>,
@@ -85,6 +87,7 @@
     services: [Service; STAGES],
     pools: [WorkerPool; STAGES],
     backlogs: Rc<Backlogs>,
+    slacks: PipelineSlacks,
     requests: HashMap<u64, Request>,
     next_request: u64,
     /// By size.
@@ -100,6 +103,7 @@
             services: Default::default(),
             pools: ["first", "second"].map(|name| WorkerPool::unsharded(name.into())),
             backlogs: Rc::default(),
+            slacks: PipelineSlacks::default(),
             requests: HashMap::new(),
             next_request: 0,
             outcomes: Vec::new(),
@@ -154,6 +158,7 @@
                 pieces: PIECES[stage],
                 backlog,
                 call_time: expected_call_time(&config, pieces),
+                full_call_time: expected_call_time(&config, config.pieces_max),
             }
         };
         RequestDemand {
@@ -168,7 +173,8 @@
     fn arrive(&mut self, size: usize, prefill_time: Duration) {
         let demand = self.demand(prefill_time);
         self.outcomes[size].offered += 1;
-        if matches!(decide(&demand), AdmissionDecision::Refused(_)) {
+        let mean_slack = self.slacks.record(self.now, &"pipeline".into(), demand.slack());
+        if matches!(decide(&demand, mean_slack), AdmissionDecision::Refused(_)) {
             self.outcomes[size].refused += 1;
             return;
         }
@@ -176,7 +182,9 @@
         self.next_request += 1;
         let reservation = Some(self.backlogs.reserve(&self.pools[1], RANK, PIECES[1]));
         let arrived_at = self.now;
-        let request = Request { size, prefill_time, arrived_at, missing: PIECES, reservation };
+        let due_at = arrived_at + demand.due_time();
+        let missing = PIECES;
+        let request = Request { size, prefill_time, arrived_at, due_at, missing, reservation };
         self.requests.insert(id, request);
         self.enqueue(id, 0);
     }
@@ -194,7 +202,7 @@
             request.reservation = None;
         }
         let after = Self::time_after(stage) + request.prefill_time;
-        let due_at = (request.arrived_at + self.objective).saturating_sub(after);
+        let due_at = request.due_at.saturating_sub(after);
         let deadline_at = request.arrived_at + PATIENCE - after;
         let service = &mut self.services[stage];
         if due_at > self.now {
