--- a/crates/fernring-gateway/tests/testsuite/stage_simulation.rs
+++ b/crates/fernring-gateway/tests/testsuite/stage_simulation.rs
@@ -1,4 +1,4 @@
-//! Two stage services and one node, which admits requests of one kind and batches their pieces, in
+//! Two stage services and one node, which admits requests of one rank and batches their pieces, in
 //! virtual time.
 
 use {
@@ -43,17 +43,26 @@
     }
 }
 
-/// Requests of one kind.
+/// Requests of equally frequent sorts.
 pub(crate) struct Crowd {
     /// Requests, relative to what the first service completes.
     pub(crate) load: f64,
-    /// Prefill times; each is equally frequent.
-    pub(crate) prefill_ms: Vec<u64>,
+    /// The sorts.
+    pub(crate) sorts: Vec<Sort>,
+}
+
+/// A sort of request.
+#[derive(Clone, Copy)]
+pub(crate) struct Sort {
+    pub(crate) pipeline: &'static str,
+    pub(crate) objective: Duration,
+    pub(crate) prefill_time: Duration,
 }
 
 struct Request {
-    size: usize,
-    prefill_time: Duration,
+    /// Index of its sort.
+    number: usize,
+    sort: Sort,
     arrived_at: Duration,
     due_at: Duration,
     /// Pieces that are not completed, by stage.
@@ -69,7 +78,7 @@
     calls: Vec<(Duration, Duration, Vec<QueuedPiece>, bool)>,
 }
 
-/// Numbers of requests of one size.
+/// Numbers of requests of one sort.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Outcome {
     pub(crate) offered: u32,
@@ -82,7 +91,6 @@
 }
 
 pub(crate) struct StageSimulation {
-    objective: Duration,
     now: Duration,
     services: [Service; STAGES],
     pools: [WorkerPool; STAGES],
@@ -90,15 +98,14 @@
     slacks: PipelineSlacks,
     requests: HashMap<u64, Request>,
     next_request: u64,
-    /// By size.
+    /// By sort.
     pub(crate) outcomes: Vec<Outcome>,
     rng: SmallRng,
 }
 
 impl StageSimulation {
-    pub(crate) fn new(objective: Duration) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
-            objective,
             now: Duration::from_secs(100),
             services: Default::default(),
             pools: ["first", "second"].map(|name| WorkerPool::unsharded(name.into())),
@@ -113,7 +120,7 @@
 
     /// Lets requests arrive for some seconds, and ends those that are under way.
     pub(crate) fn run(&mut self, crowd: &Crowd, seconds: f64) {
-        self.outcomes.resize(crowd.prefill_ms.len(), Outcome::default());
+        self.outcomes.resize(crowd.sorts.len(), Outcome::default());
         let config = batch_config(0);
         let per_s = (WORKERS[0] * config.pieces_max) as f64
             / expected_call_time(&config, config.pieces_max).as_secs_f64()
@@ -123,8 +130,8 @@
             let chance = crowd.load * per_s * STEP.as_secs_f64();
             for _ in 0..if self.now < ends_at { 4 } else { 0 } {
                 if self.rng.random_bool(chance / 4.0) {
-                    let size = self.rng.random_range(0..crowd.prefill_ms.len());
-                    self.arrive(size, MS(crowd.prefill_ms[size]));
+                    let number = self.rng.random_range(0..crowd.sorts.len());
+                    self.arrive(number, crowd.sorts[number]);
                 }
             }
             (0..STAGES).for_each(|stage| self.serve(stage));
@@ -132,9 +139,9 @@
         }
     }
 
-    /// Share of the requests of some sizes that were answered, in time or late.
-    pub(crate) fn answered_share(&self, sizes: Range<usize>) -> f64 {
-        let outcomes = &self.outcomes[sizes];
+    /// Share of the requests of some sorts that were answered, in time or late.
+    pub(crate) fn answered_share(&self, sorts: Range<usize>) -> f64 {
+        let outcomes = &self.outcomes[sorts];
         let offered: u32 = outcomes.iter().map(|outcome| outcome.offered).sum();
         let answered: u32 = outcomes.iter().map(|outcome| outcome.in_time + outcome.late).sum();
         f64::from(answered) / f64::from(offered)
@@ -146,7 +153,7 @@
         service.throughput.backlog(self.now, &batch_config(stage), workers, Some(&service.queue))
     }
 
-    fn demand(&self, prefill_time: Duration) -> RequestDemand {
+    fn demand(&self, sort: Sort) -> RequestDemand {
         let stage_demand = |stage: usize| {
             let own = Some(self.backlog(stage));
             let backlog = self.backlogs.estimate(self.now, &self.pools[stage], own);
@@ -164,18 +171,18 @@
         RequestDemand {
             rank: RANK,
             stages: (0..STAGES).map(stage_demand).collect(),
-            prefill_time,
-            objective_left: self.objective,
+            prefill_time: sort.prefill_time,
+            objective_left: sort.objective,
             time_left: PATIENCE,
         }
     }
 
-    fn arrive(&mut self, size: usize, prefill_time: Duration) {
-        let demand = self.demand(prefill_time);
-        self.outcomes[size].offered += 1;
-        let mean_slack = self.slacks.record(self.now, &"pipeline".into(), demand.slack());
+    fn arrive(&mut self, number: usize, sort: Sort) {
+        let demand = self.demand(sort);
+        self.outcomes[number].offered += 1;
+        let mean_slack = self.slacks.record(self.now, &sort.pipeline.into(), demand.slack());
         if matches!(decide(&demand, mean_slack), AdmissionDecision::Refused(_)) {
-            self.outcomes[size].refused += 1;
+            self.outcomes[number].refused += 1;
             return;
         }
         let id = self.next_request;
@@ -184,7 +191,7 @@
         let arrived_at = self.now;
         let due_at = arrived_at + demand.due_time();
         let missing = PIECES;
-        let request = Request { size, prefill_time, arrived_at, due_at, missing, reservation };
+        let request = Request { number, sort, arrived_at, due_at, missing, reservation };
         self.requests.insert(id, request);
         self.enqueue(id, 0);
     }
@@ -201,7 +208,7 @@
         if stage > 0 {
             request.reservation = None;
         }
-        let after = Self::time_after(stage) + request.prefill_time;
+        let after = Self::time_after(stage) + request.sort.prefill_time;
         let due_at = request.due_at.saturating_sub(after);
         let deadline_at = request.arrived_at + PATIENCE - after;
         let service = &mut self.services[stage];
@@ -282,9 +289,9 @@
         if stage + 1 < STAGES {
             return self.enqueue(id, stage + 1);
         }
-        let took = self.now + request.prefill_time - request.arrived_at;
-        let outcome = &mut self.outcomes[request.size];
-        match took <= self.objective {
+        let took = self.now + request.sort.prefill_time - request.arrived_at;
+        let outcome = &mut self.outcomes[request.number];
+        match took <= request.sort.objective {
             true => outcome.in_time += 1,
             false => outcome.late += 1,
         }
@@ -295,7 +302,7 @@
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
-        let outcome = &mut self.outcomes[request.size];
+        let outcome = &mut self.outcomes[request.number];
         outcome.expired += 1;
         outcome.held_max = outcome.held_max.max(self.now - request.arrived_at);
         self.services.iter_mut().for_each(|service| service.queue.cancel(id));
