Requests are admitted by the mean slack of their rank at the service, not of their pipeline

The queue of a rank is shared by pipelines, and grew to the slack of the pipeline that can wait longest; the forecast of the others counts that whole queue, though they go ahead of most of it. Change: the mean is kept for each service and rank, weighted by pieces, since a queue that serves least slack first keeps all in time while its length is the mean slack of what is in it. The mean of the service that a request waits for longest decides.

--- a/crates/fernring-gateway/src/decide/admission.rs
+++ b/crates/fernring-gateway/src/decide/admission.rs
@@ -8,8 +8,8 @@
 //!
 //! The state of the queues is up to one heartbeat old; the arrival and completion rates extrapolate
 //! it to the present. What is limited is the wait. Requests that can be in time may wait as long as
-//! the requests of their pipeline can on average, whatever their own size, since the queue serves
-//! those first that are due first. The others wait behind all of these, at most as long as their
+//! the requests of their rank can on average, whatever their own size, since the queue serves those
+//! first that are due first. The others wait behind all of these, at most as long as their
 //! callers do.
 
 use {crate::backlog::Backlog, std::time::Duration};
@@ -78,6 +78,19 @@
         self.due_time().saturating_sub(self.processing_time())
     }
 
+    /// Returns the index of the stage whose service the request waits for longest; `None` if it has
+    /// no pieces.
+    pub fn longest_wait_stage(&self) -> Option<usize> {
+        let used = (0..self.stages.len()).filter(|stage| self.stages[*stage].pieces > 0);
+        let wait = |stage: &usize| {
+            let backlog = self.stages[*stage].backlog.as_ref();
+            backlog.map_or(Duration::ZERO, |backlog| {
+                backlog.wait_for_rank(self.rank).unwrap_or(Duration::MAX)
+            })
+        };
+        used.max_by_key(wait)
+    }
+
     fn longest_call_time(&self) -> Duration {
         let used = self.stages.iter().filter(|stage| stage.pieces > 0);
         used.map(|stage| stage.full_call_time).max().unwrap_or_default()
@@ -102,7 +115,8 @@
     Refused(Option<Duration>),
 }
 
-/// Decides whether a request is admitted. `mean_slack` is that of its pipeline.
+/// Decides whether a request is admitted. `mean_slack` is that of its rank at the service that it
+/// waits for longest.
 pub fn decide(demand: &RequestDemand, mean_slack: Duration) -> AdmissionDecision {
     let in_time = demand.time_in_rank().filter(|time| is_in_time(demand, *time, mean_slack));
     if let Some(time) = in_time {
@@ -134,8 +148,8 @@
     }
 }
 
-/// Returns whether a request that would take `time` waits no longer than requests of its pipeline
-/// can on average.
+/// Returns whether a request that would take `time` waits no longer than requests of its rank can
+/// on average.
 fn is_in_time(demand: &RequestDemand, time: Duration, mean_slack: Duration) -> bool {
     let wait = time.saturating_sub(demand.processing_time());
     wait <= mean_slack && demand.is_awaited_after(wait)
--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! | question | decided in |
 //! |---|---|
-//! | is a request admitted? | [`admission`], by the [`slack`] of its pipeline, counted by [`request_size`], from [`backlog`] and [`backlogs`] (queued pieces) and [`throughput`] (processing rate); [`admission_gate`], by the [`admission_shares`] that owners determine from the [`demand`] of all nodes |
+//! | is a request admitted? | [`admission`], by the mean [`slack`] of its rank, counted by [`request_size`], from [`backlog`] and [`backlogs`] (queued pieces) and [`throughput`] (processing rate); [`admission_gate`], by the [`admission_shares`] that owners determine from the [`demand`] of all nodes |
 //! | which part of a service may one workspace use? | [`workspace_shares`], from [`workspace_demands`] and [`workspace_reports`] |
 //! | may it be sent again, and when may its caller retry? | [`attempts`], [`budget`], [`retry_after`], [`retry_schedule`] |
 //! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`leaving`], [`backoff`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`selection`], [`prefill_speed`], [`engine_speeds`], [`prefill_budget`], [`prefill_pauses`], [`prefix_demand`] |
--- a/crates/fernring-gateway/src/decide/slack.rs
+++ b/crates/fernring-gateway/src/decide/slack.rs
@@ -1,52 +1,67 @@
-//! Slack of the requests of a pipeline: how long they can wait in queues and still be answered when
-//! they are due. No I/O.
+//! Mean slack of the requests of a rank at a stage service: how long they can wait in queues and
+//! still be answered when they are due. No I/O.
 //!
-//! Handles crowds of requests of different sizes. If each request were admitted by its own slack,
-//! the queue would grow until it is as long as the slack of those that need the least time
-//! themselves, and larger ones would hardly ever be admitted. All requests of a pipeline are
-//! therefore admitted by their mean slack. The queue serves those with less slack first, so that a
-//! queue as long as the mean slack lets nearly all of them be in time.
+//! Handles crowds of requests with different slack: of different sizes, or of pipelines with
+//! different objectives. If each request were admitted by its own slack, the queue would grow until
+//! it is as long as the largest slack, and requests with less would hardly ever be admitted. All
+//! requests of a rank are therefore admitted by their mean slack at the service that they wait for
+//! longest. The queue serves those with less slack first, so that a queue as long as the mean slack
+//! lets nearly all of them be in time.
 //!
-//! Inputs: the slack of each request that arrives at this node, refused ones included.
+//! Inputs: the slack of each request that arrives at this node, refused ones included, weighted by
+//! its pieces.
 
 use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
 
-/// Weight of the latest request in a mean. About twenty requests count, which even a node with one
-/// request in some seconds sees within a minute.
+/// Weight of the latest request of usual size in a mean. About twenty requests count, which even a
+/// node with one request in some seconds sees within a minute.
 const REQUEST_WEIGHT: f64 = 0.05;
-/// Largest number of pipelines with a mean; the one that was used least recently is forgotten.
-const PIPELINES_MAX: usize = 1_024;
+/// Largest number of means; the one that was updated least recently is forgotten.
+const MEANS_MAX: usize = 1_024;
 
-#[derive(Debug)]
-struct MeanSlack {
-    mean_s: f64,
-    requests: u32,
+/// The requests that share a mean: those of a rank that need a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct QueueKey {
+    /// The stage service.
+    pub service: Arc<str>,
+    /// Rank, as an index.
+    pub rank: usize,
+}
+
+/// Exponentially weighted sums over requests.
+#[derive(Debug, Default)]
+struct WeightedSlack {
+    pieces: f64,
+    /// Slack times pieces, in seconds.
+    slack_s: f64,
     updated_at: Duration,
 }
 
-/// Mean slack of the requests that a node receives, by pipeline.
+/// Mean slack of the requests that a node receives, by service and rank.
 #[derive(Debug, Default)]
-pub struct PipelineSlacks(RefCell<HashMap<Arc<str>, MeanSlack>>);
+pub struct MeanSlacks(RefCell<HashMap<QueueKey, WeightedSlack>>);
 
-impl PipelineSlacks {
-    /// Records the slack of a request and returns the mean of its pipeline.
-    pub fn record(&self, now: Duration, pipeline: &Arc<str>, slack: Duration) -> Duration {
+impl MeanSlacks {
+    /// Records the slack of a request that has `pieces` for a service.
+    pub fn record(&self, now: Duration, key: QueueKey, pieces: u32, slack: Duration) {
         let mut means = self.0.borrow_mut();
-        if means.len() >= PIPELINES_MAX && !means.contains_key(pipeline) {
+        if means.len() >= MEANS_MAX && !means.contains_key(&key) {
             let oldest = means.iter().min_by_key(|(_, mean)| mean.updated_at);
-            if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+            if let Some(oldest) = oldest.map(|(key, _)| key.clone()) {
                 means.remove(&oldest);
             }
         }
-        let mean = means.entry(pipeline.clone()).or_insert(MeanSlack {
-            mean_s: 0.0,
-            requests: 0,
-            updated_at: now,
-        });
-        mean.requests = mean.requests.saturating_add(1);
-        let weight = REQUEST_WEIGHT.max(1.0 / f64::from(mean.requests));
-        mean.mean_s += weight * (slack.as_secs_f64() - mean.mean_s);
+        let mean = means.entry(key).or_default();
+        let pieces = f64::from(pieces);
+        mean.pieces += pieces - REQUEST_WEIGHT * mean.pieces;
+        mean.slack_s += slack.as_secs_f64() * pieces - REQUEST_WEIGHT * mean.slack_s;
         mean.updated_at = now;
-        Duration::from_secs_f64(mean.mean_s.max(0.0))
+    }
+
+    /// Returns the mean slack at a service; `None` before the first request.
+    pub fn mean(&self, key: &QueueKey) -> Option<Duration> {
+        let means = self.0.borrow();
+        let mean = means.get(key).filter(|mean| mean.pieces > 0.0)?;
+        Some(Duration::from_secs_f64((mean.slack_s / mean.pieces).max(0.0)))
     }
 }
--- a/crates/fernring-gateway/src/serving/context.rs
+++ b/crates/fernring-gateway/src/serving/context.rs
@@ -5,7 +5,7 @@
         config::ConfigState, crash_attribution::CrashAttribution, deadline_timer::DeadlineTimer,
         peers::Peers, prefill_pauses::PrefillPauses, prefill_speed::PrefillSpeeds,
         prefix_demand::PrefixDemands, retries::Retries, rollout::coordinator::Rollouts,
-        settings::DecideSettings, slack::PipelineSlacks, stages::Stages, upstreams::Upstreams,
+        settings::DecideSettings, slack::MeanSlacks, stages::Stages, upstreams::Upstreams,
         wire::Wire,
     },
     fernring_core::clock::Clock,
@@ -34,8 +34,8 @@
     pub stages: Rc<Stages>,
     /// The prefill speeds of model engines, measured since the start.
     pub prefill_speeds: PrefillSpeeds,
-    /// Mean slack of the requests of each pipeline.
-    pub pipeline_slacks: PipelineSlacks,
+    /// Mean slack of the requests that need a stage service.
+    pub mean_slacks: MeanSlacks,
     /// The pauses of streams while prompts are prefilled, measured since the start.
     pub prefill_pauses: PrefillPauses,
     /// The prompts that this node sent recently, by prefix.
--- a/crates/fernring-gateway/src/serving/exchange/admitting.rs
+++ b/crates/fernring-gateway/src/serving/exchange/admitting.rs
@@ -12,6 +12,7 @@
         request_size::SizeBand,
         retry_after::RetryForecast,
         retry_schedule::RefusedRequest,
+        slack::QueueKey,
         stage_shares::{LimitedRequest, PoolPieces},
         telemetry,
         worker_pools::WorkerPool,
@@ -40,13 +41,12 @@
         let has_shares = self.serving.stages.shares().is_enabled();
         let path = if has_shares { self.path() } else { Vec::new() };
         let limit = if has_shares { self.limit_by_share(&path) } else { None };
-        let (now, pipeline) = (self.serving.now(), &self.route.name);
-        let mean_slack = self.serving.pipeline_slacks.record(now, pipeline, demand.slack());
+        let mean_slack = self.mean_slack(&demand);
         let decision = match &limit {
             Some(limit) => decide_limited(&demand, mean_slack, limit.is_admitted),
             None => decide(&demand, mean_slack),
         };
-        self.due_at = now + demand.due_time();
+        self.due_at = self.serving.now() + demand.due_time();
         let (name, forecast) = match decision {
             AdmissionDecision::InTime(time) => ("in_time", Some(time)),
             AdmissionDecision::Late(time) => ("late", Some(time)),
@@ -98,6 +98,21 @@
         Ok(())
     }
 
+    /// Records the slack of the request at the services of its stages; returns the mean at the one
+    /// that it waits for longest.
+    fn mean_slack(&self, demand: &RequestDemand) -> Duration {
+        let slacks = &self.serving.mean_slacks;
+        let key = |stage: usize| {
+            let service = self.plan.spec(stage).service.clone();
+            QueueKey { service, rank: demand.rank }
+        };
+        for (stage, part) in demand.stages.iter().enumerate().filter(|(_, part)| part.pieces > 0) {
+            slacks.record(self.serving.now(), key(stage), part.pieces, demand.slack());
+        }
+        let mean = demand.longest_wait_stage().and_then(|stage| slacks.mean(&key(stage)));
+        mean.unwrap_or_else(|| demand.slack())
+    }
+
     /// Lists the pieces of the request's stages, by the pools that they are likely to use.
     fn path(&self) -> Vec<PoolPieces> {
         let used = (0..self.route.stages.len()).filter(|stage| self.plan.piece_count(*stage) > 0);
--- a/crates/fernring-gateway/tests/testsuite/large_requests.rs
+++ b/crates/fernring-gateway/tests/testsuite/large_requests.rs
@@ -32,17 +32,13 @@
 /// fifth below it, and the others.
 #[test]
 fn large_requests_starve_in_a_crowd() {
-    let sort = |ms| Sort { pipeline: "plan", objective: MS(1_700), prefill_time: MS(ms) };
+    let sort = |ms| Sort { objective: MS(1_700), prefill_time: MS(ms) };
     assert_none_starves(&PREFILL_MS.map(sort), &[9..10, 7..9, 0..7]);
 }
 
 /// A pipeline with a short objective shares the services with one that can wait for seconds.
 #[test]
 fn pipeline_with_a_short_objective_starves_beside_a_patient_one() {
-    let sort = |pipeline, objective_ms| Sort {
-        pipeline,
-        objective: MS(objective_ms),
-        prefill_time: MS(100),
-    };
-    assert_none_starves(&[sort("urgent", 1_000), sort("patient", 4_000)], &[0..1, 1..2]);
+    let sort = |ms| Sort { objective: MS(ms), prefill_time: MS(100) };
+    assert_none_starves(&[sort(1_000), sort(4_000)], &[0..1, 1..2]);
 }
--- a/crates/fernring-gateway/tests/testsuite/slack.rs
+++ b/crates/fernring-gateway/tests/testsuite/slack.rs
@@ -1,36 +1,52 @@
-//! Mean slack of the requests of a pipeline.
+//! Mean slack of the requests of a rank at a service.
 
 use {
-    fernring_gateway::slack::PipelineSlacks,
-    std::{sync::Arc, time::Duration},
+    fernring_gateway::slack::{MeanSlacks, QueueKey},
+    std::time::Duration,
 };
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
+fn key(service: &str, rank: usize) -> QueueKey {
+    QueueKey { service: service.into(), rank }
+}
+
 #[test]
-fn mean_slack_follows_the_latest_requests_of_a_pipeline() {
-    let slacks = PipelineSlacks::default();
-    let [first, second]: [Arc<str>; 2] = ["first", "second"].map(Arc::from);
-    assert_eq!(slacks.record(MS(0), &first, MS(600)), MS(600));
-    assert_eq!(slacks.record(MS(1), &first, MS(200)), MS(400));
-    assert_eq!(slacks.record(MS(2), &second, MS(100)), MS(100), "pipelines have their own means");
-    for at in 3..103 {
-        slacks.record(MS(at), &first, MS(1_000));
+fn mean_slack_follows_the_latest_requests() {
+    let slacks = MeanSlacks::default();
+    assert_eq!(slacks.mean(&key("first", 1)), None);
+    slacks.record(MS(0), key("first", 1), 2, MS(600));
+    assert_eq!(slacks.mean(&key("first", 1)), Some(MS(600)));
+    for at in 1..101 {
+        slacks.record(MS(at), key("first", 1), 2, MS(1_000));
     }
-    let mean = slacks.record(MS(103), &first, MS(1_000));
+    let mean = slacks.mean(&key("first", 1)).unwrap_or_default();
     assert!((MS(980)..=MS(1_000)).contains(&mean), "{mean:?}");
+    assert_eq!(slacks.mean(&key("first", 0)), None, "ranks have their own means");
+    assert_eq!(slacks.mean(&key("second", 1)), None, "services have their own means");
+}
+
+#[test]
+fn slack_is_weighted_by_pieces() {
+    let slacks = MeanSlacks::default();
+    for at in 0..200 {
+        slacks.record(MS(at), key("first", 1), 9, MS(1_000));
+        slacks.record(MS(at), key("first", 1), 1, MS(0));
+    }
+    let mean = slacks.mean(&key("first", 1)).unwrap_or_default();
+    assert!((MS(880)..=MS(920)).contains(&mean), "{mean:?}");
 }
 
 #[test]
-fn least_recently_used_pipeline_is_forgotten() {
-    let slacks = PipelineSlacks::default();
-    let name = |number: u64| Arc::<str>::from(number.to_string());
-    slacks.record(MS(0), &name(0), MS(500));
-    slacks.record(MS(1), &name(1), MS(500));
-    slacks.record(MS(2), &name(0), MS(500));
-    for number in 2..1_025 {
-        slacks.record(MS(3 + number), &name(number), MS(0));
+fn least_recently_used_mean_is_forgotten() {
+    let slacks = MeanSlacks::default();
+    let record = |at, service: u64| slacks.record(MS(at), key(&service.to_string(), 0), 1, MS(500));
+    record(0, 0);
+    record(1, 1);
+    record(2, 0);
+    for service in 2..1_025 {
+        record(3 + service, service);
     }
-    assert_eq!(slacks.record(MS(5_000), &name(0), MS(200)), MS(400), "it was used again");
-    assert_eq!(slacks.record(MS(5_001), &name(1), MS(200)), MS(200), "its mean starts anew");
+    assert_eq!(slacks.mean(&key("0", 0)), Some(MS(500)), "it was used again");
+    assert_eq!(slacks.mean(&key("1", 0)), None);
 }
--- a/crates/fernring-gateway/tests/testsuite/stage_simulation.rs
+++ b/crates/fernring-gateway/tests/testsuite/stage_simulation.rs
@@ -11,7 +11,7 @@
         model::{BatchConfig, Piece, PieceInput},
         residency::Residency,
         settings::DecideSettings,
-        slack::PipelineSlacks,
+        slack::{MeanSlacks, QueueKey},
         throughput::ServiceThroughput,
         worker_pools::WorkerPool,
         workers::expected_call_time,
@@ -54,7 +54,6 @@
 /// A sort of request.
 #[derive(Clone, Copy)]
 pub(crate) struct Sort {
-    pub(crate) pipeline: &'static str,
     pub(crate) objective: Duration,
     pub(crate) prefill_time: Duration,
 }
@@ -95,7 +94,7 @@
     services: [Service; STAGES],
     pools: [WorkerPool; STAGES],
     backlogs: Rc<Backlogs>,
-    slacks: PipelineSlacks,
+    slacks: MeanSlacks,
     requests: HashMap<u64, Request>,
     next_request: u64,
     /// By sort.
@@ -110,7 +109,7 @@
             services: Default::default(),
             pools: ["first", "second"].map(|name| WorkerPool::unsharded(name.into())),
             backlogs: Rc::default(),
-            slacks: PipelineSlacks::default(),
+            slacks: MeanSlacks::default(),
             requests: HashMap::new(),
             next_request: 0,
             outcomes: Vec::new(),
@@ -180,7 +179,13 @@
     fn arrive(&mut self, number: usize, sort: Sort) {
         let demand = self.demand(sort);
         self.outcomes[number].offered += 1;
-        let mean_slack = self.slacks.record(self.now, &sort.pipeline.into(), demand.slack());
+        let key =
+            |stage: usize| QueueKey { service: self.pools[stage].service.clone(), rank: RANK };
+        for (stage, pieces) in PIECES.into_iter().enumerate() {
+            self.slacks.record(self.now, key(stage), pieces, demand.slack());
+        }
+        let binding = demand.longest_wait_stage().expect("it has pieces");
+        let mean_slack = self.slacks.mean(&key(binding)).expect("a slack was recorded");
         if matches!(decide(&demand, mean_slack), AdmissionDecision::Refused(_)) {
             self.outcomes[number].refused += 1;
             return;
