--- a/crates/fernring-gateway/src/serving/exchange/admitting.rs
+++ b/crates/fernring-gateway/src/serving/exchange/admitting.rs
@@ -167,7 +167,7 @@
         self.serving.stages.pool_for(service, None, &self.request.id, &self.residency)
     }
 
-    fn admission_demand(&self) -> RequestDemand {
+    pub(super) fn admission_demand(&self) -> RequestDemand {
         let current = self.serving.config.borrow().current();
         let now = self.serving.now();
         let stage_demand = |stage: usize| {
