Stages whose results were lost are due anew

What callers saw: a request that had been admitted was refused with ExpiredInQueue after results it needed were lost, though its caller would have waited for seconds.

Cause: as for resumed streams, the second run of the stages kept the due time of the first and went behind all others, or was given up at once. Change: the second run is due after full calls and one call in progress from then on. The request's stages are run twice at most, as before.

--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -354,8 +354,7 @@
         if self.plan.has_released_results() {
             self.plan = StagePlan::new(&self.route.stages, &self.request.fields.piece_counts);
             self.patience_ends_at = self.end_at;
-            // The stages would be late from the start, behind those of all other requests.
-            self.due_at = self.serving.now() + self.admission_demand().due_time();
+            self.renew_due_time();
             self.run_admitted_stages().await?;
         }
         self.open().await
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -88,6 +88,7 @@
                     self.release_results();
                     let counts = &self.request.fields.piece_counts;
                     self.plan = StagePlan::new(&self.route.stages, counts);
+                    self.renew_due_time();
                 }
                 WorkOutcome::Quarantined => {
                     return Err(self.refusal_for(ResultCode::NoUpstream, "a stage failed"));
@@ -110,6 +111,12 @@
         Err(self.refusal_for(ResultCode::NoUpstream, "the results of stages were lost"))
     }
 
+    /// Sets when the first event is due if all stages run again now. With the due time of the first
+    /// run they would be late from the start, behind those of all other requests.
+    pub(super) fn renew_due_time(&mut self) {
+        self.due_at = self.serving.now() + self.admission_demand().due_time();
+    }
+
     async fn run_stages_once(&mut self) -> WorkOutcome {
         let serving = self.serving.clone();
         let lead = self.chain_lead();
