Failing test: requests with a short window starve beside patient ones

Patient requests are accepted until the queue is as long as their window, and those with a shorter one are refused.

--- a/crates/fernring-policy/tests/testsuite/dispatcher.rs
+++ b/crates/fernring-policy/tests/testsuite/dispatcher.rs
@@ -561,3 +561,36 @@
     harness.advance(500);
     assert_eq!(harness.answer(waiter).unwrap().code().class(), Class::Late);
 }
+
+/// At twice what the pools complete, requests with a short window and patient ones of the same
+/// workspace are each answered at least half as often as all.
+#[test]
+fn requests_with_a_short_window_starve_beside_patient_ones() {
+    const WINDOWS_MS: [u64; 2] = [1_000, 8_000];
+    const STAGE_MS: u64 = 100;
+    let mut harness = Harness::new(PolicySettings::default(), catalog(1, 0));
+    let mut waiters = WINDOWS_MS.map(|_| Vec::new());
+    let mut running: Vec<(u64, Dispatch)> = Vec::new();
+    for now_ms in (0..30_000).step_by(25) {
+        for (window_ms, waiters) in WINDOWS_MS.iter().zip(&mut waiters) {
+            if now_ms < 20_000 {
+                waiters.push(harness.submit("pure", None, *window_ms));
+            }
+        }
+        for (_, dispatch) in running.extract_if(.., |(ends_ms, _)| *ends_ms <= now_ms) {
+            harness.complete(&dispatch);
+        }
+        let started = harness.take_dispatches();
+        running.extend(started.into_iter().map(|dispatch| (now_ms + STAGE_MS, dispatch)));
+        harness.advance(25);
+    }
+    let answered = |waiter: &&WaiterId| harness.answer_code(**waiter) == Some(ResultCode::Ok);
+    let shares = waiters
+        .each_ref()
+        .map(|waiters| waiters.iter().filter(answered).count() as f64 / waiters.len() as f64);
+    let all = (shares[0] + shares[1]) / 2.0;
+    assert!(all < 0.75, "the load is no crowd: {all} are answered");
+    for (share, window_ms) in shares.into_iter().zip(WINDOWS_MS) {
+        assert!(share >= all / 2.0, "window {window_ms} ms: {share:.2} answered, of all {all:.2}");
+    }
+}
