--- a/crates/fernring-gateway/tests/testsuite/admission.rs
+++ b/crates/fernring-gateway/tests/testsuite/admission.rs
@@ -205,3 +205,24 @@
     let refused = admission::decide(&demand(699), MS(500));
     assert!(matches!(refused, AdmissionDecision::Refused(_)), "{refused:?}");
 }
+
+#[test]
+fn service_with_the_longest_wait_of_the_rank_binds() {
+    let urgent = |pieces| {
+        let mut backlog = backlog_of(0);
+        backlog.waiting[0] = pieces;
+        backlog
+    };
+    let omitted = StageDemand { pieces: 0, ..stage(&[], backlog_of(500)) };
+    let chain =
+        vec![stage(&[], backlog_of(10)), omitted, stage(&[0], urgent(30)), stage(&[2], urgent(20))];
+    assert_eq!(demand(chain).longest_wait_stage(), Some(2));
+    let unserved = Backlog { rate_per_s: 0.0, ..backlog_of(1) };
+    let chain = vec![stage(&[], unserved), stage(&[0], backlog_of(900))];
+    assert_eq!(demand(chain).longest_wait_stage(), Some(0), "it would wait for ever");
+    let less_urgent = RequestDemand {
+        rank: 0,
+        ..demand(vec![stage(&[], backlog_of(10)), stage(&[0], urgent(5))])
+    };
+    assert_eq!(at_rank_0.longest_wait_stage(), Some(1), "the ten pieces are less urgent");
+}
