Late pieces that fit into the calls of free workers are kept

What callers saw: a request was refused with ExpiredInQueue after a second, with three seconds left, while a worker was idle.

Cause: late pieces are given up where the rate that arrivals leave over doesn't reach them in time. The estimate counts a piece among those ahead of itself, also where the call that is about to start has room for all of them.

--- a/crates/fernring-gateway/src/decide/batching.rs
+++ b/crates/fernring-gateway/src/decide/batching.rs
@@ -178,13 +178,15 @@
 
     /// Takes out the pieces whose deadline would pass before a call could end.
     ///
-    /// Late pieces enter calls only after `backlog` is processed. Those for which that would be too
-    /// late are taken out now rather than at their deadline.
+    /// Late pieces enter calls only after `backlog` is processed, but for those that fit into the
+    /// `free_slots` of calls that can start now. Those for which that would be too late are taken out
+    /// now rather than at their deadline.
     pub fn take_expired(
         &mut self,
         now: Duration,
         batch_config: &BatchConfig,
         backlog: &Backlog,
+        free_slots: usize,
         decide_settings: &DecideSettings,
     ) -> Vec<QueuedPiece> {
         let started = &self.started;
@@ -204,7 +206,11 @@
                 return piece.deadline_at <= now + batch_config.call_time;
             }
             late += 1;
-            let wait = backlog.time_to_process(in_time + late);
+            let ahead = in_time + late;
+            let wait = match ahead as usize <= free_slots {
+                true => Some(Duration::ZERO),
+                false => backlog.time_to_process(ahead),
+            };
             wait.is_none_or(|wait| piece.deadline_at <= now + wait + batch_config.call_time)
         };
         self.pieces.extract_if(.., expired).collect()
--- a/crates/fernring-gateway/src/owner/dispatch.rs
+++ b/crates/fernring-gateway/src/owner/dispatch.rs
@@ -35,10 +35,11 @@
             return;
         }
         self.finish_quarantined();
-        self.finish_expired(pool, &batch_config, &workers);
+        let free_workers = self.free_workers(&workers, &batch_config);
+        self.finish_expired(pool, &batch_config, &workers, free_workers.len());
         let mut domain_workers = WorkersByDomain::default();
         let mut unserved = UnservedCapacity::default();
-        for worker in self.free_workers(&workers, &batch_config) {
+        for worker in free_workers {
             let Some(target) = self.upstreams.target(worker.key) else {
                 continue;
             };
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -417,12 +417,15 @@
         pool: &WorkerPool,
         batch_config: &BatchConfig,
         workers: &[UpstreamKey],
+        free_workers: usize,
     ) {
         let now = self.now();
         let backlog = self.backlog_of(pool, batch_config, workers);
+        let free_slots = free_workers * batch_config.pieces_max;
         let expired = match self.queues.borrow_mut().get_mut(pool) {
             Some(queue) => {
-                queue.take_expired(now, batch_config, &backlog, &self.decide_settings.get())
+                let decide_settings = self.decide_settings.get();
+                queue.take_expired(now, batch_config, &backlog, free_slots, &decide_settings)
             }
             None => return,
         };
--- a/crates/fernring-gateway/tests/testsuite/batching.rs
+++ b/crates/fernring-gateway/tests/testsuite/batching.rs
@@ -188,7 +188,7 @@
     let mut queue = queue([expired, piece(2, 900), piece(3, 900)]);
     queue.cancel(2);
     let expired_works: Vec<_> = queue
-        .take_expired(NOW, &batch_config(), &idle(), &DECIDE_SETTINGS)
+        .take_expired(NOW, &batch_config(), &idle(), 0, &DECIDE_SETTINGS)
         .iter()
         .map(|piece| piece.work)
         .collect();
@@ -302,7 +302,7 @@
     let expired = |backlog: &Backlog, decide_settings: &DecideSettings| -> Vec<u64> {
         let mut queue = queue([piece(1, 0), piece(2, 900)]);
         queue
-            .take_expired(NOW, &batch_config(), backlog, decide_settings)
+            .take_expired(NOW, &batch_config(), backlog, 0, decide_settings)
             .iter()
             .map(|piece| piece.work)
             .collect()
@@ -319,10 +319,22 @@
     let piece_with_deadline =
         |work| QueuedPiece { deadline_at: NOW + Duration::from_secs(4), ..piece(work, 0) };
     let mut queue = queue((1..=30).map(piece_with_deadline));
-    let expired_works = queue.take_expired(NOW, &batch_config(), &backlog, &DECIDE_SETTINGS);
+    let expired_works = queue.take_expired(NOW, &batch_config(), &backlog, 0, &DECIDE_SETTINGS);
     assert_eq!((queue.len(), expired_works.len()), (19, 11), "five per second, less the last call");
 }
 
+/// The same burst leaves no rate for late pieces, but a worker is free.
+#[test]
+fn late_pieces_are_kept_for_a_free_worker() {
+    let backlog = Backlog { arrivals_per_s: arrivals(20.0), late: 6, ..idle() };
+    let piece_with_deadline =
+        |work| QueuedPiece { deadline_at: NOW + Duration::from_secs(4), ..piece(work, 0) };
+    let mut queue = queue((1..=6).map(piece_with_deadline));
+    let free_slots = batch_config().pieces_max;
+    let expired = queue.take_expired(NOW, &batch_config(), &backlog, free_slots, &DECIDE_SETTINGS);
+    assert_eq!((queue.len(), expired.len()), (4, 2), "the call that can start now holds four");
+}
+
 #[test]
 fn pieces_are_counted_by_rank_and_late_ones_separately() {
     let low = QueuedPiece { priority: 2, ..piece(2, 900) };
--- a/crates/fernring-gateway/tests/testsuite/stage_simulation.rs
+++ b/crates/fernring-gateway/tests/testsuite/stage_simulation.rs
@@ -248,9 +248,12 @@
         self.end_calls(stage);
         let config = batch_config(stage);
         let backlog = self.backlog(stage);
-        let queue = &mut self.services[stage].queue;
+        let service = &mut self.services[stage];
+        let free_slots = (WORKERS[stage] - service.calls.len()) * config.pieces_max;
         let settings = DecideSettings::ALL;
-        for piece in queue.take_expired(self.now, &config, &backlog, &settings) {
+        let expired =
+            service.queue.take_expired(self.now, &config, &backlog, free_slots, &settings);
+        for piece in expired {
             self.expire(piece.work);
         }
         let service = &mut self.services[stage];
