--- a/crates/fernring-gateway/tests/testsuite/admission.rs
+++ b/crates/fernring-gateway/tests/testsuite/admission.rs
@@ -220,7 +220,7 @@
     let unserved = Backlog { rate_per_s: 0.0, ..backlog_of(1) };
     let chain = vec![stage(&[], unserved), stage(&[0], backlog_of(900))];
     assert_eq!(demand(chain).longest_wait_stage(), Some(0), "it would wait for ever");
-    let less_urgent = RequestDemand {
+    let at_rank_0 = RequestDemand {
         rank: 0,
         ..demand(vec![stage(&[], backlog_of(10)), stage(&[0], urgent(5))])
     };
