--- a/crates/fernring-gateway/src/decide/slack.rs
+++ b/crates/fernring-gateway/src/decide/slack.rs
@@ -13,8 +13,7 @@
 
 use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
 
-/// Weight of the latest request of usual size in a mean. About twenty requests count, which even a
-/// node with one request in some seconds sees within a minute.
+/// Weight of the latest request in a mean; about twenty requests count.
 const REQUEST_WEIGHT: f64 = 0.05;
 /// Largest number of means; the one that was updated least recently is forgotten.
 const MEANS_MAX: usize = 1_024;
