Which services a node reaches is logged and counted

Connections to upstreams are opened by a connector over a dialer, which tests can replace. It keeps the last result for each address; the line service_reachability and the gauge fernring_gateway_reached_upstreams are made from it. No decision changed.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -2,7 +2,7 @@
 //! and is closed after any irregularity.
 
 use {
-    crate::{crash_detection::Disconnect, eligibility::Ineligible},
+    crate::{connector::Connect, crash_detection::Disconnect, eligibility::Ineligible},
     bytes::Bytes,
     fernring_core::clock::Clock,
     http::{Request, Response, response::Parts},
@@ -22,19 +22,9 @@
         time::Duration,
     },
     thiserror::Error,
-    tokio::{
-        net::{TcpSocket, TcpStream},
-        task::AbortHandle,
-        time::timeout,
-    },
+    tokio::{task::AbortHandle, time::timeout},
 };
 
-/// Connect timeout. A round trip between failure domains takes a few milliseconds; half a second
-/// leaves time to try another upstream within most objectives.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time for which the kernel retransmits unacknowledged bytes. A machine that lost power never
-/// resets its connections.
-pub const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for which an idle connection is kept if the upstream doesn't announce its own idle timeout.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
 /// Time by which an idle connection is closed before the upstream would close it.
@@ -135,6 +125,7 @@
 pub struct ConnectionPool {
     address: SocketAddr,
     clock: Rc<dyn Clock>,
+    connector: Rc<dyn Connect>,
     state: Rc<RefCell<PoolState>>,
 }
 
@@ -149,8 +140,8 @@
 
 impl ConnectionPool {
     /// Creates an empty pool of connections to an upstream.
-    pub fn new(address: SocketAddr, clock: Rc<dyn Clock>) -> Self {
-        Self { address, clock, state: Rc::default() }
+    pub fn new(address: SocketAddr, clock: Rc<dyn Clock>, connector: Rc<dyn Connect>) -> Self {
+        Self { address, clock, connector, state: Rc::default() }
     }
 
     fn now(&self) -> Duration {
@@ -262,10 +253,7 @@
     async fn connect(&self) -> Result<ActiveConnection, SendFailure> {
         self.state.borrow_mut().open_count += 1;
         let mut active = ActiveConnection { connection: None, pool: self.clone() };
-        let stream = timeout(CONNECT_TIMEOUT, connect(self.address))
-            .await
-            .map_err(|_| SendFailure::NotSent("connect timed out".to_owned()))?
-            .map_err(connect_failure)?;
+        let stream = self.connector.connect(self.address).await?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES_MAX)
             .handshake(TokioIo::new(stream))
@@ -287,10 +275,16 @@
         request: Request<Full<Bytes>>,
     ) -> Result<UpstreamResponse, ExchangeError> {
         match active.sender().try_send_request(request).await {
-            Ok(response) => Ok(into_response(active, response)),
+            Ok(response) => {
+                self.connector.record_response(self.address);
+                Ok(into_response(active, response))
+            }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(ExchangeError::NotSent(Box::new(request))),
-                None => Err(ExchangeError::Broken(error.error().into())),
+                None => {
+                    self.connector.record_loss(self.address);
+                    Err(ExchangeError::Broken(error.error().into()))
+                }
             },
         }
     }
@@ -316,14 +310,6 @@
     Broken(ConnectionLoss),
 }
 
-fn connect_failure(error: io::Error) -> SendFailure {
-    let reason = format!("connect: {error}");
-    match error.kind() {
-        ErrorKind::ConnectionRefused => SendFailure::ConnectionRefused(reason),
-        _ => SendFailure::NotSent(reason),
-    }
-}
-
 /// Describes an error together with its cause, which hyper's own text leaves out.
 fn describe(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
@@ -332,17 +318,6 @@
     }
 }
 
-/// Opens a TCP connection for small messages to a peer that may disappear without closing it.
-///
-/// # Errors
-/// Returns an error if the connection can't be opened.
-pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_nodelay(true)?;
-    socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    socket.connect(address).await
-}
-
 /// A connection in use. It counts as open until it is dropped; returned to the pool, it stays open.
 #[derive(Debug)]
 struct ActiveConnection {
--- a/crates/fernring-gateway/src/crash_attribution/mod.rs
+++ b/crates/fernring-gateway/src/crash_attribution/mod.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         attempts::NotRun,
-        connections::connect,
+        connector::{Connect, ConnectFailure},
         crash_detection::{Crash, CrashDetector, Disconnect, Incarnation, ProbeResult},
         directory::Effect,
         fingerprint::Fingerprint,
@@ -31,7 +31,6 @@
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
-        io::ErrorKind,
         net::SocketAddr,
         rc::Rc,
         time::Duration,
@@ -46,9 +45,6 @@
 /// Pauses before the probes of an address: a process that exits closes its connections before or
 /// after its listening socket.
 const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(280)];
-/// Longest wait for a connection during a probe. A refusal takes one round trip, a few
-/// milliseconds.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait until it is known whether an upstream has crashed: the first probe, and one round
 /// trip between regions.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -338,7 +334,7 @@
     async fn probe(self: Rc<Self>, target: Target) {
         for pause in PROBE_PAUSES {
             sleep(pause).await;
-            let result = probe(target.address).await;
+            let result = self.probe_address(target.address).await;
             let line = LogLine::event("upstream_probed").with("upstream", target.incarnation());
             log::info(line.with("address", target.address).with("found", result.name()));
             let crash = self.crash_detector.borrow_mut().record_probe(target.key, result);
@@ -350,6 +346,15 @@
         }
     }
 
+    /// Probes whether an address accepts connections.
+    async fn probe_address(&self, address: SocketAddr) -> ProbeResult {
+        match self.upstreams.connector().connect(address).await {
+            Ok(_) | Err(ConnectFailure::Reset) => ProbeResult::Accepted,
+            Err(ConnectFailure::Refused) => ProbeResult::Refused,
+            Err(ConnectFailure::TimedOut | ConnectFailure::Failed(_)) => ProbeResult::Silent,
+        }
+    }
+
     fn report_crash(self: &Rc<Self>, crash: Option<Crash>) {
         let Some(Crash { incarnation, fingerprints }) = crash else {
             return;
@@ -520,16 +525,3 @@
     let names: Vec<_> = incarnations.iter().map(Incarnation::to_string).collect();
     names.join(",")
 }
-
-/// Probes whether an address accepts connections.
-async fn probe(address: SocketAddr) -> ProbeResult {
-    match timeout(PROBE_TIMEOUT, connect(address)).await {
-        Ok(Ok(_)) => ProbeResult::Accepted,
-        Ok(Err(error)) => match error.kind() {
-            ErrorKind::ConnectionRefused => ProbeResult::Refused,
-            ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted => ProbeResult::Accepted,
-            _ => ProbeResult::Silent,
-        },
-        Err(_) => ProbeResult::Silent,
-    }
-}
--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -9,6 +9,7 @@
 //! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`leaving`], [`backoff`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`selection`], [`prefill_speed`], [`engine_speeds`], [`prefill_budget`], [`prefill_pauses`], [`prefix_demand`] |
 //! | in which regions may it be served? | [`residency`] |
 //! | which pieces go into which call, and which node sends it? | [`batching`], [`domain_preference`], [`workers`], [`worker_speeds`], [`worker_pools`], [`dispatch_round`], [`stage_plan`] |
+//! | which upstreams does this node reach? | [`reachability`] |
 //! | has an upstream crashed, and under which request? | [`crash_detection`], [`quarantine`] |
 
 pub mod admission;
@@ -36,6 +37,7 @@
 pub mod prefill_speed;
 pub mod prefix_demand;
 pub mod quarantine;
+pub mod reachability;
 pub mod request_size;
 pub mod residency;
 pub mod retry_after;
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod config;
 pub mod connections;
+pub mod connector;
 pub mod crash_attribution;
 pub mod decide;
 pub mod log;
@@ -49,9 +50,9 @@
         admission, admission_gate, admission_shares, attempts, backlog, backlogs, backoff,
         batching, budget, cold, crash_detection, demand, dispatch_round, domain_preference,
         eligibility, engine_speeds, leaving, limits, permit_issuer, prefill_budget, prefill_pauses,
-        prefill_speed, prefix_demand, quarantine, request_size, residency, retry_after,
-        retry_schedule, selection, slack, stage_plan, throughput, worker_pools, worker_speeds,
-        workers, workspace_demands, workspace_reports, workspace_shares,
+        prefill_speed, prefix_demand, quarantine, reachability, request_size, residency,
+        retry_after, retry_schedule, selection, slack, stage_plan, throughput, worker_pools,
+        worker_speeds, workers, workspace_demands, workspace_reports, workspace_shares,
     },
     members::{delegates, pause_detector, peers},
     serving::{
--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connections::{CONNECT_TIMEOUT, TCP_USER_TIMEOUT, connect},
+        connector::{CONNECT_TIMEOUT, TCP_USER_TIMEOUT, connect},
         delegates::{DelegateRole, HeartbeatRate},
         log,
         members::{HEARTBEAT_INTERVAL, Member, Members, ReaderRole},
--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -9,6 +9,7 @@
 use {
     crate::{
         config::ConfigState,
+        connector::{Connector, Dial},
         context::ServingContext,
         crash_attribution::CrashAttribution,
         deadline_timer::DeadlineTimer,
@@ -81,6 +82,8 @@
     pub wire: Rc<dyn Wire>,
     /// The platform's store.
     pub store: Rc<dyn Store>,
+    /// Opens connections to upstreams.
+    pub dialer: Rc<dyn Dial>,
     /// Renders the recorded metrics as text.
     pub render: Box<dyn Fn() -> String>,
 }
@@ -135,15 +138,20 @@
 impl Node {
     /// Creates a node and starts the background tasks of its parts.
     pub fn new(settings: Settings, dependencies: NodeDependencies) -> Rc<Self> {
-        let NodeDependencies { clock, wire, store, render } = dependencies;
+        let NodeDependencies { clock, wire, store, dialer, render } = dependencies;
         let failure_domain: Arc<str> = settings.node.failure_domain.as_str().into();
         let member = Member {
             incarnation: rand::random(),
             ..Member::new(settings.node.peer_address, failure_domain.clone())
         };
         let config = Rc::new(RefCell::new(ConfigState::default()));
-        let upstreams =
-            Rc::new(Upstreams::new(failure_domain, clock.clone(), config.clone(), settings.cold));
+        let upstreams = Rc::new(Upstreams::new(
+            failure_domain,
+            clock.clone(),
+            config.clone(),
+            settings.cold,
+            Rc::new(Connector::new(clock.clone(), dialer)),
+        ));
         let peers = Rc::new(Peers::new(member, clock.clone()));
         let retries = Rc::new(Retries::new(settings.retries.allowance(), peers.clone()));
         let decide_settings = Rc::new(Cell::new(settings.decide));
--- a/crates/fernring-gateway/src/node/readiness.rs
+++ b/crates/fernring-gateway/src/node/readiness.rs
@@ -66,6 +66,7 @@
 
     fn render_metrics(&self) -> String {
         let directory = self.upstreams.directory();
+        self.upstreams.set_reachability_gauges();
         telemetry::set_reachable_nodes(&self.peers.reachable_by_domain());
         telemetry::set_gauges(GaugeValues {
             config_version: self.config.borrow().version(),
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -216,6 +216,17 @@
     }
 }
 
+/// Sets the number of upstreams of a service that this node reached and didn't reach recently.
+pub(crate) fn set_service_reachability(service: &Arc<str>, reached: usize, unreached: usize) {
+    for (is_reached, count) in [("true", reached), ("false", unreached)] {
+        let labels = [
+            ("service", bounded_label(service).to_string()),
+            ("is_reached", is_reached.to_owned()),
+        ];
+        gauge!("fernring_gateway_reached_upstreams", &labels).set(count as f64);
+    }
+}
+
 /// Sets the other gauges.
 pub(crate) fn set_gauges(values: GaugeValues) {
     gauge!("fernring_gateway_config_version").set(values.config_version as f64);
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -12,6 +12,7 @@
 mod engine_speeds;
 mod health;
 mod loads;
+mod reachability;
 mod versions;
 
 pub use {announced_limits::PermitTransport, announcements::LoadReport, loads::LoadGuard};
@@ -19,12 +20,14 @@
 use {
     self::{
         access::ColdState, announced_limits::LimitedUpstreams, announcements::Announcements,
-        engine_speeds::EngineSpeeds, health::Health, loads::PeerLoads, versions::VersionRules,
+        engine_speeds::EngineSpeeds, health::Health, loads::PeerLoads,
+        reachability::ServiceReachability, versions::VersionRules,
     },
     crate::{
         cold::PeakNodeCount,
         config::ConfigState,
         connections::{ConnectionPool, ResponseBody, SendFailure, UpstreamResponse},
+        connector::Connector,
         crash_detection::Incarnation,
         directory::{Change, Directory, Effect, Upstream},
         evacuations::Evacuations,
@@ -101,6 +104,9 @@
 pub struct Upstreams {
     failure_domain: Arc<str>,
     clock: Rc<dyn Clock>,
+    connector: Rc<Connector>,
+    /// The reachability of each service that was logged last.
+    logged_reachability: RefCell<HashMap<Arc<str>, ServiceReachability>>,
     directory: RefCell<Directory>,
     evacuations: RefCell<Evacuations>,
     regions: RefCell<Regions>,
@@ -173,6 +179,7 @@
         clock: Rc<dyn Clock>,
         config: Rc<RefCell<ConfigState>>,
         cold: ColdSettings,
+        connector: Rc<Connector>,
     ) -> Self {
         let cold = ColdState {
             settings: cold,
@@ -185,6 +192,8 @@
         Self {
             failure_domain,
             clock,
+            connector,
+            logged_reachability: RefCell::default(),
             config,
             cold: RefCell::new(cold),
             limited_upstreams: RefCell::default(),
@@ -275,6 +284,8 @@
         self.engine_speeds.borrow_mut().expire(now);
         self.expire_limits(now);
         self.expire_announcements(now);
+        self.connector.expire(now);
+        self.log_reachability();
         let effects = self.directory.borrow_mut().expire(now);
         self.drop_gone(effects)
     }
@@ -465,11 +476,15 @@
         let mut pools = self.pools.borrow_mut();
         let entry = pools.entry(target.key);
         let entry = entry.ok_or_else(|| SendFailure::NotSent("the upstream is gone".to_owned()))?;
-        let pool = entry.or_insert_with(|| ConnectionPool::new(target.address, self.clock.clone()));
+        let pool = entry.or_insert_with(|| self.new_pool(target.address));
         if pool.address() != target.address {
             // Its record has a new address; requests in flight at the old one may finish.
-            *pool = ConnectionPool::new(target.address, self.clock.clone());
+            *pool = self.new_pool(target.address);
         }
         Ok(pool.clone())
     }
+
+    fn new_pool(&self, address: SocketAddr) -> ConnectionPool {
+        ConnectionPool::new(address, self.clock.clone(), self.connector.clone())
+    }
 }
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -3,6 +3,7 @@
 use {
     fernring_core::clock::ManualClock,
     fernring_gateway::{
+        connector::{Connector, TcpDialer},
         directory::{Change, Entry},
         engine_speeds::EventGaps,
         model::{UpstreamKey, UpstreamRecord, UpstreamState, short_hash},
@@ -35,12 +36,17 @@
     }
 }
 
+fn connector() -> Rc<Connector> {
+    Rc::new(Connector::new(Rc::new(ManualClock::at_unix_ms(0)), Rc::new(TcpDialer)))
+}
+
 fn upstreams(instances: &[&str]) -> Rc<Upstreams> {
     let upstreams = Rc::new(Upstreams::new(
         "a".into(),
         Rc::new(ManualClock::at_unix_ms(0)),
         Rc::default(),
         ColdSettings::default(),
+        connector(),
     ));
     let changes = instances.iter().enumerate().map(|(number, instance)| change(number, instance));
     upstreams.apply(NOW, changes.collect());
@@ -139,6 +145,7 @@
             Rc::new(ManualClock::at_unix_ms(0)),
             Rc::default(),
             ColdSettings::default(),
+            connector(),
         ));
         upstreams.apply(NOW, vec![change(0, "i")]);
         upstreams
--- a/crates/fernring/src/cmd/gateway.rs
+++ b/crates/fernring/src/cmd/gateway.rs
@@ -8,6 +8,7 @@
     fernring_adapter::{PlatformStore, PlatformWire, SETTINGS_VARIABLE},
     fernring_core::clock::SystemClock,
     fernring_gateway::{
+        connector::TcpDialer,
         node::{Listeners, Node, NodeDependencies, stop_signal},
         settings::{Settings, load},
     },
@@ -62,6 +63,7 @@
         clock: clock.clone(),
         wire: Rc::new(PlatformWire),
         store: Rc::new(PlatformStore::new(settings.store.address, clock)),
+        dialer: Rc::new(TcpDialer),
         render: Box::new(move || recorder.render()),
     };
     LocalSet::new().block_on(&runtime, async {
