--- a/crates/fernring-gateway/src/connector.rs
+++ b/crates/fernring-gateway/src/connector.rs
@@ -143,9 +143,13 @@
         self.reachability.borrow()
     }
 
+    /// Returns the time on the node's clock.
+    pub fn now(&self) -> Duration {
+        self.clock.now().monotonic
+    }
+
     fn record(&self, address: SocketAddr, is_reached: bool) {
-        let now = self.clock.now().monotonic;
-        self.reachability.borrow_mut().record(now, address, is_reached);
+        self.reachability.borrow_mut().record(self.now(), address, is_reached);
     }
 
     /// Forgets results that are too old.
