Upstreams that a node doesn't reach itself are reached through a peer

Cause: a node has one way to an upstream, its own, and takes what it doesn't reach for dead. Evidence: service_reachability names unreached upstreams at the cut-off nodes only; their peers' sends to the same upstreams succeed in the same second.

A connection that isn't open within 100 ms, or fails, is opened through a peer as well: a tunnel on a connection of its own, to registered upstreams only, by the peer's own path, in the region of the upstream and not through an evacuated domain. Requests, permits, the ledger and what may be sent again stay where they are; ConnectionPool::connect serves requests, calls, releases and crash probes alike. Nodes tell each other which upstreams they don't reach, so that these aren't relays for them. A node that reaches nothing says so, probes three times a second, and sends nothing by its own path until a probe succeeds; if no peer has a path either, the upstream isn't blamed and requests are refused.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -2,7 +2,11 @@
 //! and is closed after any irregularity.
 
 use {
-    crate::{connector::Connect, crash_detection::Disconnect, eligibility::Ineligible},
+    crate::{
+        connector::{Connect, Connected, Path, TunnelGuard},
+        crash_detection::Disconnect,
+        eligibility::Ineligible,
+    },
     bytes::Bytes,
     fernring_core::clock::Clock,
     http::{Request, Response, response::Parts},
@@ -103,6 +107,8 @@
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    path: Path,
+    _tunnel: Option<TunnelGuard>,
     _task: TaskGuard,
 }
 
@@ -136,6 +142,8 @@
     pub head: Parts,
     /// Body of the response.
     pub body: ResponseBody,
+    /// The way that the response took.
+    pub path: Path,
 }
 
 impl ConnectionPool {
@@ -163,7 +171,11 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let before = state.idle.len();
-        state.idle.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+        state.idle.retain(|idle| {
+            idle.expires_at > now
+                && !idle.connection.sender.is_closed()
+                && self.connector.is_usable(self.address, idle.connection.path)
+        });
         state.open_count -= before - state.idle.len();
     }
 
@@ -253,7 +265,7 @@
     async fn connect(&self) -> Result<ActiveConnection, SendFailure> {
         self.state.borrow_mut().open_count += 1;
         let mut active = ActiveConnection { connection: None, pool: self.clone() };
-        let stream = self.connector.connect(self.address).await?;
+        let Connected { stream, path, tunnel } = self.connector.connect(self.address).await?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES_MAX)
             .handshake(TokioIo::new(stream))
@@ -265,7 +277,12 @@
         state.tasks.retain(|task| !task.is_finished());
         state.tasks.push(task.abort_handle());
         drop(state);
-        active.connection = Some(Connection { sender, _task: TaskGuard(task.abort_handle()) });
+        active.connection = Some(Connection {
+            sender,
+            path,
+            _tunnel: tunnel,
+            _task: TaskGuard(task.abort_handle()),
+        });
         Ok(active)
     }
 
@@ -274,16 +291,21 @@
         mut active: ActiveConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<UpstreamResponse, ExchangeError> {
+        let path = active.path();
+        let _exchange = self.connector.track_exchange(path);
         match active.sender().try_send_request(request).await {
             Ok(response) => {
-                self.connector.record_response(self.address);
+                self.connector.record_received(self.address, path);
                 Ok(into_response(active, response))
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(ExchangeError::NotSent(Box::new(request))),
                 None => {
-                    self.connector.record_loss(self.address);
-                    Err(ExchangeError::Broken(error.error().into()))
+                    let loss = ConnectionLoss::from(error.error());
+                    if loss.kind == Some(Disconnect::Silent) {
+                        self.connector.record_silence(self.address, path);
+                    }
+                    Err(ExchangeError::Broken(loss))
                 }
             },
         }
@@ -294,6 +316,7 @@
         let mut state = self.state.borrow_mut();
         if state.idle.len() >= IDLE_CONNECTIONS_MAX
             || connection.sender.is_closed()
+            || !self.connector.is_usable(self.address, connection.path)
             || idle_timeout.is_zero()
         {
             state.open_count -= 1;
@@ -330,6 +353,14 @@
         &mut self.connection.as_mut().expect("present until dropped").sender
     }
 
+    fn record_received(&self) {
+        self.pool.connector.record_received(self.pool.address, self.path());
+    }
+
+    fn path(&self) -> Path {
+        self.connection.as_ref().expect("present until dropped").path
+    }
+
     fn return_to_pool(mut self, idle_timeout: Duration) {
         if let Some(connection) = self.connection.take() {
             self.pool.return_idle(connection, idle_timeout);
@@ -347,8 +378,9 @@
 
 fn into_response(active: ActiveConnection, response: Response<Incoming>) -> UpstreamResponse {
     let (head, body) = response.into_parts();
+    let path = active.path();
     let body = ResponseBody { body, connection: Some(active), idle_timeout: IDLE_TIMEOUT_DEFAULT };
-    UpstreamResponse { head, body }
+    UpstreamResponse { head, body, path }
 }
 
 /// The body of a response. Its connection returns to the pool after the last byte. If the body is
@@ -389,7 +421,12 @@
                 }
             }
             Poll::Ready(Some(Err(_))) => this.connection = None,
-            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+            Poll::Ready(Some(Ok(_))) => {
+                if let Some(active) = &this.connection {
+                    active.record_received();
+                }
+            }
+            Poll::Pending => {}
         }
         polled
     }
--- a/crates/fernring-gateway/src/connector.rs
+++ b/crates/fernring-gateway/src/connector/dial.rs
@@ -1,15 +1,12 @@
-//! Opens connections to upstreams, and records which upstreams this node reaches.
+//! Opens direct TCP connections.
 
 use {
-    crate::{connections::SendFailure, reachability::Reachability},
+    crate::{connections::SendFailure, eligibility::Ineligible},
     async_trait::async_trait,
-    fernring_core::clock::Clock,
     std::{
-        cell::{Ref, RefCell},
         fmt::Debug,
         io::{self, ErrorKind},
         net::SocketAddr,
-        rc::Rc,
         time::Duration,
     },
     tokio::{
@@ -46,36 +43,6 @@
     }
 }
 
-/// Opens the connections of a [`crate::connections::ConnectionPool`].
-#[async_trait(?Send)]
-pub trait Connect: Debug {
-    /// Opens a connection to an address.
-    ///
-    /// # Errors
-    /// Returns the reason if no connection could be opened within [`CONNECT_TIMEOUT`].
-    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, ConnectFailure>;
-
-    /// Records that a response was received on a connection to an address.
-    fn record_response(&self, _address: SocketAddr) {}
-
-    /// Records that a connection to an address was lost while a response was awaited.
-    fn record_loss(&self, _address: SocketAddr) {}
-}
-
-#[async_trait(?Send)]
-impl Connect for TcpDialer {
-    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
-        dial_in_time(self, address).await
-    }
-}
-
-async fn dial_in_time(dialer: &dyn Dial, address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
-    match timeout(CONNECT_TIMEOUT, dialer.dial(address)).await {
-        Ok(dialed) => Ok(dialed?),
-        Err(_) => Err(ConnectFailure::TimedOut),
-    }
-}
-
 /// Opens a TCP connection for small messages to a peer that may disappear without closing it.
 ///
 /// # Errors
@@ -102,6 +69,9 @@
     /// Any other failure.
     #[error("connect: {0}")]
     Failed(ErrorKind),
+    /// This node has lost its direct path, and no peer has one.
+    #[error("no path to any upstream")]
+    NoPath,
 }
 
 impl From<io::Error> for ConnectFailure {
@@ -119,58 +89,20 @@
     fn from(failure: ConnectFailure) -> Self {
         match failure {
             ConnectFailure::Refused => Self::ConnectionRefused(failure.to_string()),
+            ConnectFailure::NoPath => Self::Ineligible(Ineligible::NoPath),
             _ => Self::NotSent(failure.to_string()),
         }
     }
 }
 
-/// Opens the connections of a node to upstreams.
-#[derive(Debug)]
-pub struct Connector {
-    clock: Rc<dyn Clock>,
-    dialer: Rc<dyn Dial>,
-    reachability: RefCell<Reachability>,
-}
-
-impl Connector {
-    /// Creates a connector that hasn't opened any connection.
-    pub fn new(clock: Rc<dyn Clock>, dialer: Rc<dyn Dial>) -> Self {
-        Self { clock, dialer, reachability: RefCell::default() }
-    }
-
-    /// Gives access to what this node reaches.
-    pub fn reachability(&self) -> Ref<'_, Reachability> {
-        self.reachability.borrow()
-    }
-
-    /// Returns the time on the node's clock.
-    pub fn now(&self) -> Duration {
-        self.clock.now().monotonic
-    }
-
-    fn record(&self, address: SocketAddr, is_reached: bool) {
-        self.reachability.borrow_mut().record(self.now(), address, is_reached);
-    }
-
-    /// Forgets results that are too old.
-    pub(crate) fn expire(&self, now: Duration) {
-        self.reachability.borrow_mut().expire(now);
-    }
-}
-
-#[async_trait(?Send)]
-impl Connect for Connector {
-    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, ConnectFailure> {
-        let dialed = dial_in_time(&*self.dialer, address).await;
-        self.record(address, dialed.is_ok());
-        dialed
-    }
-
-    fn record_response(&self, address: SocketAddr) {
-        self.record(address, true);
-    }
-
-    fn record_loss(&self, address: SocketAddr) {
-        self.record(address, false);
+/// Opens a connection within a time limit.
+pub(super) async fn dial_in_time(
+    dialer: &dyn Dial,
+    address: SocketAddr,
+    time_limit: Duration,
+) -> Result<TcpStream, ConnectFailure> {
+    match timeout(time_limit, dialer.dial(address)).await {
+        Ok(dialed) => Ok(dialed?),
+        Err(_) => Err(ConnectFailure::TimedOut),
     }
 }
--- a/crates/fernring-gateway/src/crash_attribution/mod.rs
+++ b/crates/fernring-gateway/src/crash_attribution/mod.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         attempts::NotRun,
-        connector::{Connect, ConnectFailure},
+        connector::{Connect, dial::ConnectFailure},
         crash_detection::{Crash, CrashDetector, Disconnect, Incarnation, ProbeResult},
         directory::Effect,
         fingerprint::Fingerprint,
@@ -334,7 +334,9 @@
     async fn probe(self: Rc<Self>, target: Target) {
         for pause in PROBE_PAUSES {
             sleep(pause).await;
-            let result = self.probe_address(target.address).await;
+            let Some(result) = self.probe_address(target.address).await else {
+                continue;
+            };
             let line = LogLine::event("upstream_probed").with("upstream", target.incarnation());
             log::info(line.with("address", target.address).with("found", result.name()));
             let crash = self.crash_detector.borrow_mut().record_probe(target.key, result);
@@ -346,12 +348,13 @@
         }
     }
 
-    /// Probes whether an address accepts connections.
-    async fn probe_address(&self, address: SocketAddr) -> ProbeResult {
+    /// Probes whether an address accepts connections; `None` if this node has no path to it.
+    async fn probe_address(&self, address: SocketAddr) -> Option<ProbeResult> {
         match self.upstreams.connector().connect(address).await {
-            Ok(_) | Err(ConnectFailure::Reset) => ProbeResult::Accepted,
-            Err(ConnectFailure::Refused) => ProbeResult::Refused,
-            Err(ConnectFailure::TimedOut | ConnectFailure::Failed(_)) => ProbeResult::Silent,
+            Ok(_) | Err(ConnectFailure::Reset) => Some(ProbeResult::Accepted),
+            Err(ConnectFailure::Refused) => Some(ProbeResult::Refused),
+            Err(ConnectFailure::TimedOut | ConnectFailure::Failed(_)) => Some(ProbeResult::Silent),
+            Err(ConnectFailure::NoPath) => None,
         }
     }
 
--- a/crates/fernring-gateway/src/decide/eligibility.rs
+++ b/crates/fernring-gateway/src/decide/eligibility.rs
@@ -29,6 +29,9 @@
     /// It announces a limit, and the permits of all nodes are used up: see [`crate::limits`].
     #[error("the upstream takes no more now")]
     Limited,
+    /// Neither this node nor a peer reaches any upstream: see [`crate::reachability`].
+    #[error("no path to any upstream")]
+    NoPath,
     /// It is overloaded and requested a pause from this node: see [`crate::backoff`].
     #[error("the upstream requested a pause")]
     BackingOff,
--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -9,7 +9,7 @@
 //! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`leaving`], [`backoff`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`selection`], [`prefill_speed`], [`engine_speeds`], [`prefill_budget`], [`prefill_pauses`], [`prefix_demand`] |
 //! | in which regions may it be served? | [`residency`] |
 //! | which pieces go into which call, and which node sends it? | [`batching`], [`domain_preference`], [`workers`], [`worker_speeds`], [`worker_pools`], [`dispatch_round`], [`stage_plan`] |
-//! | which upstreams does this node reach? | [`reachability`] |
+//! | has this node lost its direct path to the upstreams, and through which peer does it reach them? | [`reachability`], [`relays`] |
 //! | has an upstream crashed, and under which request? | [`crash_detection`], [`quarantine`] |
 
 pub mod admission;
@@ -38,6 +38,7 @@
 pub mod prefix_demand;
 pub mod quarantine;
 pub mod reachability;
+pub mod relays;
 pub mod request_size;
 pub mod residency;
 pub mod retry_after;
--- a/crates/fernring-gateway/src/decide/reachability.rs
+++ b/crates/fernring-gateway/src/decide/reachability.rs
@@ -1,18 +1,82 @@
-//! Tracks which upstreams this node reaches. No I/O.
+//! Decides which upstreams this node reaches by its own path, and whether it has lost that path to
+//! all of them. No I/O.
+//!
+//! A single upstream that doesn't respond says nothing about the path: it may have crashed. Once
+//! several can't be reached, or nothing arrives from any upstream while responses are awaited, the
+//! path is suspected and further upstreams are probed. If none of them is reached, the path counts
+//! as lost until one is.
 //!
 //! ```
-//! use {fernring_gateway::reachability::Reachability, std::time::Duration};
+//! use {
+//!     fernring_gateway::reachability::{PathState, Reachability},
+//!     std::time::Duration,
+//! };
 //!
 //! let mut reachability = Reachability::default();
-//! let upstream = "10.0.0.1:8080".parse().unwrap();
-//! reachability.record(Duration::ZERO, upstream, false);
-//! assert_eq!(reachability.results().collect::<Vec<_>>(), [(upstream, false)]);
+//! let now = Duration::ZERO;
+//! reachability.record(now, "10.0.0.1:8080".parse().unwrap(), false);
+//! reachability.record(now, "10.0.0.2:8080".parse().unwrap(), false);
+//! assert_eq!(reachability.state(), PathState::Suspected);
+//! reachability.finish_verification();
+//! assert_eq!(reachability.state(), PathState::Lost);
 //! ```
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
 /// How long the result of a connection attempt counts.
 const RESULT_LIFETIME: Duration = Duration::from_secs(5);
+/// Number of unreached upstreams from which on the path is suspected.
+const UNREACHED_MIN: usize = 2;
+/// Time without any byte from an upstream, while responses are awaited, after which upstreams are
+/// probed.
+const SILENCE_MAX: Duration = Duration::from_millis(400);
+/// Shortest interval between probes that are due to silence, so that slow upstreams cause few of
+/// them.
+const SILENCE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which a lost path is probed.
+const LOST_PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Upstreams that are probed at once after silence or while the path is lost.
+const PROBES: usize = 3;
+/// Upstreams that are probed when the path becomes suspected.
+const VERIFICATION_PROBES: usize = 32;
+
+/// State of this node's own path to the upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PathState {
+    /// It works, as far as is known.
+    Direct,
+    /// Several upstreams aren't reached.
+    Suspected,
+    /// No upstream is reached.
+    Lost,
+}
+
+impl PathState {
+    /// Returns the name used in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Direct => "direct",
+            Self::Suspected => "suspected",
+            Self::Lost => "lost",
+        }
+    }
+}
+
+/// Which upstreams to probe now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probes {
+    /// None.
+    None,
+    /// As many as given.
+    Sample(usize),
+    /// As many as given, those first that carry requests of this node. The verification of a
+    /// suspicion ends with their results.
+    Verification(usize),
+}
 
 #[derive(Debug, Clone, Copy)]
 struct AttemptResult {
@@ -20,16 +84,109 @@
     is_reached: bool,
 }
 
-/// The last result of connecting to each upstream.
+#[derive(Debug, Clone, Copy)]
+struct Suspicion {
+    since: Duration,
+    is_verified: bool,
+}
+
+/// What this node knows about its own path.
 #[derive(Debug, Default)]
 pub struct Reachability {
+    /// The last result of reaching each upstream directly.
     results: HashMap<SocketAddr, AttemptResult>,
+    suspicion: Option<Suspicion>,
+    /// Invariant: only set while there is a suspicion.
+    is_lost: bool,
+    /// When anything was last received over a direct connection.
+    received_at: Duration,
+    probed_at: Duration,
+    /// The exchanges on direct connections that await a response, and when they began.
+    awaited: BTreeMap<u64, Duration>,
+    exchange_count: u64,
 }
 
 impl Reachability {
-    /// Records whether an upstream was reached.
+    /// Returns the state of the path.
+    pub fn state(&self) -> PathState {
+        match (self.is_lost, self.suspicion) {
+            (true, _) => PathState::Lost,
+            (false, Some(_)) => PathState::Suspected,
+            (false, None) => PathState::Direct,
+        }
+    }
+
+    /// Returns whether an upstream isn't reached directly, as far as is known.
+    pub fn is_unreached(&self, address: SocketAddr) -> bool {
+        self.is_lost || self.results.get(&address).is_some_and(|result| !result.is_reached)
+    }
+
+    /// Returns whether this node's own path may be why upstreams aren't reached: it is lost, or a
+    /// suspicion isn't verified yet. If it is verified that others are reached, those that aren't may
+    /// as well have crashed.
+    pub fn is_at_fault(&self) -> bool {
+        self.is_lost || self.suspicion.is_some_and(|suspicion| !suspicion.is_verified)
+    }
+
+    /// Records whether an upstream was reached directly.
     pub fn record(&mut self, now: Duration, address: SocketAddr, is_reached: bool) {
         self.results.insert(address, AttemptResult { at: now, is_reached });
+        if is_reached {
+            self.received_at = now;
+            self.is_lost = false;
+        } else if self.suspicion.is_none() && self.unreached_count() >= UNREACHED_MIN {
+            self.suspicion = Some(Suspicion { since: now, is_verified: false });
+        }
+    }
+
+    fn unreached_count(&self) -> usize {
+        self.results.values().filter(|result| !result.is_reached).count()
+    }
+
+    /// Records that a request was sent on a direct connection. Returns the number of the exchange.
+    pub fn begin_exchange(&mut self, now: Duration) -> u64 {
+        self.exchange_count += 1;
+        self.awaited.insert(self.exchange_count, now);
+        self.exchange_count
+    }
+
+    /// Records that an exchange awaits no response any more.
+    pub fn end_exchange(&mut self, exchange: u64) {
+        self.awaited.remove(&exchange);
+    }
+
+    /// Returns which upstreams to probe now.
+    pub fn probes_due(&mut self, now: Duration) -> Probes {
+        let since_probe = now.saturating_sub(self.probed_at);
+        let is_unverified = self.suspicion.is_some_and(|suspicion| !suspicion.is_verified);
+        let due = match self.state() {
+            PathState::Suspected if is_unverified => Probes::Verification(VERIFICATION_PROBES),
+            PathState::Lost if since_probe >= LOST_PROBE_INTERVAL => Probes::Sample(PROBES),
+            PathState::Direct if since_probe >= SILENCE_PROBE_INTERVAL && self.is_silent(now) => {
+                Probes::Sample(PROBES)
+            }
+            _ => Probes::None,
+        };
+        if due != Probes::None {
+            self.probed_at = now;
+        }
+        due
+    }
+
+    fn is_silent(&self, now: Duration) -> bool {
+        // Exchanges are numbered in the order in which they began.
+        let oldest = self.awaited.values().next();
+        oldest.is_some_and(|began_at| now >= self.received_at.max(*began_at) + SILENCE_MAX)
+    }
+
+    /// Records that the results of all verification probes are recorded.
+    pub fn finish_verification(&mut self) {
+        let Some(suspicion) = &mut self.suspicion else {
+            return;
+        };
+        suspicion.is_verified = true;
+        let since = suspicion.since;
+        self.is_lost = !self.results.values().any(|result| result.is_reached && result.at >= since);
     }
 
     /// Lists the recent results: the address of an upstream, and whether it was reached.
@@ -40,5 +197,8 @@
     /// Forgets results that are older than [`RESULT_LIFETIME`].
     pub fn expire(&mut self, now: Duration) {
         self.results.retain(|_, result| now < result.at + RESULT_LIFETIME);
+        if !self.is_lost && self.unreached_count() < UNREACHED_MIN {
+            self.suspicion = None;
+        }
     }
 }
--- a/crates/fernring-gateway/src/decide/residency.rs
+++ b/crates/fernring-gateway/src/decide/residency.rs
@@ -39,6 +39,14 @@
         self.by_domain.get(failure_domain)
     }
 
+    /// Returns whether two failure domains are known to lie in the same region. Without any regions,
+    /// no request is restricted, and all domains count as one region.
+    pub fn are_together(&self, one: &str, other: &str) -> bool {
+        one == other
+            || self.by_domain.is_empty()
+            || self.region_of(one).is_some_and(|region| self.region_of(other) == Some(region))
+    }
+
     /// Returns whether any failure domain belongs to a region.
     pub fn contains(&self, region: &str) -> bool {
         self.by_domain.values().any(|known| **known == *region)
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod stages;
 pub mod store;
 mod telemetry;
+pub mod tunnels;
 pub mod upstreams;
 pub mod wire;
 pub mod workspace_sharing;
@@ -50,7 +51,7 @@
         admission, admission_gate, admission_shares, attempts, backlog, backlogs, backoff,
         batching, budget, cold, crash_detection, demand, dispatch_round, domain_preference,
         eligibility, engine_speeds, leaving, limits, permit_issuer, prefill_budget, prefill_pauses,
-        prefill_speed, prefix_demand, quarantine, reachability, request_size, residency,
+        prefill_speed, prefix_demand, quarantine, reachability, relays, request_size, residency,
         retry_after, retry_schedule, selection, slack, stage_plan, throughput, worker_pools,
         worker_speeds, workers, workspace_demands, workspace_reports, workspace_shares,
     },
--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -57,6 +57,10 @@
     pub failure_domain: Arc<str>,
     /// Whether it is shutting down.
     pub is_draining: bool,
+    /// Whether it has lost its direct path to the upstreams.
+    pub is_cut_off: bool,
+    /// Whether it opens tunnels to upstreams for its peers.
+    pub opens_tunnels: bool,
     /// Whether it is a delegate of its failure domain ([`crate::delegates`]). In a small fleet
     /// every node is one.
     pub is_delegate: bool,
@@ -76,6 +80,8 @@
             address,
             failure_domain,
             is_draining: false,
+            is_cut_off: false,
+            opens_tunnels: true,
             is_delegate: true,
             link_mbps: 0,
             known_nodes: 1,
@@ -83,6 +89,11 @@
         }
     }
 
+    /// Returns whether it opens tunnels to upstreams now.
+    pub fn is_relay(&self) -> bool {
+        self.opens_tunnels && !self.is_cut_off && !self.is_draining
+    }
+
     /// Returns a hash of its address.
     pub fn hash(&self) -> u64 {
         xxh3_64_with_seed(self.address.to_string().as_bytes(), 0)
--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -2,17 +2,18 @@
 
 use {
     crate::{
-        connector::{CONNECT_TIMEOUT, TCP_USER_TIMEOUT, connect},
+        connector::dial::{CONNECT_TIMEOUT, TCP_USER_TIMEOUT, connect},
         delegates::{DelegateRole, HeartbeatRate},
         log,
         members::{HEARTBEAT_INTERVAL, Member, Members, ReaderRole},
         pause_detector::PauseDetector,
+        tunnels::FramedLink,
     },
     bytes::{Buf, Bytes, BytesMut},
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::{
         codec,
-        gateway::{GatewayBody, GatewayFrame, GatewayHeartbeat, LoadScope},
+        gateway::{GatewayBody, GatewayFrame, GatewayHeartbeat, LoadScope, TunnelRequest},
     },
     futures_util::StreamExt,
     prost::Message,
@@ -75,6 +76,12 @@
     /// Handles that a peer became silent or unreachable: work requested from it has to be requested
     /// elsewhere.
     fn handle_peer_lost(&self, peer: SocketAddr);
+
+    /// Handles the request of a tunnel, whose bytes follow on the same connection.
+    fn handle_tunnel(&self, request: TunnelRequest, link: FramedLink);
+
+    /// Returns whether this node has lost its direct path to the upstreams.
+    fn is_cut_off(&self) -> bool;
 }
 
 type Link = mpsc::Sender<Bytes>;
@@ -152,6 +159,18 @@
         self.me.borrow().incarnation
     }
 
+    /// Lists the live peers that open tunnels to upstreams.
+    pub fn relays(&self) -> Vec<Member> {
+        let members = self.members.borrow();
+        members.live(self.now()).filter(|peer| peer.is_relay()).cloned().collect()
+    }
+
+    /// Returns whether a peer is live and opens tunnels to upstreams.
+    pub fn is_relay(&self, peer: SocketAddr) -> bool {
+        let members = self.members.borrow();
+        members.live(self.now()).any(|member| member.address == peer && member.is_relay())
+    }
+
     /// Lists the live peers that are reachable from here.
     pub fn live_peers(&self) -> Vec<SocketAddr> {
         self.members.borrow().live(self.now()).map(|peer| peer.address).collect()
@@ -337,6 +356,12 @@
         let mut framed = Framed::new(stream, codec());
         while let Some(Ok(bytes)) = framed.next().await {
             match GatewayFrame::decode(bytes) {
+                Ok(GatewayFrame { body: Some(GatewayBody::TunnelRequest(request)), .. }) => {
+                    if let Some(handler) = self.handler() {
+                        handler.handle_tunnel(request, framed);
+                    }
+                    return;
+                }
                 Ok(frame) => self.handle_frame(frame),
                 Err(error) => {
                     log::warn(LogLine::event("peer_frame_malformed").with("error", error));
@@ -387,6 +412,8 @@
             address: sender,
             failure_domain: Arc::from(heartbeat.failure_domain.as_str()),
             is_draining: heartbeat.is_draining,
+            is_cut_off: heartbeat.is_cut_off,
+            opens_tunnels: heartbeat.opens_tunnels,
             is_delegate: !heartbeat.is_follower,
             link_mbps: heartbeat.link_mbps,
             known_nodes: heartbeat.nodes as usize,
@@ -476,6 +503,7 @@
         let mut me = self.me.borrow_mut();
         let role_changed = self.role.borrow_mut().update(now, &me, &self.members.borrow());
         me.is_delegate = self.role.borrow().is_delegate();
+        me.is_cut_off = self.handler().is_some_and(|handler| handler.is_cut_off());
         me.known_nodes = self.members.borrow().reachable_node_count(now);
         let is_delegate = me.is_delegate;
         drop(me);
@@ -554,6 +582,8 @@
                 incarnation: me.incarnation,
                 failure_domain: me.failure_domain.to_string(),
                 is_draining: me.is_draining,
+                is_cut_off: me.is_cut_off,
+                opens_tunnels: me.opens_tunnels,
                 peers: others.iter().map(|member| member.address.to_string()).collect(),
                 is_follower: !me.is_delegate,
                 link_mbps: me.link_mbps,
--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -5,11 +5,13 @@
 mod peer_messages;
 mod peer_records;
 mod readiness;
+mod tunnels;
 
 use {
+    self::tunnels::PeerTunnels,
     crate::{
         config::ConfigState,
-        connector::{Connector, Dial},
+        connector::{Connector, dial::Dial},
         context::ServingContext,
         crash_attribution::CrashAttribution,
         deadline_timer::DeadlineTimer,
@@ -27,6 +29,7 @@
         stages::Stages,
         store_loops::{StoreLoops, TailedTopic},
         tailing::Tailing,
+        tunnels::Tunnels,
         upstreams::Upstreams,
         wire::{Store, Wire},
     },
@@ -71,6 +74,7 @@
     serving: Rc<ServingContext>,
     loops: Rc<StoreLoops>,
     compressed: RefCell<Option<CompressedDirectory>>,
+    tunnels: Rc<Tunnels>,
     render: Box<dyn Fn() -> String>,
 }
 
@@ -146,7 +150,7 @@
         };
         let config = Rc::new(RefCell::new(ConfigState::default()));
         let upstreams = Rc::new(Upstreams::new(
-            failure_domain,
+            failure_domain.clone(),
             clock.clone(),
             config.clone(),
             settings.cold,
@@ -236,7 +240,7 @@
             settings,
             wire,
             config,
-            upstreams,
+            upstreams: upstreams.clone(),
             peers: peers.clone(),
             stages,
             retries,
@@ -244,10 +248,17 @@
             serving,
             loops,
             compressed: RefCell::default(),
+            tunnels: Rc::new(Tunnels::new(upstreams.clone())),
             render,
         });
         peers.set_handler(node.clone());
-        node.upstreams.set_permit_transport(Rc::new(PeerPermitTransport(peers)));
+        upstreams.connector().set_tunnel_transport(Rc::new(PeerTunnels {
+            peers: peers.clone(),
+            upstreams: upstreams.clone(),
+            failure_domain,
+        }));
+        spawn_local(upstreams.clone().run_path_probes());
+        upstreams.set_permit_transport(Rc::new(PeerPermitTransport(peers)));
         node.apply_link_bandwidth();
         node.apply_regions();
         node
@@ -337,7 +348,8 @@
         let leave = Duration::from_secs_f64(shutdown.leave_s);
         self.serving.deadline_timer.sleep_until(started + leave).await;
         self.ingress.set_phase(Phase::Closing);
-        while self.ingress.open_connections() > 0 && self.serving.now() < end {
+        let is_busy = || self.ingress.open_connections() + self.tunnels.open_count() > 0;
+        while is_busy() && self.serving.now() < end {
             sleep(DRAIN_POLL_INTERVAL).await;
         }
         log::info(LogLine::event("stopped").with("in_flight", self.serving.in_flight.get()));
--- a/crates/fernring-gateway/src/node/peer_messages.rs
+++ b/crates/fernring-gateway/src/node/peer_messages.rs
@@ -5,21 +5,26 @@
     crate::{
         peers::{PeerHandler, Peers},
         position::Position,
+        reachability::PathState,
         records::{decode_evacuation, encode_evacuation},
         store_loops::TailedTopic,
+        tunnels::FramedLink,
         upstreams::PermitTransport,
     },
     fernring_protocol::gateway::{
-        GatewayBody, GatewayHeartbeat, LoadScope, PermitRequest, PermitResponse,
+        GatewayBody, GatewayHeartbeat, LoadScope, PermitRequest, PermitResponse, TunnelRequest,
     },
     std::{net::SocketAddr, rc::Rc},
+    tokio::task::spawn_local,
 };
 
 impl PeerHandler for Node {
     fn handle_message(&self, sender: SocketAddr, body: GatewayBody) {
         match body {
             // Handled by `Peers` itself.
-            GatewayBody::Heartbeat(_) => {}
+            GatewayBody::Heartbeat(_) | GatewayBody::TunnelRequest(_) => {}
+            // Belongs to the connection of a tunnel.
+            GatewayBody::TunnelResponse(_) => {}
             GatewayBody::ConfigRequest(_) => self.send_config(sender),
             GatewayBody::Config(config) => {
                 let end = Position::new(config.era, config.end);
@@ -74,6 +79,7 @@
         self.upstreams.apply_peer_gaps(now, sender, heartbeat, load_scope);
         let contains_own = load_scope == LoadScope::Domain && is_same_domain;
         self.stages.handle_peer_loads(sender, &heartbeat.stage_loads, load_scope, contains_own);
+        self.upstreams.record_peer_unreached(now, sender, &heartbeat.unreached);
         // An upstream that is unreachable from another domain may be reachable from this one.
         if is_same_domain {
             let has_followers = has_followers && heartbeat.is_follower;
@@ -110,6 +116,7 @@
         heartbeat.config_age_ms = self.age_ms(TailedTopic::Config);
         heartbeat.directory_age_ms = self.age_ms(TailedTopic::Upstreams);
         heartbeat.unreachable = self.upstreams.unreachable_upstreams(self.serving.now());
+        heartbeat.unreached = self.upstreams.unreached_to_publish();
         let evacuations = self.upstreams.evacuations().borrow();
         heartbeat.evacuations = evacuations.orders().map(encode_evacuation).collect();
         heartbeat.limits = self.upstreams.limits_to_publish();
@@ -138,6 +145,15 @@
         self.stages.handle_unfollowed(peer);
     }
 
+    fn handle_tunnel(&self, request: TunnelRequest, link: FramedLink) {
+        let (tunnels, own) = (self.tunnels.clone(), self.peers.address());
+        spawn_local(async move { tunnels.serve(own, request, link).await });
+    }
+
+    fn is_cut_off(&self) -> bool {
+        self.upstreams.connector().own_path().state() == PathState::Lost
+    }
+
     fn handle_peer_lost(&self, peer: SocketAddr) {
         self.upstreams.set_peer_loads(peer, Vec::new());
         self.stages.handle_peer_lost(peer);
--- a/crates/fernring-gateway/src/node/readiness.rs
+++ b/crates/fernring-gateway/src/node/readiness.rs
@@ -67,6 +67,8 @@
     fn render_metrics(&self) -> String {
         let directory = self.upstreams.directory();
         self.upstreams.set_reachability_gauges();
+        let opened = self.upstreams.connector().open_tunnel_count();
+        telemetry::set_tunnels(opened, self.tunnels.open_count());
         telemetry::set_reachable_nodes(&self.peers.reachable_by_domain());
         telemetry::set_gauges(GaugeValues {
             config_version: self.config.borrow().version(),
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -13,6 +13,7 @@
         backlog::rank_index,
         backlogs::Reservation,
         connections::ResponseBody,
+        connector::Path,
         context::ServingContext,
         crash_attribution::InFlightGuard,
         engine_speeds::EventGaps,
@@ -191,6 +192,8 @@
     /// When bytes of the response were received first and last, and the longest pause between;
     /// `None` before the first bytes.
     stream_times: Option<StreamTimes>,
+    /// The way that the last response took.
+    last_path: Option<Path>,
     is_ended: bool,
     _in_flight: InFlight,
 }
@@ -248,6 +251,7 @@
             inputs: Vec::new(),
             home: None,
             stream_times: None,
+            last_path: None,
             is_ended: false,
             serving,
             request,
@@ -421,6 +425,7 @@
             .with("outcome", end.name())
             .with("code", end.code().number())
             .with("sends", self.tried.len())
+            .with_some("path", self.last_path.map(Path::name))
             .with("config", self.serving.config.borrow().version())
             .with("took_ms", took.as_millis())
             .with_some("forecast_ms", self.forecast_time.map(|time| time.as_millis()))
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -157,7 +157,7 @@
     }
 
     async fn send(
-        &self,
+        &mut self,
         target: &Target,
         left: Duration,
         weight: f64,
@@ -211,6 +211,7 @@
             }
             Some(Ok(response)) => response,
         };
+        self.last_path = Some(response.path);
         if let Some((outcome, reason)) = check_head(&response) {
             return Err(failed(FailedSend::without_connection_loss(outcome, reason)));
         }
--- a/crates/fernring-gateway/src/serving/ingress.rs
+++ b/crates/fernring-gateway/src/serving/ingress.rs
@@ -206,7 +206,7 @@
     async fn serve_requests(self: &Rc<Self>, stream: TcpStream) -> anyhow::Result<()> {
         stream.set_nodelay(true)?;
         socket2::SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(crate::connector::TCP_USER_TIMEOUT))?;
+            .set_tcp_user_timeout(Some(crate::connector::dial::TCP_USER_TIMEOUT))?;
         let activity = Cell::new(Activity::Idle(self.serving.now()));
         let state = Rc::new(ConnectionState { activity, clock: self.serving.clock.clone() });
         let limits = self.limits();
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -216,6 +216,12 @@
     }
 }
 
+/// Sets the number of tunnels that this node has opened, and that it carries for peers.
+pub(crate) fn set_tunnels(opened: usize, carried: usize) {
+    gauge!("fernring_gateway_tunnels", "side" => "client").set(opened as f64);
+    gauge!("fernring_gateway_tunnels", "side" => "relay").set(carried as f64);
+}
+
 /// Sets the number of upstreams of a service that this node reached and didn't reach recently.
 pub(crate) fn set_service_reachability(service: &Arc<str>, reached: usize, unreached: usize) {
     for (is_reached, count) in [("true", reached), ("false", unreached)] {
@@ -227,6 +233,17 @@
     }
 }
 
+/// Counts a response of an upstream by the way that it took.
+pub(crate) fn record_response_path(service: &Arc<str>, path: &'static str) {
+    let labels = [("service", bounded_label(service).to_string()), ("path", path.to_owned())];
+    counter!("fernring_gateway_responses_total", &labels).increment(1);
+}
+
+/// Counts a tunnel: `side` says whether this node opened it or carries it for a peer.
+pub(crate) fn record_tunnel(side: &'static str, outcome: &'static str) {
+    counter!("fernring_gateway_tunnels_total", "side" => side, "outcome" => outcome).increment(1);
+}
+
 /// Sets the other gauges.
 pub(crate) fn set_gauges(values: GaugeValues) {
     gauge!("fernring_gateway_config_version").set(values.config_version as f64);
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -27,7 +27,7 @@
         cold::PeakNodeCount,
         config::ConfigState,
         connections::{ConnectionPool, ResponseBody, SendFailure, UpstreamResponse},
-        connector::Connector,
+        connector::{Connector, Path},
         crash_detection::Incarnation,
         directory::{Change, Directory, Effect, Upstream},
         evacuations::Evacuations,
@@ -36,6 +36,7 @@
         residency::{Regions, Residency},
         selection::Candidate,
         settings::ColdSettings,
+        telemetry,
         wire::Wire,
     },
     bytes::Bytes,
@@ -107,6 +108,10 @@
     connector: Rc<Connector>,
     /// The reachability of each service that was logged last.
     logged_reachability: RefCell<HashMap<Arc<str>, ServiceReachability>>,
+    /// Upstreams that peers don't reach directly, by peer and short hash, and until when that counts.
+    peer_unreached: RefCell<HashMap<(SocketAddr, u32), Duration>>,
+    /// Unreached upstreams published so far; selects the ones for the next heartbeat.
+    unreached_published_count: Cell<usize>,
     directory: RefCell<Directory>,
     evacuations: RefCell<Evacuations>,
     regions: RefCell<Regions>,
@@ -147,6 +152,8 @@
     pub head: Parts,
     /// Body of the response.
     pub body: ResponseBody,
+    /// The way that the response took.
+    pub path: Path,
     /// The gateway's own fields in the headers.
     pub fields: ResponseFields,
     /// Whether it is the response to the request that was sent, by its identifier.
@@ -194,6 +201,8 @@
             clock,
             connector,
             logged_reachability: RefCell::default(),
+            peer_unreached: RefCell::default(),
+            unreached_published_count: Cell::default(),
             config,
             cold: RefCell::new(cold),
             limited_upstreams: RefCell::default(),
@@ -284,7 +293,8 @@
         self.engine_speeds.borrow_mut().expire(now);
         self.expire_limits(now);
         self.expire_announcements(now);
-        self.connector.expire(now);
+        self.connector.expire();
+        self.expire_peer_unreached(now);
         self.log_reachability();
         let effects = self.directory.borrow_mut().expire(now);
         self.drop_gone(effects)
@@ -454,12 +464,15 @@
         request_id: Option<&str>,
         response: UpstreamResponse,
     ) -> DecodedResponse {
-        let UpstreamResponse { head, body } = response;
+        let UpstreamResponse { head, body, path } = response;
         let fields = wire.decode_response(head.status, &head.headers);
         let is_for_request = request_id.is_none() || fields.request_id.as_deref() == request_id;
+        if let Some(upstream) = self.directory.borrow().get(target.key) {
+            telemetry::record_response_path(&upstream.record.service, path.name());
+        }
         self.record_response(target, sent_at, &fields, is_for_request);
         self.record_unknown_headers(wire, target, &head.headers);
-        DecodedResponse { head, body, fields, is_for_request }
+        DecodedResponse { head, body, path, fields, is_for_request }
     }
 
     /// Returns how many connections this node may open to an upstream that accepts
--- a/crates/fernring-gateway/tests/testsuite/upstreams.rs
+++ b/crates/fernring-gateway/tests/testsuite/upstreams.rs
@@ -3,7 +3,7 @@
 use {
     fernring_core::clock::ManualClock,
     fernring_gateway::{
-        connector::{Connector, TcpDialer},
+        connector::{Connector, dial::TcpDialer},
         directory::{Change, Entry},
         engine_speeds::EventGaps,
         model::{UpstreamKey, UpstreamRecord, UpstreamState, short_hash},
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -10,7 +10,10 @@
     #[prost(string, tag = "1")]
     pub sender: String,
     /// The message itself.
-    #[prost(oneof = "GatewayBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(
+        oneof = "GatewayBody",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+    )]
     pub body: Option<GatewayBody>,
 }
 
@@ -62,6 +65,57 @@
     /// A node's request counts of a roll-out, for the roll-out's controller.
     #[prost(message, tag = "16")]
     RolloutReport(RolloutReport),
+    /// Requests a tunnel to an upstream on this connection.
+    #[prost(message, tag = "17")]
+    TunnelRequest(TunnelRequest),
+    /// Reply to the request of a tunnel. If it is open, the bytes of the tunnel follow.
+    #[prost(message, tag = "18")]
+    TunnelResponse(TunnelResponse),
+}
+
+/// Requests a tunnel to an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct TunnelRequest {
+    /// Address of the upstream, `ip:port`.
+    #[prost(string, tag = "1")]
+    pub address: String,
+}
+
+/// Reply to a [`TunnelRequest`].
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct TunnelResponse {
+    /// Whether the tunnel is open.
+    #[prost(enumeration = "TunnelResult", tag = "1")]
+    pub result: i32,
+}
+
+/// Result of opening a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum TunnelResult {
+    /// The node opens no tunnel to this address now.
+    Unavailable = 0,
+    /// The tunnel is open.
+    Open = 1,
+    /// Nothing listens at the address.
+    Refused = 2,
+    /// The upstream reset the connection.
+    Reset = 3,
+    /// The upstream didn't respond.
+    TimedOut = 4,
+}
+
+impl TunnelResult {
+    /// Returns the name used in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unavailable => "unavailable",
+            Self::Open => "open",
+            Self::Refused => "refused",
+            Self::Reset => "reset",
+            Self::TimedOut => "timed_out",
+        }
+    }
 }
 
 /// A message without fields.
@@ -149,6 +203,16 @@
     /// Incarnations of upstreams that announced in a response that they are leaving.
     #[prost(fixed64, repeated, tag = "24")]
     pub leaving: Vec<u64>,
+    /// Whether the node has lost its direct path to the upstreams.
+    #[prost(bool, tag = "25")]
+    pub is_cut_off: bool,
+    /// Whether the node opens tunnels to upstreams for its peers.
+    #[prost(bool, tag = "26")]
+    pub opens_tunnels: bool,
+    /// Short hashes of the incarnations of some of the upstreams that the node doesn't reach
+    /// directly. Unlike those in `unreachable`, its peers may reach them.
+    #[prost(fixed32, repeated, tag = "27")]
+    pub unreached: Vec<u32>,
     /// Short hashes of the incarnations of some model engines, a different part in each heartbeat.
     /// Whose estimates follow is given by `load_scope`.
     #[prost(fixed32, repeated, tag = "30")]
--- a/crates/fernring/src/cmd/gateway.rs
+++ b/crates/fernring/src/cmd/gateway.rs
@@ -8,7 +8,7 @@
     fernring_adapter::{PlatformStore, PlatformWire, SETTINGS_VARIABLE},
     fernring_core::clock::SystemClock,
     fernring_gateway::{
-        connector::TcpDialer,
+        connector::dial::TcpDialer,
         node::{Listeners, Node, NodeDependencies, stop_signal},
         settings::{Settings, load},
     },
