Owners are nodes that reach the upstreams, while there are any

Stages of all nodes ended late when their owner was cut off: owners are elected by who lives. With tunnels such an owner works, one hop further from every worker, and over links that the peers need. Nodes now say in their heartbeats that they reach no upstream, and own nothing while others do. The test failed before: the cut-off node stayed owner.

--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -247,10 +247,10 @@
     }
 
     /// Returns the owner of `key`, this node (`me`) or a peer: the first by rendezvous hashing
-    /// among the live delegates that aren't draining. Nodes that see the same peers choose the same
-    /// owner.
+    /// among the live delegates that aren't draining, and that reach the upstreams directly if any
+    /// do. Nodes that see the same peers choose the same owner.
     pub fn owner(&self, now: Duration, me: &Member, key: &str) -> SocketAddr {
-        self.highest_ranked(now, me, key, |_| true).unwrap_or(me.address)
+        self.owner_among(now, me, key, |_| true).unwrap_or(me.address)
     }
 
     /// Returns the owner of `key` among the live delegates of some failure domains; `None` if there
@@ -262,7 +262,11 @@
         key: &str,
         includes_domain: impl Fn(&str) -> bool,
     ) -> Option<SocketAddr> {
-        self.highest_ranked(now, me, key, |member| includes_domain(&member.failure_domain))
+        let is_included = |member: &Member| includes_domain(&member.failure_domain);
+        let reaches_upstreams =
+            |member: &Member| is_included(member) && !member.is_cut_off && !member.is_draining;
+        let owner = self.highest_ranked(now, me, key, reaches_upstreams);
+        owner.or_else(|| self.highest_ranked(now, me, key, is_included))
     }
 
     /// Returns the role of this node (`me`) in reading the store for the others.
--- a/crates/fernring-gateway/tests/testsuite/members.rs
+++ b/crates/fernring-gateway/tests/testsuite/members.rs
@@ -53,6 +53,21 @@
     assert_eq!(members.owner(Duration::ZERO, &me, service), address(1));
 }
 
+/// The pieces of all nodes waited at the owner, whoever reached the workers.
+#[test]
+fn node_that_reaches_no_upstream_owns_a_service_while_others_reach_them() {
+    let cut_off = |number| Member { is_cut_off: true, ..member(number, "a") };
+    for service in ["s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"] {
+        let mut members = members_with(&[2, 3]);
+        members.record_heartbeat(Duration::ZERO, cut_off(2));
+        assert_ne!(members.owner(Duration::ZERO, &member(1, "a"), service), address(2));
+        assert_eq!(members.owner(Duration::ZERO, &cut_off(1), service), address(3));
+        members.record_heartbeat(Duration::ZERO, cut_off(3));
+        let owner = members.owner(Duration::ZERO, &cut_off(1), service);
+        assert_eq!(owner, members_with(&[2, 3]).owner(Duration::ZERO, &member(1, "a"), service));
+    }
+}
+
 #[test]
 fn silent_peer_is_reported_once() {
     let mut members = members_with(&[2]);
