A node without a path to any upstream refuses at once

With no peer that reaches the upstreams, each request was offered to up to twelve of them, and pieces waited at the owner until they expired. A request is refused before its admission, and an owner gives its pieces back as not run, so that they are submitted to another one.

--- a/crates/fernring-gateway/src/owner/dispatch.rs
+++ b/crates/fernring-gateway/src/owner/dispatch.rs
@@ -78,8 +78,11 @@
             self.finish_all_waiting(pool, &WorkOutcome::Failed);
             return true;
         }
-        // The pieces would wait here until they expire, while workers of other domains may be idle.
-        if pool.failure_domain.is_some() && !self.workers_by_domain(&pool.service).is_empty() {
+        // The pieces would wait here until they expire, while other nodes may reach the workers, or
+        // workers of other domains may be idle.
+        let has_other_workers =
+            || pool.failure_domain.is_some() && !self.workers_by_domain(&pool.service).is_empty();
+        if self.upstreams.connector().is_isolated() || has_other_workers() {
             self.finish_all_waiting(pool, &WorkOutcome::NoWorkers);
             return true;
         }
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -438,6 +438,9 @@
     /// Lists the workers that may get work. A worker that is avoided or cold gets none while there
     /// are others, even if these are busy: they become free soon.
     fn usable_workers(&self, pool: &WorkerPool) -> Vec<UpstreamKey> {
+        if self.upstreams.connector().is_isolated() {
+            return Vec::new();
+        }
         let is_unreachable = |domain: &str| self.peers.is_domain_unreachable(domain);
         let anywhere = Residency::default();
         let mut candidates =
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -52,6 +52,10 @@
             if !self.may_send() {
                 break;
             }
+            if self.serving.upstreams.connector().is_isolated() {
+                reason = "no path to any upstream".to_owned();
+                break;
+            }
             let Some(chosen) = self.choose() else {
                 break;
             };
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -35,6 +35,9 @@
         if self.serving.crash_attribution.is_quarantined(self.request.fingerprint) {
             return Err(self.refusal_for(ResultCode::EndsUpstreams, ""));
         }
+        if self.serving.upstreams.connector().is_isolated() {
+            return Err(self.refusal_for(ResultCode::NoUpstream, "no path to any upstream"));
+        }
         if let Some(service) = self.evacuated_service() {
             let detail = format!("service {service}");
             return Err(self.refusal_for(ResultCode::Evacuated, &detail));
