Sends to brittle upstreams are permitted by one node, which bounds rejections

Upstreams may announce how many requests they may reject within a second before they crash (Server-Brittle); no line read it.

The node that would issue the permits of a limit permits each send and is told when it has ended and whether it was rejected. Sends that may still be rejected and rejections of the last second stay below the bound together; what an upstream accepts at once is learned. Announcements go with heartbeats and hold for a service's new upstreams.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -17,6 +17,7 @@
     },
     hyper_util::rt::TokioIo,
     std::{
+        any::Any,
         cell::RefCell,
         io::{self, ErrorKind},
         net::SocketAddr,
@@ -379,7 +380,12 @@
 fn into_response(active: ActiveConnection, response: Response<Incoming>) -> UpstreamResponse {
     let (head, body) = response.into_parts();
     let path = active.path();
-    let body = ResponseBody { body, connection: Some(active), idle_timeout: IDLE_TIMEOUT_DEFAULT };
+    let body = ResponseBody {
+        body,
+        connection: Some(active),
+        idle_timeout: IDLE_TIMEOUT_DEFAULT,
+        kept: None,
+    };
     UpstreamResponse { head, body, path }
 }
 
@@ -390,9 +396,16 @@
     body: Incoming,
     connection: Option<ActiveConnection>,
     idle_timeout: Duration,
+    /// What is to be dropped together with the body.
+    kept: Option<Box<dyn Any>>,
 }
 
 impl ResponseBody {
+    /// Keeps a value until the body is dropped.
+    pub fn keep_until_end(&mut self, kept: impl Any) {
+        self.kept = Some(Box::new(kept));
+    }
+
     /// Sets how long the upstream keeps the connection open while it is idle.
     pub fn set_idle_timeout(&mut self, idle_timeout: Duration) {
         self.idle_timeout = idle_timeout.saturating_sub(IDLE_MARGIN);
--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -6,7 +6,7 @@
 //! | is a request admitted? | [`admission`], by the mean [`slack`] of its rank, counted by [`request_size`], from [`backlog`] and [`backlogs`] (queued pieces) and [`throughput`] (processing rate); [`admission_gate`], by the [`admission_shares`] that owners determine from the [`demand`] of all nodes |
 //! | which part of a service may one workspace use? | [`workspace_shares`], from [`workspace_demands`] and [`workspace_reports`] |
 //! | may it be sent again, and when may its caller retry? | [`attempts`], [`budget`], [`retry_after`], [`retry_schedule`] |
-//! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`leaving`], [`backoff`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`selection`], [`prefill_speed`], [`engine_speeds`], [`prefill_budget`], [`prefill_pauses`], [`prefix_demand`] |
+//! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`leaving`], [`backoff`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`rejection_guard`], [`selection`], [`prefill_speed`], [`engine_speeds`], [`prefill_budget`], [`prefill_pauses`], [`prefix_demand`] |
 //! | in which regions may it be served? | [`residency`] |
 //! | which pieces go into which call, and which node sends it? | [`batching`], [`domain_preference`], [`workers`], [`worker_speeds`], [`worker_pools`], [`dispatch_round`], [`stage_plan`] |
 //! | has this node lost its direct path to the upstreams, and through which peer does it reach them? | [`reachability`], [`relays`] |
@@ -38,6 +38,7 @@
 pub mod prefix_demand;
 pub mod quarantine;
 pub mod reachability;
+pub mod rejection_guard;
 pub mod relays;
 pub mod request_size;
 pub mod residency;
--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -535,7 +535,7 @@
         let bytes = match round.encoded.iter().find(|(encoded, _)| *encoded == kind) {
             Some((_, bytes)) => bytes.clone(),
             None => {
-                let body = Some(GatewayBody::Heartbeat(self.heartbeat(kind)));
+                let body = Some(GatewayBody::Heartbeat(Box::new(self.heartbeat(kind))));
                 let frame = GatewayFrame { sender: self.address().to_string(), body };
                 let bytes: Bytes = frame.encode_to_vec().into();
                 round.encoded.push((kind, bytes.clone()));
--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -459,6 +459,8 @@
     pub is_encoded: bool,
     /// The announced rate limit.
     pub limit: LimitHeader,
+    /// How many requests the upstream may reject within a second, if it is brittle.
+    pub brittle: LimitHeader,
     /// Whether the upstream is leaving.
     pub leaving: LeavingHeader,
     /// The requested pause.
--- a/crates/fernring-gateway/src/node/peer_messages.rs
+++ b/crates/fernring-gateway/src/node/peer_messages.rs
@@ -12,7 +12,8 @@
         upstreams::PermitTransport,
     },
     fernring_protocol::gateway::{
-        GatewayBody, GatewayHeartbeat, LoadScope, PermitRequest, PermitResponse, TunnelRequest,
+        GatewayBody, GatewayHeartbeat, LoadScope, PermitRequest, PermitResponse, PermitReturn,
+        TunnelRequest,
     },
     std::{net::SocketAddr, rc::Rc},
     tokio::task::spawn_local,
@@ -49,6 +50,9 @@
             GatewayBody::PermitResponse(response) => {
                 self.upstreams.handle_permit_response(response);
             }
+            GatewayBody::PermitReturn(returned) => {
+                self.upstreams.handle_permit_return(sender, &returned);
+            }
             GatewayBody::RolloutReport(report) => {
                 self.serving.rollouts.handle_report(sender, report);
             }
@@ -94,6 +98,7 @@
         }
         self.serving.rollouts.handle_messages(&heartbeat.rollouts);
         self.upstreams.apply_peer_limits(&heartbeat.limits);
+        self.upstreams.apply_peer_brittle(&heartbeat.brittle);
         self.upstreams.apply_peer_leaving(&heartbeat.leaving);
         heartbeat.sharded_services.iter().for_each(|service| self.stages.mark_sharded(*service));
         let known = [
@@ -120,6 +125,7 @@
         let evacuations = self.upstreams.evacuations().borrow();
         heartbeat.evacuations = evacuations.orders().map(encode_evacuation).collect();
         heartbeat.limits = self.upstreams.limits_to_publish();
+        heartbeat.brittle = self.upstreams.brittle_to_publish();
         heartbeat.leaving = self.upstreams.leaving_to_publish();
         heartbeat.rollouts = self.serving.rollouts.messages();
         let bytes_per_s = self.settings.borrow().node.link_bytes_per_s();
@@ -182,6 +188,10 @@
         self.0.send(issuer, GatewayBody::PermitRequest(request));
     }
 
+    fn send_return(&self, issuer: SocketAddr, returned: PermitReturn) {
+        self.0.send(issuer, GatewayBody::PermitReturn(returned));
+    }
+
     fn send_response(&self, requester: SocketAddr, response: PermitResponse) {
         self.0.send(requester, GatewayBody::PermitResponse(response));
     }
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -239,6 +239,11 @@
     counter!("fernring_gateway_responses_total", &labels).increment(1);
 }
 
+/// Counts a rejection by a brittle upstream.
+pub(crate) fn record_brittle_rejection() {
+    counter!("fernring_gateway_brittle_rejections_total").increment(1);
+}
+
 /// Counts a tunnel: `side` says whether this node opened it or carries it for a peer.
 pub(crate) fn record_tunnel(side: &'static str, outcome: &'static str) {
     counter!("fernring_gateway_tunnels_total", "side" => side, "outcome" => outcome).increment(1);
--- a/crates/fernring-gateway/src/upstreams/access.rs
+++ b/crates/fernring-gateway/src/upstreams/access.rs
@@ -130,6 +130,9 @@
         if self.backoff_remaining(now, || record.incarnation_id()).is_some() {
             return Err(Ineligible::BackingOff);
         }
+        if self.brittle_closed_for(now, record).is_some() {
+            return Err(Ineligible::Limited);
+        }
         match self.is_limit_exhausted(now, record, rank) {
             true => Err(Ineligible::Limited),
             false => Ok(()),
--- a/crates/fernring-gateway/src/upstreams/announced_limits.rs
+++ b/crates/fernring-gateway/src/upstreams/announced_limits.rs
@@ -18,7 +18,7 @@
         telemetry,
     },
     fernring_core::text::LogLine,
-    fernring_protocol::gateway::{self, PermitRequest, PermitResponse},
+    fernring_protocol::gateway::{self, PermitRequest, PermitResponse, PermitReturn},
     std::{
         collections::{HashMap, HashSet},
         net::SocketAddr,
@@ -33,7 +33,7 @@
 
 /// Longest wait for a permit response: some round trips between failure domains. A request that
 /// gets none is sent to another upstream.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
+pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a node requests no permits after one request got no response: by then it knows which
 /// node is the issuer.
 const UNANSWERED_RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -63,6 +63,9 @@
 
     /// Sends a permit response.
     fn send_response(&self, requester: SocketAddr, response: PermitResponse);
+
+    /// Returns a permit to send to a brittle upstream.
+    fn send_return(&self, issuer: SocketAddr, returned: PermitReturn);
 }
 
 /// The permits of an upstream are used up for some time, as a denial said.
@@ -136,6 +139,7 @@
 impl Upstreams {
     /// Sets the transport of permit requests. Without it, this node issues all permits itself.
     pub fn set_permit_transport(&self, permit_transport: Rc<dyn PermitTransport>) {
+        self.set_brittle_transport(permit_transport.clone());
         self.limited_upstreams.borrow_mut().permit_transport = Some(permit_transport);
     }
 
@@ -248,7 +252,8 @@
         let mut first_pause_end = None;
         for (_, upstream) in eligible {
             let incarnation_id = upstream.record.incarnation_id();
-            if let Some(remaining) = self.backoff_remaining(now, || incarnation_id) {
+            let paused = self.backoff_remaining(now, || incarnation_id);
+            if let Some(remaining) = paused.or(self.brittle_closed_for(now, &upstream.record)) {
                 first_pause_end = first_pause_end.into_iter().chain([remaining]).min();
                 continue;
             }
@@ -346,6 +351,7 @@
                 ticket,
                 limit: limited_upstreams.limit_report(now, incarnation_id),
                 rank: rank as u32,
+                is_for_brittle: false,
             }
         };
         permit_transport.send_request(issuer, request);
@@ -395,6 +401,10 @@
 
     /// Handles a peer's permit request and responds to it.
     pub fn handle_permit_request(&self, requester: SocketAddr, request: PermitRequest) {
+        if request.is_for_brittle {
+            self.handle_brittle_request(requester, request);
+            return;
+        }
         self.apply_peer_limits(&[request.limit]);
         let incarnation_id = request.limit.incarnation_id;
         let permit = self.issue_permit(incarnation_id, request.rank as usize);
@@ -407,6 +417,7 @@
             is_granted: denied.is_none(),
             retry_after_ms: denied.map_or(0, |denied| ms(denied.retry_after)),
             drained_after_ms: denied.map_or(0, |denied| ms(denied.drained_after)),
+            is_for_brittle: false,
         };
         if let Some(permit_transport) = &limited_upstreams.permit_transport {
             permit_transport.send_response(requester, response);
@@ -415,6 +426,10 @@
 
     /// Handles the response to a permit request.
     pub fn handle_permit_response(&self, response: PermitResponse) {
+        if response.is_for_brittle {
+            self.handle_brittle_response(response);
+            return;
+        }
         let waiter = self.limited_upstreams.borrow_mut().pending.remove(&response.ticket);
         // The requester may have stopped waiting; its permit is lost then.
         let _unused = waiter.map(|waiter| waiter.send(response));
--- a/crates/fernring-gateway/src/upstreams/announcements.rs
+++ b/crates/fernring-gateway/src/upstreams/announcements.rs
@@ -85,6 +85,7 @@
         self.record_backoff(target, fields.backoff);
         if is_for_request {
             self.record_announced_limit(target, sent_at, fields.limit);
+            self.record_brittle(target, sent_at, fields.brittle);
             self.record_load(target, fields.load);
         }
     }
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -9,6 +9,7 @@
 mod access;
 mod announced_limits;
 mod announcements;
+mod brittle;
 mod engine_speeds;
 mod health;
 mod loads;
@@ -20,7 +21,7 @@
 use {
     self::{
         access::ColdState, announced_limits::LimitedUpstreams, announcements::Announcements,
-        engine_speeds::EngineSpeeds, health::Health, loads::PeerLoads,
+        brittle::BrittleUpstreams, engine_speeds::EngineSpeeds, health::Health, loads::PeerLoads,
         reachability::ServiceReachability, versions::VersionRules,
     },
     crate::{
@@ -125,6 +126,7 @@
     config: Rc<RefCell<ConfigState>>,
     cold: RefCell<ColdState>,
     limited_upstreams: RefCell<LimitedUpstreams>,
+    brittle: Rc<BrittleUpstreams>,
     announcements: RefCell<Announcements>,
     /// When records were last read from the store.
     records_read_at: Cell<Duration>,
@@ -198,6 +200,7 @@
         };
         Self {
             failure_domain,
+            brittle: BrittleUpstreams::new(clock.clone()),
             clock,
             connector,
             logged_reachability: RefCell::default(),
@@ -292,6 +295,7 @@
         self.expire_loads(now);
         self.engine_speeds.borrow_mut().expire(now);
         self.expire_limits(now);
+        self.expire_brittle(now);
         self.expire_announcements(now);
         self.connector.expire();
         self.expire_peer_unreached(now);
@@ -414,11 +418,14 @@
         let UpstreamSend { request, rank, residency, connections_max, request_id } = send;
         let pool = self.pool(target)?;
         let has_permit = Cell::new(false);
+        let brittle_permit = RefCell::new(None);
         let check = async || {
             self.check_region(target.key, &residency)?;
             if !has_permit.get() {
                 self.acquire_permit(target.key)?;
                 self.acquire_limit_permit(target, rank).await?;
+                let permit = self.acquire_brittle_permit(target).await?;
+                brittle_permit.replace(permit);
                 has_permit.set(true);
             }
             self.ineligible_since(target.key)
@@ -426,7 +433,15 @@
         let sent_at = self.clock.now().monotonic;
         let sent = pool.send_if(request, self.connections_share(connections_max), check).await;
         self.record_connect_result(target.key, sent.as_ref().err());
-        Ok(self.decode(wire, target, sent_at, request_id.as_deref(), sent?))
+        let mut response = self.decode(wire, target, sent_at, request_id.as_deref(), sent?);
+        if let Some(permit) = brittle_permit.into_inner() {
+            if response.fields.not_run {
+                permit.record_rejection();
+            } else {
+                response.body.keep_until_end(permit);
+            }
+        }
+        Ok(response)
     }
 
     /// Sends a release of results, which is no new work and doesn't depend on the state of the
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod quarantine;
 mod reachability;
 mod refusal;
+mod rejection_guard;
 mod relays;
 mod request_size;
 mod residency;
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -12,7 +12,7 @@
     /// The message itself.
     #[prost(
         oneof = "GatewayBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub body: Option<GatewayBody>,
 }
@@ -21,8 +21,8 @@
 #[derive(Clone, PartialEq, Oneof)]
 pub enum GatewayBody {
     /// State of the sender, sent at regular intervals.
-    #[prost(message, tag = "2")]
-    Heartbeat(GatewayHeartbeat),
+    #[prost(message, boxed, tag = "2")]
+    Heartbeat(Box<GatewayHeartbeat>),
     /// Requests the configuration.
     #[prost(message, tag = "3")]
     ConfigRequest(Empty),
@@ -71,6 +71,9 @@
     /// Reply to the request of a tunnel. If it is open, the bytes of the tunnel follow.
     #[prost(message, tag = "18")]
     TunnelResponse(TunnelResponse),
+    /// Returns a permit to send to a brittle upstream.
+    #[prost(message, tag = "19")]
+    PermitReturn(PermitReturn),
 }
 
 /// Requests a tunnel to an upstream.
@@ -213,6 +216,9 @@
     /// directly. Unlike those in `unreachable`, its peers may reach them.
     #[prost(fixed32, repeated, tag = "27")]
     pub unreached: Vec<u32>,
+    /// Rejections within a second that brittle upstreams announce.
+    #[prost(message, repeated, tag = "28")]
+    pub brittle: Vec<LimitReport>,
     /// Short hashes of the incarnations of some model engines, a different part in each heartbeat.
     /// Whose estimates follow is given by `load_scope`.
     #[prost(fixed32, repeated, tag = "30")]
@@ -362,6 +368,24 @@
     /// Priority rank of the request; 0 goes first.
     #[prost(uint32, tag = "3")]
     pub rank: u32,
+    /// Whether the permit is for a brittle upstream; `limit` contains the rejections within a second
+    /// that the upstream announces then.
+    #[prost(bool, tag = "4")]
+    pub is_for_brittle: bool,
+}
+
+/// Returns a permit to send to a brittle upstream, once the send has ended.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct PermitReturn {
+    /// Ticket number of the permit request.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Incarnation of the upstream's process.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation_id: u64,
+    /// Whether the upstream rejected the request.
+    #[prost(bool, tag = "3")]
+    pub was_rejected: bool,
 }
 
 /// Grants or denies a permit to send one request to an upstream that announces a limit.
@@ -383,6 +407,9 @@
     /// arrive in one second, in milliseconds.
     #[prost(uint32, tag = "5")]
     pub drained_after_ms: u32,
+    /// Whether the permit is for a brittle upstream.
+    #[prost(bool, tag = "6")]
+    pub is_for_brittle: bool,
 }
 
 /// An operator's newest order on a failure domain.
