After silence one upstream is probed, not three

Each second without a byte while a response was awaited cost three connections to upstreams. One is probed, and the next at once if that fails.

--- a/crates/fernring-gateway/src/decide/reachability.rs
+++ b/crates/fernring-gateway/src/decide/reachability.rs
@@ -39,8 +39,8 @@
 const SILENCE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which a lost path is probed.
 const LOST_PROBE_INTERVAL: Duration = Duration::from_millis(300);
-/// Upstreams that are probed at once after silence or while the path is lost.
-const PROBES: usize = 3;
+/// Upstreams that are probed at once while the path is lost.
+const LOST_PROBES: usize = 3;
 /// Time from a suspicion to its verification. Responses that arrive meanwhile need no probes.
 const VERIFICATION_DELAY: Duration = Duration::from_millis(100);
 /// Upstreams that are probed when a suspicion is verified.
@@ -167,10 +167,8 @@
             PathState::Suspected if self.suspicion.is_some_and(is_unverified) => {
                 Probes::Verification(VERIFICATION_PROBES)
             }
-            PathState::Lost if since_probe >= LOST_PROBE_INTERVAL => Probes::Sample(PROBES),
-            PathState::Direct if since_probe >= SILENCE_PROBE_INTERVAL && self.is_silent(now) => {
-                Probes::Sample(PROBES)
-            }
+            PathState::Lost if since_probe >= LOST_PROBE_INTERVAL => Probes::Sample(LOST_PROBES),
+            PathState::Direct if self.is_silence_due(now, since_probe) => Probes::Sample(1),
             _ => Probes::None,
         };
         if due != Probes::None {
@@ -179,6 +177,12 @@
         due
     }
 
+    /// Returns whether one more upstream is to be probed because of silence: at intervals, and at once
+    /// if the last probe failed.
+    fn is_silence_due(&self, now: Duration, since_probe: Duration) -> bool {
+        self.is_silent(now) && (since_probe >= SILENCE_PROBE_INTERVAL || self.unreached_count() > 0)
+    }
+
     fn is_silent(&self, now: Duration) -> bool {
         // Exchanges are numbered in the order in which they began.
         let oldest = self.awaited.values().next();
