A suspicion is verified at all upstreams in use

Upstreams that responded since the suspicion are still not probed, which is what spared connections.

--- a/crates/fernring-gateway/src/decide/reachability.rs
+++ b/crates/fernring-gateway/src/decide/reachability.rs
@@ -44,7 +44,7 @@
 /// Time from a suspicion to its verification. Responses that arrive meanwhile need no probes.
 const VERIFICATION_DELAY: Duration = Duration::from_millis(100);
 /// Upstreams that are probed when a suspicion is verified.
-const VERIFICATION_PROBES: usize = 8;
+const VERIFICATION_PROBES: usize = 32;
 
 /// State of this node's own path to the upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
