--- a/crates/fernring-gateway/src/tunnels.rs
+++ b/crates/fernring-gateway/src/tunnels.rs
@@ -33,7 +33,7 @@
     tokio_util::codec::{Framed, LengthDelimitedCodec},
 };
 
-/// Most tunnels that a node carries for its peers. Each needs two of its 4,100 file descriptors.
+/// Most tunnels that a node carries for its peers. Each needs two file descriptors.
 const TUNNELS_MAX: usize = 512;
 /// Longest time in which a peer connects to the upstream: within
 /// [`crate::connector::dial::CONNECT_TIMEOUT`], two peers can be tried.
