Sends look up brittle upstreams only if any are known

Each send looked up its upstream's service and slots before it asked whether any upstream is brittle; now it asks first. The look-up for a peer's request is the same function, and the age in a report is the one that limits use.

--- a/crates/fernring-gateway/src/upstreams/announced_limits.rs
+++ b/crates/fernring-gateway/src/upstreams/announced_limits.rs
@@ -451,7 +451,7 @@
     }
 }
 
-fn age_ms(now: Duration, at: Duration) -> u32 {
+pub(super) fn age_ms(now: Duration, at: Duration) -> u32 {
     now.saturating_sub(at).as_millis().min(u32::MAX.into()) as u32
 }
 
--- a/crates/fernring-gateway/src/upstreams/brittle.rs
+++ b/crates/fernring-gateway/src/upstreams/brittle.rs
@@ -5,7 +5,11 @@
 //! the same node, which is told when a send has ended and whether it was rejected.
 
 use {
-    super::{PermitTransport, Target, Upstreams, announced_limits::RESPONSE_TIMEOUT, rotate},
+    super::{
+        PermitTransport, Target, Upstreams,
+        announced_limits::{RESPONSE_TIMEOUT, age_ms},
+        rotate,
+    },
     crate::{
         eligibility::Ineligible,
         limits::{AnnouncedLimit, AnnouncedLimits},
@@ -22,6 +26,7 @@
         collections::{HashMap, HashSet},
         net::SocketAddr,
         rc::Rc,
+        sync::Arc,
         time::Duration,
     },
     tokio::{sync::oneshot, time::timeout},
@@ -120,12 +125,15 @@
         self.clock.now().monotonic
     }
 
+    /// Returns whether no upstream is known to be brittle.
+    fn is_empty(&self) -> bool {
+        let state = self.state.borrow();
+        state.announced.is_empty() && state.services.is_empty()
+    }
+
     /// Returns how many requests an upstream may reject within a second, if that is bounded.
     fn rejections_max(&self, incarnation_id: u64, service: &str) -> Option<f64> {
         let state = self.state.borrow();
-        if state.announced.is_empty() && state.services.is_empty() {
-            return None;
-        }
         match state.announced.announcement(incarnation_id) {
             Some(announced) => announced.per_s,
             None => state.services.get(&short_hash(service)).map(|(rejections, _)| *rejections),
@@ -217,7 +225,7 @@
             .map(|(incarnation_id, announced)| LimitReport {
                 incarnation_id,
                 per_s: announced.per_s,
-                age_ms: now.saturating_sub(announced.at).as_millis().min(u32::MAX.into()) as u32,
+                age_ms: age_ms(now, announced.at),
             })
             .collect();
         reports.sort_unstable_by_key(|report| report.incarnation_id);
@@ -243,10 +251,11 @@
         &self,
         target: &Target,
     ) -> Result<Option<BrittlePermit>, Ineligible> {
+        if self.brittle.is_empty() {
+            return Ok(None);
+        }
         let incarnation_id = target.incarnation_id();
-        let Some((service, slots)) = self.service_and_slots(target) else {
-            return Err(Ineligible::Gone);
-        };
+        let (service, slots) = self.service_and_slots(incarnation_id).ok_or(Ineligible::Gone)?;
         let Some(rejections) = self.brittle.rejections_max(incarnation_id, &service) else {
             return Ok(None);
         };
@@ -281,9 +290,9 @@
         }
     }
 
-    fn service_and_slots(&self, target: &Target) -> Option<(std::sync::Arc<str>, u32)> {
+    fn service_and_slots(&self, incarnation_id: u64) -> Option<(Arc<str>, u32)> {
         let directory = self.directory.borrow();
-        let record = &directory.get(target.key)?.record;
+        let record = &directory.find_incarnation(incarnation_id)?.record;
         Some((record.service.clone(), record.slots))
     }
 
@@ -332,12 +341,8 @@
     pub(super) fn handle_brittle_request(&self, requester: SocketAddr, request: PermitRequest) {
         let PermitRequest { ticket, limit, .. } = request;
         let incarnation_id = limit.incarnation_id;
-        let record = self
-            .directory
-            .borrow()
-            .find_incarnation(incarnation_id)
-            .map(|upstream| (upstream.record.service.clone(), upstream.record.slots));
-        let (service, slots) = record.unwrap_or_else(|| ("".into(), 0));
+        let (service, slots) =
+            self.service_and_slots(incarnation_id).unwrap_or_else(|| ("".into(), 0));
         let rejections = self.brittle.rejections_max(incarnation_id, &service);
         let rejections = rejections.or(limit.per_s).unwrap_or(0.0);
         let permit =
