How responses are framed and where streams ended is logged and counted

request_ended and stream_broken say what marks the end of a response (its length, its last chunk, the end of the connection) and whether the stream stood between two events or inside one; fernring_gateway_response_ends_total counts both. No decision changed.

--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod connector;
 pub mod crash_attribution;
 pub mod decide;
+pub mod framing;
 pub mod log;
 pub mod members;
 pub mod model;
--- a/crates/fernring-gateway/src/serving/events.rs
+++ b/crates/fernring-gateway/src/serving/events.rs
@@ -6,6 +6,57 @@
 /// Longest incomplete event that is buffered, in bytes. Events of generations are far smaller.
 const EVENT_BYTES_MAX: usize = 1 << 20;
 
+/// A position in a stream of events. Lines end with CR, LF, or both, and a blank line ends an event.
+#[derive(Debug, Clone, Copy)]
+pub struct EventPosition {
+    is_inside_event: bool,
+    is_line_start: bool,
+    /// Whether the last byte was a CR, with which a LF that follows forms one line ending.
+    is_after_cr: bool,
+}
+
+impl Default for EventPosition {
+    fn default() -> Self {
+        Self { is_inside_event: false, is_line_start: true, is_after_cr: false }
+    }
+}
+
+impl EventPosition {
+    /// Moves over bytes. Returns the length of those up to the end of the last event that ends
+    /// among them; `None` if no event does.
+    pub fn advance(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (index, byte) in bytes.iter().enumerate() {
+            self.advance_by(*byte);
+            if !self.is_inside_event {
+                end = Some(index + 1);
+            }
+        }
+        end
+    }
+
+    fn advance_by(&mut self, byte: u8) {
+        let is_second_of_line_ending = byte == b'\n' && self.is_after_cr;
+        self.is_after_cr = byte == b'\r';
+        if is_second_of_line_ending {
+            return;
+        }
+        let is_line_ending = matches!(byte, b'\r' | b'\n');
+        self.is_inside_event = !(is_line_ending && self.is_line_start);
+        self.is_line_start = is_line_ending;
+    }
+
+    /// Returns whether an event has begun and hasn't ended.
+    pub fn is_inside_event(&self) -> bool {
+        self.is_inside_event
+    }
+
+    /// Returns the name used in log lines and metrics.
+    pub fn name(&self) -> &'static str {
+        if self.is_inside_event { "inside_event" } else { "between_events" }
+    }
+}
+
 /// Splits a stream into complete events and the start of the next one.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -17,7 +17,9 @@
         context::ServingContext,
         crash_attribution::InFlightGuard,
         engine_speeds::EventGaps,
+        events::EventPosition,
         fingerprint::Fingerprint,
+        framing::Framing,
         log,
         model::{RequestFields, RetryPolicy, Route, UpstreamKey, Workspace},
         prefill_budget::STREAM_TOKENS,
@@ -192,12 +194,21 @@
     /// When bytes of the response were received first and last, and the longest pause between;
     /// `None` before the first bytes.
     stream_times: Option<StreamTimes>,
-    /// The way that the last response took.
-    last_path: Option<Path>,
+    last_response: Option<LastResponse>,
     is_ended: bool,
     _in_flight: InFlight,
 }
 
+/// The response that was received last.
+#[derive(Debug, Clone, Copy)]
+struct LastResponse {
+    /// The way that it took.
+    path: Path,
+    framing: Framing,
+    /// Where its stream stands; `None` if it isn't a stream of events.
+    position: Option<EventPosition>,
+}
+
 /// When bytes of a response were received.
 #[derive(Debug, Clone, Copy)]
 struct StreamTimes {
@@ -251,7 +262,7 @@
             inputs: Vec::new(),
             home: None,
             stream_times: None,
-            last_path: None,
+            last_response: None,
             is_ended: false,
             serving,
             request,
@@ -400,6 +411,13 @@
         Refusal::not_run(not_run, code, after, detail)
     }
 
+    /// Records where the stream of the last response stands.
+    pub fn record_position(&mut self, position: EventPosition) {
+        if let Some(response) = &mut self.last_response {
+            response.position = Some(position);
+        }
+    }
+
     /// Records the end of the request in the log and the metrics.
     pub fn record_end(&mut self, end: ExchangeEnd<'_>) {
         self.is_ended = true;
@@ -412,6 +430,11 @@
             }
         }
         self.record_event_gaps();
+        let position = self.last_response.and_then(|response| response.position);
+        if let (ExchangeEnd::Answered { .. }, Some(response)) = (end, self.last_response) {
+            let end = position.map_or("complete", |position| position.name());
+            telemetry::record_response_end(&self.service, response.framing.name(), end);
+        }
         let took = self.serving.now().saturating_sub(self.arrived_at);
         let first_ms = self
             .stream_times
@@ -425,7 +448,9 @@
             .with("outcome", end.name())
             .with("code", end.code().number())
             .with("sends", self.tried.len())
-            .with_some("path", self.last_path.map(Path::name))
+            .with_some("path", self.last_response.map(|response| response.path.name()))
+            .with_some("framing", self.last_response.map(|response| response.framing.name()))
+            .with_some("position", position.map(|position| position.name()))
             .with("config", self.serving.config.borrow().version())
             .with("took_ms", took.as_millis())
             .with_some("forecast_ms", self.forecast_time.map(|time| time.as_millis()))
@@ -471,6 +496,11 @@
         }
     }
 
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> Framing {
+        Framing::of(&self.head)
+    }
+
     /// Returns the instance of the upstream.
     pub fn instance(&self) -> &Arc<str> {
         &self.target.instance
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -1,10 +1,11 @@
 //! Sends a request to an upstream: chooses the upstream, sends the request, and handles failures.
 
 use {
-    super::{Exchange, OpenedResponse, Prefill},
+    super::{Exchange, LastResponse, OpenedResponse, Prefill},
     crate::{
         attempts::SendOutcome,
         connections::{ConnectionLoss, SendFailure},
+        framing::Framing,
         log,
         model::{UpstreamFields, UpstreamKey},
         refusal::Refusal,
@@ -100,6 +101,8 @@
 
     /// Records that a response was interrupted after its head.
     pub fn record_broken_send(&mut self, opened: &OpenedResponse, loss: &ConnectionLoss) {
+        let framing = opened.framing().name();
+        telemetry::record_response_end(&self.service, framing, "interrupted");
         self.attempts.record_failure(SendOutcome::Unknown);
         if let Some(tracked) = &opened.tracked {
             tracked.record_failure();
@@ -215,7 +218,8 @@
             }
             Some(Ok(response)) => response,
         };
-        self.last_path = Some(response.path);
+        let framing = Framing::of(&response.head);
+        self.last_response = Some(LastResponse { path: response.path, framing, position: None });
         if let Some((outcome, reason)) = check_head(&response) {
             return Err(failed(FailedSend::without_connection_loss(outcome, reason)));
         }
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         connections::{ConnectionLoss, ResponseBody},
-        events::{EventSplitter, last_event_number},
+        events::{EventPosition, EventSplitter, last_event_number},
         exchange::{Exchange, ExchangeEnd, OpenedResponse, StreamFailure},
         log,
         model::RetryPolicy,
@@ -24,6 +24,7 @@
     exchange: Exchange,
     opened: OpenedResponse,
     splitter: EventSplitter,
+    position: EventPosition,
     /// Number of the last complete event that was forwarded.
     last_event: Option<u64>,
     /// Whether the stream may be resumed at another upstream. A failure response may not, since its
@@ -39,7 +40,8 @@
         let is_resumable =
             exchange.retry_policy() == RetryPolicy::Resume && opened.status().is_success();
         let splitter = EventSplitter::default();
-        Self { exchange, opened, splitter, last_event, is_resumable, is_done: false }
+        let position = EventPosition::default();
+        Self { exchange, opened, splitter, position, last_event, is_resumable, is_done: false }
     }
 
     /// Waits for the next bytes to forward; `None` at the end.
@@ -54,6 +56,7 @@
                 Ok(Some(bytes)) => return Some(Ok(bytes)),
                 Ok(None) => {
                     self.is_done = true;
+                    self.record_position();
                     self.exchange
                         .record_end(ExchangeEnd::Answered { status: self.opened.status() });
                     let rest = self.splitter.finish();
@@ -77,6 +80,7 @@
         match self.exchange.wait_at_most(patience, next).await {
             Some(Some(Ok(bytes))) => {
                 self.exchange.record_bytes(&mut self.opened);
+                self.position.advance(&bytes);
                 Ok(Some(self.complete_events(bytes)?))
             }
             Some(None) => Ok(None),
@@ -86,6 +90,12 @@
         }
     }
 
+    fn record_position(&mut self) {
+        if self.opened.status().is_success() {
+            self.exchange.record_position(self.position);
+        }
+    }
+
     fn complete_events(&mut self, bytes: Bytes) -> Result<Bytes, StreamFailure> {
         if !self.is_resumable {
             return Ok(bytes);
@@ -101,7 +111,11 @@
         let line = LogLine::event("stream_broken").with("request", self.exchange.request_id());
         let line = line.with("content", self.exchange.fingerprint());
         let line = line.with("upstream", self.opened.instance()).with("reason", &loss.reason);
+        let line = line.with("framing", self.opened.framing().name());
+        let line = line.with("position", self.position.name());
         log::warn(line.with_some("last_event", self.last_event));
+        self.record_position();
+        self.position = EventPosition::default();
         self.splitter.discard();
         // The connection is closed before another upstream is asked, so that two upstreams never
         // work on the stream at once.
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -239,6 +239,16 @@
     counter!("fernring_gateway_responses_total", &labels).increment(1);
 }
 
+/// Counts the end of a response whose head was accepted, by its framing and by how it ended.
+pub(crate) fn record_response_end(service: &Arc<str>, framing: &'static str, end: &'static str) {
+    let labels = [
+        ("service", bounded_label(service).to_string()),
+        ("framing", framing.to_owned()),
+        ("end", end.to_owned()),
+    ];
+    counter!("fernring_gateway_response_ends_total", &labels).increment(1);
+}
+
 /// Counts a rejection by a brittle upstream.
 pub(crate) fn record_brittle_rejection() {
     counter!("fernring_gateway_brittle_rejections_total").increment(1);
--- a/crates/fernring-gateway/tests/testsuite/events.rs
+++ b/crates/fernring-gateway/tests/testsuite/events.rs
@@ -1,7 +1,7 @@
 //! Tests of splitting a stream into complete events.
 
 use {
-    fernring_gateway::events::{EventSplitter, last_event_number},
+    fernring_gateway::events::{EventPosition, EventSplitter, last_event_number},
     proptest::prelude::*,
 };
 
@@ -44,3 +44,36 @@
         prop_assert_eq!(out, text.into_bytes());
     }
 }
+
+/// Returns whether a stream of these bytes, received in pieces of `cut` bytes, ends inside an event.
+fn ends_inside_event(stream: &str, cut: usize) -> bool {
+    let mut position = EventPosition::default();
+    for bytes in stream.as_bytes().chunks(cut) {
+        position.advance(bytes);
+    }
+    position.is_inside_event()
+}
+
+#[test]
+fn position_is_known_for_all_line_endings_and_cuts() {
+    let whole =
+        ["", "\n", "id: 1\n\n", "id: 1\r\n\r\n", "id: 1\r\r", "id: 1\n\r\n", ": c\nid: 1\n\n\n"];
+    let incomplete = ["i", "id: 1", "id: 1\n", "id: 1\r\n", "id: 1\r", "id: 1\n\nid", "id: 1\n\n:"];
+    for cut in 1..8 {
+        for stream in whole {
+            assert!(!ends_inside_event(stream, cut), "{stream:?}");
+        }
+        for stream in incomplete {
+            assert!(ends_inside_event(stream, cut), "{stream:?}");
+        }
+    }
+}
+
+#[test]
+fn advance_returns_the_end_of_the_last_event() {
+    let mut position = EventPosition::default();
+    assert_eq!(position.advance(b"id: 1\r\n\r"), Some(8));
+    assert_eq!(position.advance(b"\nid: 2\n"), Some(1));
+    assert_eq!(position.advance(b"data: x"), None);
+    assert_eq!(position.advance(b"\n\nid: 3\n\nid"), Some(9));
+}
