A stream that ends inside an event is broken

Callers received streams as complete whose upstream had crashed inside an event. With neither a length nor chunks, the end of the connection ended the body, and nothing compared it with the position in the stream; streams that may not be resumed weren't parsed at all.

The relay follows the position of every stream, without holding bytes back, and takes an end inside an event for the loss of the connection: the stream is resumed if it may be, and broken otherwise, and health, roll-outs and crash attribution are told as of a reset. So is a stream without length or chunks that ends before its first event, unless the caller has the events already. An orderly end between two events can't be told from a whole stream.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -69,6 +69,11 @@
 }
 
 impl ConnectionLoss {
+    /// Creates the loss of a connection that its other end closed.
+    pub fn closed(reason: &str) -> Self {
+        Self { reason: reason.to_owned(), kind: Some(Disconnect::Closed) }
+    }
+
     /// Creates the loss of a connection from which nothing more arrived.
     pub fn silent(reason: &str) -> Self {
         Self { reason: reason.to_owned(), kind: Some(Disconnect::Silent) }
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -34,12 +34,17 @@
     },
     bytes::Bytes,
     fernring_core::{code::ResultCode, text::LogLine},
-    http::{HeaderMap, Method, StatusCode, Uri, response::Parts},
+    http::{
+        HeaderMap, HeaderValue, Method, StatusCode, Uri, header::CONTENT_TYPE, response::Parts,
+    },
     rand::RngExt,
     std::{cell::Cell, collections::HashMap, rc::Rc, sync::Arc, time::Duration},
     thiserror::Error,
 };
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A caller's request, to be sent to an upstream.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -501,6 +506,18 @@
         Framing::of(&self.head)
     }
 
+    /// Returns whether the body of this response on a streaming route is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        let content_type = self.head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+        let is_event_type = match content_type {
+            Some(value) => value
+                .get(..EVENT_STREAM.len())
+                .is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM)),
+            None => self.framing() == Framing::Connection,
+        };
+        self.status().is_success() && is_event_type
+    }
+
     /// Returns the instance of the upstream.
     pub fn instance(&self) -> &Arc<str> {
         &self.target.instance
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -6,6 +6,7 @@
         connections::{ConnectionLoss, ResponseBody},
         events::{EventPosition, EventSplitter, last_event_number},
         exchange::{Exchange, ExchangeEnd, OpenedResponse, StreamFailure},
+        framing::Framing,
         log,
         model::RetryPolicy,
     },
@@ -25,6 +26,8 @@
     opened: OpenedResponse,
     splitter: EventSplitter,
     position: EventPosition,
+    /// Whether the response has had no bytes.
+    is_empty: bool,
     /// Number of the last complete event that was forwarded.
     last_event: Option<u64>,
     /// Whether the stream may be resumed at another upstream. A failure response may not, since its
@@ -40,8 +43,16 @@
         let is_resumable =
             exchange.retry_policy() == RetryPolicy::Resume && opened.status().is_success();
         let splitter = EventSplitter::default();
-        let position = EventPosition::default();
-        Self { exchange, opened, splitter, position, last_event, is_resumable, is_done: false }
+        Self {
+            exchange,
+            opened,
+            splitter,
+            position: EventPosition::default(),
+            is_empty: true,
+            last_event,
+            is_resumable,
+            is_done: false,
+        }
     }
 
     /// Waits for the next bytes to forward; `None` at the end.
@@ -81,17 +92,35 @@
             Some(Some(Ok(bytes))) => {
                 self.exchange.record_bytes(&mut self.opened);
                 self.position.advance(&bytes);
+                self.is_empty = false;
                 Ok(Some(self.complete_events(bytes)?))
             }
-            Some(None) => Ok(None),
+            Some(None) => match self.early_end() {
+                None => Ok(None),
+                Some(reason) => self.resume(ConnectionLoss::closed(reason)).await,
+            },
             Some(Some(Err(error))) => self.resume(error).await,
             None if self.exchange.time_left().is_zero() => Err(StreamFailure::TimedOut),
             None => self.resume(ConnectionLoss::silent("silent")).await,
         }
     }
 
+    /// Returns why a response whose body has ended isn't whole; `None` if it may be.
+    fn early_end(&self) -> Option<&'static str> {
+        if !self.opened.is_event_stream() {
+            return None;
+        }
+        if self.position.is_inside_event() {
+            return Some("ended inside an event");
+        }
+        // A caller that has received all events resumes the stream to learn that it is whole.
+        let has_no_events = self.is_empty && self.last_event.is_none();
+        let is_unmarked = self.opened.framing() == Framing::Connection;
+        (has_no_events && is_unmarked).then_some("ended before its first event")
+    }
+
     fn record_position(&mut self) {
-        if self.opened.status().is_success() {
+        if self.opened.is_event_stream() {
             self.exchange.record_position(self.position);
         }
     }
@@ -116,6 +145,7 @@
         log::warn(line.with_some("last_event", self.last_event));
         self.record_position();
         self.position = EventPosition::default();
+        self.is_empty = true;
         self.splitter.discard();
         // The connection is closed before another upstream is asked, so that two upstreams never
         // work on the stream at once.
