Events that end with CRLF are forwarded as they arrive

Callers of streams that may be resumed received events with CRLF (or CR) at the end of the stream only: complete events were found by two LFs in a row. The splitter finds them by the position in the stream, which knows all line endings, and event numbers are read from lines with any of them. The test failed before (the first event never arrived).

--- a/crates/fernring-gateway/src/serving/events.rs
+++ b/crates/fernring-gateway/src/serving/events.rs
@@ -60,7 +60,9 @@
 /// Splits a stream into complete events and the start of the next one.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    /// The bytes after the last complete event.
     pending: BytesMut,
+    position: EventPosition,
 }
 
 /// The error for an event that exceeds the buffer.
@@ -74,8 +76,9 @@
     /// # Errors
     /// If an event is too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
+        let held = self.pending.len();
         self.pending.extend_from_slice(bytes);
-        let end = self.pending.windows(2).rposition(|pair| pair == b"\n\n").map_or(0, |at| at + 2);
+        let end = self.position.advance(bytes).map_or(0, |length| held + length);
         let complete = self.pending.split_to(end).freeze();
         if self.pending.len() > EVENT_BYTES_MAX {
             return Err(EventTooLong);
@@ -90,11 +93,21 @@
 
     /// Discards the start of an event that was interrupted.
     pub fn discard(&mut self) {
-        self.pending.clear();
+        *self = Self::default();
+    }
+
+    /// Moves over bytes that are forwarded as they arrive.
+    pub fn skip(&mut self, bytes: &[u8]) {
+        self.position.advance(bytes);
+    }
+
+    /// Returns the position after all bytes, those of the incomplete event included.
+    pub fn position(&self) -> EventPosition {
+        self.position
     }
 }
 
 /// Returns the number of the last of some complete events; `number_of` extracts it from a line.
 pub fn last_event_number(events: &[u8], number_of: impl Fn(&[u8]) -> Option<u64>) -> Option<u64> {
-    events.split(|byte| *byte == b'\n').filter_map(number_of).next_back()
+    events.split(|byte| matches!(byte, b'\r' | b'\n')).filter_map(number_of).next_back()
 }
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         connections::{ConnectionLoss, ResponseBody},
-        events::{EventPosition, EventSplitter, last_event_number},
+        events::{EventSplitter, last_event_number},
         exchange::{Exchange, ExchangeEnd, OpenedResponse, StreamFailure},
         framing::Framing,
         log,
@@ -25,7 +25,6 @@
     exchange: Exchange,
     opened: OpenedResponse,
     splitter: EventSplitter,
-    position: EventPosition,
     /// Whether the response has had no bytes.
     is_empty: bool,
     /// Number of the last complete event that was forwarded.
@@ -47,7 +46,6 @@
             exchange,
             opened,
             splitter,
-            position: EventPosition::default(),
             is_empty: true,
             last_event,
             is_resumable,
@@ -91,7 +89,6 @@
         match self.exchange.wait_at_most(patience, next).await {
             Some(Some(Ok(bytes))) => {
                 self.exchange.record_bytes(&mut self.opened);
-                self.position.advance(&bytes);
                 self.is_empty = false;
                 Ok(Some(self.complete_events(bytes)?))
             }
@@ -110,7 +107,7 @@
         if !self.opened.is_event_stream() {
             return None;
         }
-        if self.position.is_inside_event() {
+        if self.splitter.position().is_inside_event() {
             return Some("ended inside an event");
         }
         // A caller that has received all events resumes the stream to learn that it is whole.
@@ -121,12 +118,13 @@
 
     fn record_position(&mut self) {
         if self.opened.is_event_stream() {
-            self.exchange.record_position(self.position);
+            self.exchange.record_position(self.splitter.position());
         }
     }
 
     fn complete_events(&mut self, bytes: Bytes) -> Result<Bytes, StreamFailure> {
         if !self.is_resumable {
+            self.splitter.skip(&bytes);
             return Ok(bytes);
         }
         let complete = self.splitter.push(&bytes);
@@ -141,10 +139,9 @@
         let line = line.with("content", self.exchange.fingerprint());
         let line = line.with("upstream", self.opened.instance()).with("reason", &loss.reason);
         let line = line.with("framing", self.opened.framing().name());
-        let line = line.with("position", self.position.name());
+        let line = line.with("position", self.splitter.position().name());
         log::warn(line.with_some("last_event", self.last_event));
         self.record_position();
-        self.position = EventPosition::default();
         self.is_empty = true;
         self.splitter.discard();
         // The connection is closed before another upstream is asked, so that two upstreams never
--- a/crates/fernring-gateway/tests/testsuite/events.rs
+++ b/crates/fernring-gateway/tests/testsuite/events.rs
@@ -77,3 +77,17 @@
     assert_eq!(position.advance(b"data: x"), None);
     assert_eq!(position.advance(b"\n\nid: 3\n\nid"), Some(9));
 }
+
+#[test]
+fn events_are_complete_with_any_line_ending() {
+    for line_ending in ["\n", "\r\n", "\r"] {
+        let events = "id: 1\ndata: x\n\nid: 2\n\n".replace('\n', line_ending);
+        for cut in 1..events.len() {
+            let mut splitter = EventSplitter::default();
+            let (head, tail) = events.as_bytes().split_at(cut);
+            let complete = [splitter.push(head).unwrap(), splitter.push(tail).unwrap()].concat();
+            assert_eq!(complete, events.as_bytes(), "{line_ending:?} {cut}");
+            assert_eq!(last_event_number(&complete, number), Some(2), "{line_ending:?}");
+        }
+    }
+}
