A broken stream ends the connection of a caller of HTTP/1.0 with a reset

Callers of HTTP/1.0 took broken streams for whole ones: they get no chunks, so the end of the connection marks the end of the answer, and the node ended it in order in either case. While such an answer is being sent, the socket is set to end with a reset, which also holds if the process is killed; when the stream is complete, that is withdrawn before the end is sent.

--- a/crates/fernring-gateway/src/serving/caller_body.rs
+++ b/crates/fernring-gateway/src/serving/caller_body.rs
@@ -23,18 +23,20 @@
 pub struct CallerBody {
     kind: BodyKind,
     guard: Option<Box<dyn Any>>,
+    on_complete: Option<Box<dyn FnOnce()>>,
     deadline: Option<Duration>,
 }
 
 impl CallerBody {
     /// Creates a complete body.
     pub fn full(body: Full<Bytes>) -> Self {
-        Self { kind: BodyKind::Full(body), guard: None, deadline: None }
+        Self { kind: BodyKind::Full(body), guard: None, on_complete: None, deadline: None }
     }
 
     /// Creates a body that is streamed.
     pub fn stream(chunks: impl Stream<Item = Result<Bytes, StreamFailure>> + 'static) -> Self {
-        Self { kind: BodyKind::Stream(Box::pin(chunks)), guard: None, deadline: None }
+        let kind = BodyKind::Stream(Box::pin(chunks));
+        Self { kind, guard: None, on_complete: None, deadline: None }
     }
 
     /// Sets the deadline of the request.
@@ -47,6 +49,16 @@
         self.deadline
     }
 
+    /// Returns whether the body is streamed.
+    pub fn is_stream(&self) -> bool {
+        matches!(self.kind, BodyKind::Stream(_))
+    }
+
+    /// Calls a function when the end of a streamed body is reached without a failure.
+    pub fn on_complete(&mut self, call: impl FnOnce() + 'static) {
+        self.on_complete = Some(Box::new(call));
+    }
+
     /// Keeps a guard alive until the body is sent or dropped.
     pub fn attach_guard(&mut self, guard: impl Any) {
         self.guard = Some(Box::new(guard));
@@ -66,7 +78,13 @@
                 Pin::new(body).poll_frame(context).map_err(|never| match never {})
             }
             BodyKind::Stream(chunks) => {
-                chunks.as_mut().poll_next(context).map(|item| Some(item?.map(Frame::data)))
+                let polled = chunks.as_mut().poll_next(context);
+                if matches!(polled, Poll::Ready(None))
+                    && let Some(call) = self.on_complete.take()
+                {
+                    call();
+                }
+                polled.map(|item| Some(item?.map(Frame::data)))
             }
         }
     }
--- a/crates/fernring-gateway/src/serving/ingress.rs
+++ b/crates/fernring-gateway/src/serving/ingress.rs
@@ -6,7 +6,10 @@
         model::CallerLimits,
     },
     fernring_core::{clock::Clock, text::LogLine},
-    http::{HeaderValue, Request, Response, header::CONNECTION},
+    http::{
+        HeaderValue, Request, Response, Version,
+        header::{CONNECTION, CONTENT_LENGTH},
+    },
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
@@ -65,6 +68,9 @@
 #[derive(Debug)]
 pub struct ConnectionState {
     activity: Cell<Activity>,
+    /// Whether an answer is being sent whose end is marked by the end of the connection. Until all
+    /// of it is sent, the connection may only end with a reset, even if the process is killed.
+    ends_by_reset: Cell<bool>,
     clock: Rc<dyn Clock>,
 }
 
@@ -103,6 +109,20 @@
 struct WatchedStream {
     stream: TcpStream,
     state: Rc<ConnectionState>,
+    /// Whether the socket is set to end the connection with a reset.
+    is_set_to_reset: bool,
+}
+
+impl WatchedStream {
+    fn update_end(&mut self) -> io::Result<()> {
+        let ends_by_reset = self.state.ends_by_reset.get();
+        if ends_by_reset != self.is_set_to_reset {
+            let linger = ends_by_reset.then_some(Duration::ZERO);
+            socket2::SockRef::from(&self.stream).set_linger(linger)?;
+            self.is_set_to_reset = ends_by_reset;
+        }
+        Ok(())
+    }
 }
 
 impl AsyncRead for WatchedStream {
@@ -126,6 +146,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_end()?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -134,6 +155,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.update_end()?;
+        if self.is_set_to_reset {
+            // Dropping the stream resets the connection; a shutdown would end it in order.
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 
@@ -146,6 +172,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_end()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 }
@@ -208,10 +235,12 @@
         socket2::SockRef::from(&stream)
             .set_tcp_user_timeout(Some(crate::connector::dial::TCP_USER_TIMEOUT))?;
         let activity = Cell::new(Activity::Idle(self.serving.now()));
-        let state = Rc::new(ConnectionState { activity, clock: self.serving.clock.clone() });
+        let clock = self.serving.clock.clone();
+        let state = Rc::new(ConnectionState { activity, ends_by_reset: Cell::new(false), clock });
         let limits = self.limits();
         let buffer_bytes = limits.head_bytes_max.max(BUFFER_BYTES_MIN);
-        let stream = TokioIo::new(WatchedStream { stream, state: state.clone() });
+        let stream = WatchedStream { stream, state: state.clone(), is_set_to_reset: false };
+        let stream = TokioIo::new(stream);
         let service = service_fn(|request| self.answer(request, state.clone()));
         let mut connection = pin!(
             http1::Builder::new().max_buf_size(buffer_bytes).serve_connection(stream, service)
@@ -261,6 +290,7 @@
     ) -> Result<Response<CallerBody>, Infallible> {
         state.activity.set(Activity::ServingRequest);
         let guard = RequestGuard(state.clone());
+        let has_chunks = request.version() >= Version::HTTP_11;
         let mut response = self.serving.clone().serve(request).await;
         if let Some(deadline) = response.body().deadline() {
             state.activity.set(Activity::SendingAnswer(deadline + OVERTIME_MAX));
@@ -268,6 +298,11 @@
         if self.phase() >= Phase::Leaving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        let has_length = response.headers().contains_key(CONTENT_LENGTH);
+        if !has_chunks && !has_length && response.body().is_stream() {
+            state.ends_by_reset.set(true);
+            response.body_mut().on_complete(move || state.ends_by_reset.set(false));
+        }
         response.body_mut().attach_guard(guard);
         Ok(response)
     }
