A resumed stream isn't framed by the length of its first answer

Callers of a stream that broke at an upstream that announces lengths and went on at another received the first one's Content-Length: what lay beyond was cut off, and the answer looked complete; a shorter whole one looked broken. Answers to callers get their own framing.

The test failed before: 20 bytes of 38 arrived, framed as complete.

--- a/crates/fernring-gateway/src/serving/ingress.rs
+++ b/crates/fernring-gateway/src/serving/ingress.rs
@@ -6,10 +6,7 @@
         model::CallerLimits,
     },
     fernring_core::{clock::Clock, text::LogLine},
-    http::{
-        HeaderValue, Request, Response, Version,
-        header::{CONNECTION, CONTENT_LENGTH},
-    },
+    http::{HeaderValue, Request, Response, Version, header::CONNECTION},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     std::{
@@ -298,8 +295,7 @@
         if self.phase() >= Phase::Leaving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        let has_length = response.headers().contains_key(CONTENT_LENGTH);
-        if !has_chunks && !has_length && response.body().is_stream() {
+        if !has_chunks && response.body().is_stream() {
             state.ends_by_reset.set(true);
             response.body_mut().on_complete(move || state.ends_by_reset.set(false));
         }
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -172,7 +172,7 @@
                 opened.record_intact();
                 let body = CallerBody::full(Full::new(collected.to_bytes()))
                     .with_deadline(exchange.end_at());
-                return Ok(caller_response(&opened, body, true));
+                return Ok(caller_response(&opened, body));
             }
             Some(Err(error)) => match error.downcast_ref::<hyper::Error>() {
                 Some(error) => error.into(),
@@ -193,7 +193,7 @@
             Ok(opened) => opened,
             Err(refusal) => return self.refuse(&mut exchange, &refusal),
         };
-        let head = caller_response(&opened, CallerBody::full(Full::default()), false);
+        let head = caller_response(&opened, CallerBody::full(Full::default()));
         if opened.status() == StatusCode::OK {
             exchange.record_success(opened.key());
         }
@@ -305,18 +305,13 @@
     }
 }
 
-fn caller_response(
-    opened: &OpenedResponse,
-    body: CallerBody,
-    is_complete: bool,
-) -> Response<CallerBody> {
+fn caller_response(opened: &OpenedResponse, body: CallerBody) -> Response<CallerBody> {
     let mut response = Response::new(body);
     *response.status_mut() = opened.head.status;
     let mut headers = opened.head.headers.clone();
     strip_connection_headers(&mut headers);
-    if is_complete {
-        headers.remove(CONTENT_LENGTH);
-    }
+    // The body's own size applies: a stream that goes on at another upstream has another length.
+    headers.remove(CONTENT_LENGTH);
     *response.headers_mut() = headers;
     response
 }
