A stage call that is truncated without a length counts as the end of its worker

Requests in one call with a piece that crashes workers failed with it: the crash truncated a response with neither a length nor chunks, the connection ended in order, and the response counted as a malformed one of a worker that lives. So the pieces were called again together, and crashed further workers. Such a response is the loss of its connection now; probes then tell whether the worker has crashed, and its pieces are called one by one.

--- a/crates/fernring-gateway/src/owner/call_failure.rs
+++ b/crates/fernring-gateway/src/owner/call_failure.rs
@@ -3,6 +3,8 @@
 use crate::{
     connections::{ConnectionLoss, SendFailure},
     eligibility::Ineligible,
+    framing::Framing,
+    wire::Malformed,
 };
 
 /// Reason why a call returned no outcomes.
@@ -33,6 +35,15 @@
     }
 }
 
+/// Converts the error of a response that can't be decoded. If only the end of its connection marked
+/// its end, the worker may have ended early.
+pub(super) fn undecodable(framing: Framing, error: &Malformed) -> CallFailure {
+    match framing {
+        Framing::Connection => CallFailure::Broken(ConnectionLoss::closed(&error.to_string())),
+        Framing::Length | Framing::Chunked => CallFailure::Failed(error.to_string()),
+    }
+}
+
 impl From<SendFailure> for CallFailure {
     fn from(failure: SendFailure) -> Self {
         match failure {
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -3,13 +3,14 @@
 use {
     super::{
         Owner,
-        call_failure::{CallFailure, body_failure},
+        call_failure::{CallFailure, body_failure, undecodable},
     },
     crate::{
         backlog::{RANKS, rank_index},
         batching::{Batch, BatchLimit, BatchQueue, QueuedPiece},
         connections::{ConnectionLoss, SendFailure},
         crash_detection::Disconnect,
+        framing::Framing,
         log,
         model::{BatchConfig, Piece, PieceOutcome, Service, UpstreamKey},
         residency::Residency,
@@ -217,10 +218,11 @@
             if response.head.status != StatusCode::OK {
                 return Err(CallFailure::Failed(format!("status {}", response.head.status)));
             }
+            let framing = Framing::of(&response.head);
             let body = http_body_util::Limited::new(response.body, RESPONSE_BYTES_MAX);
             let body = body.collect().await.map_err(|error| body_failure(&*error))?;
             let outcomes = self.wire.decode_batch(&body.to_bytes());
-            outcomes.map_err(|error| CallFailure::Failed(error.to_string()))
+            outcomes.map_err(|error| undecodable(framing, &error))
         };
         let outcomes = timeout(call_timeout, exchange).await.unwrap_or_else(|_| {
             Err(CallFailure::Failed(format!("no response within {} ms", call_timeout.as_millis())))
