Tunnels tell an orderly end from a reset

Callers of a node behind a tunnel received streams as complete that their upstream had reset: the relay ended its side of the tunnel in order in either case, as does the operating system for a relay that is killed. Relays now send an upstream's bytes in frames, and an empty frame for an orderly end; without it, the tunnel has been broken off, and what arrived before is kept. Builds that know no frames ask for none and get a reset for a reset; what an older relay forwards has no marked end, so its end is never taken for an orderly one.

--- a/crates/fernring-gateway/src/connector/mod.rs
+++ b/crates/fernring-gateway/src/connector/mod.rs
@@ -15,7 +15,7 @@
         reachability::PathState,
         relays::{Relay, rank},
         telemetry,
-        tunnels::TunnelFailure,
+        tunnels::{TunnelFailure, TunnelStream},
     },
     async_trait::async_trait,
     fernring_core::{clock::Clock, text::LogLine},
@@ -29,6 +29,7 @@
         time::Duration,
     },
     tokio::{
+        io::{AsyncRead, AsyncWrite},
         net::TcpStream,
         task::{JoinError, spawn_local},
         time::{Instant, timeout, timeout_at},
@@ -90,20 +91,30 @@
     }
 }
 
+/// The bytes of a connection.
+pub trait ByteStream: AsyncRead + AsyncWrite + Unpin {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> ByteStream for T {}
+
 /// An open connection.
-#[derive(Debug)]
 pub struct Connected {
     /// The connection.
-    pub stream: TcpStream,
+    pub stream: Box<dyn ByteStream>,
     /// The way that it takes.
     pub path: Path,
     /// Its tunnel, if it takes one.
     pub tunnel: Option<TunnelGuard>,
 }
 
+impl Debug for Connected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Connected").field("path", &self.path).finish_non_exhaustive()
+    }
+}
+
 impl Connected {
     fn direct(stream: TcpStream) -> Self {
-        Self { stream, path: Path::Direct, tunnel: None }
+        Self { stream: Box::new(stream), path: Path::Direct, tunnel: None }
     }
 }
 
@@ -160,7 +171,7 @@
         &self,
         relay: SocketAddr,
         upstream: SocketAddr,
-    ) -> Result<TcpStream, TunnelFailure>;
+    ) -> Result<TunnelStream, TunnelFailure>;
 }
 
 /// Opens the connections of a node to upstreams: directly, or through a peer if that fails.
@@ -238,7 +249,8 @@
             match opened {
                 Ok(stream) => {
                     let tunnel = Some(TunnelGuard::new(&self.open_tunnels, relay));
-                    return Ok(Connected { stream, path: Path::Tunnel(relay), tunnel });
+                    let (stream, path) = (Box::new(stream), Path::Tunnel(relay));
+                    return Ok(Connected { stream, path, tunnel });
                 }
                 Err(failed @ TunnelFailure::Upstream(_)) => return Err(failed),
                 Err(failed) => failure = failed,
--- a/crates/fernring-gateway/src/node/tunnels.rs
+++ b/crates/fernring-gateway/src/node/tunnels.rs
@@ -6,12 +6,11 @@
         members::Member,
         peers::Peers,
         relays::Relay,
-        tunnels::{TunnelFailure, open},
+        tunnels::{TunnelFailure, TunnelStream, open},
         upstreams::Upstreams,
     },
     async_trait::async_trait,
     std::{net::SocketAddr, rc::Rc, sync::Arc},
-    tokio::net::TcpStream,
 };
 
 /// Opens tunnels through the peers of a node.
@@ -65,7 +64,7 @@
         &self,
         relay: SocketAddr,
         upstream: SocketAddr,
-    ) -> Result<TcpStream, TunnelFailure> {
+    ) -> Result<TunnelStream, TunnelFailure> {
         open(self.peers.address(), relay, upstream).await
     }
 }
--- a/crates/fernring-gateway/src/tunnels.rs
+++ b/crates/fernring-gateway/src/tunnels.rs
@@ -17,20 +17,35 @@
         telemetry,
         upstreams::Upstreams,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     fernring_core::text::LogLine,
     fernring_protocol::{
         codec,
         gateway::{GatewayBody, GatewayFrame, TunnelRequest, TunnelResponse, TunnelResult},
     },
-    futures_util::{SinkExt, StreamExt},
+    futures_util::{
+        SinkExt, StreamExt,
+        stream::{LocalBoxStream, once, unfold},
+    },
     prost::Message,
-    std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        io::{self, ErrorKind},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
-        io::{AsyncWriteExt, copy},
-        net::TcpStream,
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Join, copy, join},
+        net::{
+            TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+    },
+    tokio_util::{
+        codec::{Framed, FramedRead, FramedWrite, LengthDelimitedCodec},
+        io::{ReaderStream, StreamReader},
     },
-    tokio_util::codec::{Framed, LengthDelimitedCodec},
 };
 
 /// Most tunnels that a node carries for its peers. Each needs two file descriptors.
@@ -39,6 +54,14 @@
 /// [`crate::connector::dial::CONNECT_TIMEOUT`], two peers can be tried.
 const RELAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Size of the buffer for an upstream's bytes.
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// A tunnel to an upstream. Reading fails at its end, unless the upstream has ended its connection
+/// in order.
+pub type TunnelStream =
+    Join<StreamReader<LocalBoxStream<'static, io::Result<Bytes>>, Bytes>, OwnedWriteHalf>;
+
 /// A connection between nodes that carries framed messages.
 pub type FramedLink = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -70,9 +93,9 @@
     sender: SocketAddr,
     relay: SocketAddr,
     upstream: SocketAddr,
-) -> Result<TcpStream, TunnelFailure> {
+) -> Result<TunnelStream, TunnelFailure> {
     let mut framed = Framed::new(connect(relay).await?, codec());
-    let request = TunnelRequest { address: upstream.to_string() };
+    let request = TunnelRequest { address: upstream.to_string(), reads_frames: true };
     send(&mut framed, sender, GatewayBody::TunnelRequest(request)).await?;
     let Some(reply) = framed.next().await else {
         return Err(TunnelFailure::NoReply("connection closed".to_owned()));
@@ -90,11 +113,36 @@
         TunnelResult::TimedOut => return Err(TunnelFailure::Upstream(ConnectFailure::TimedOut)),
     }
     let parts = framed.into_parts();
-    match parts.read_buf.is_empty() {
-        true => Ok(parts.io),
+    if !parts.read_buf.is_empty() {
         // The upstream sends nothing before it has a request.
-        false => Err(TunnelFailure::NoReply("bytes before a request".to_owned())),
+        return Err(TunnelFailure::NoReply("bytes before a request".to_owned()));
     }
+    let (read, write) = parts.io.into_split();
+    let received = match response.sends_frames {
+        true => read_frames(read),
+        // The relay closes its connection however the upstream's has ended.
+        false => ReaderStream::new(read).chain(once(async { Err(broken_off()) })).boxed_local(),
+    };
+    Ok(join(StreamReader::new(received), write))
+}
+
+/// Returns the bytes of a relay that sends them in frames.
+fn read_frames(read: OwnedReadHalf) -> LocalBoxStream<'static, io::Result<Bytes>> {
+    let frames = FramedRead::new(read, codec());
+    let next = |frames: Option<FramedRead<OwnedReadHalf, LengthDelimitedCodec>>| async {
+        let mut frames = frames?;
+        match frames.next().await {
+            Some(Ok(frame)) if frame.is_empty() => None,
+            Some(Ok(frame)) => Some((Ok(frame.freeze()), Some(frames))),
+            Some(Err(error)) => Some((Err(error), None)),
+            None => Some((Err(broken_off()), None)),
+        }
+    };
+    unfold(Some(frames), next).boxed_local()
+}
+
+fn broken_off() -> io::Error {
+    io::Error::new(ErrorKind::ConnectionReset, "the tunnel was broken off")
 }
 
 async fn send(framed: &mut FramedLink, sender: SocketAddr, body: GatewayBody) -> io::Result<()> {
@@ -150,10 +198,11 @@
         let line = LogLine::event("tunnel_relayed").with("address", &request.address);
         let line = line.with("result", result.name());
         log::info(line.with("open", self.open_count()));
-        let response = TunnelResponse { result: result.into() };
+        let sends_frames = request.reads_frames;
+        let response = TunnelResponse { result: result.into(), sends_frames };
         let sent = send(&mut framed, own, GatewayBody::TunnelResponse(response)).await;
         if let (Ok(()), Ok(upstream)) = (sent, dialed)
-            && let Err(error) = forward(framed, upstream).await
+            && let Err(error) = forward(framed, upstream, sends_frames).await
         {
             let line = LogLine::event("tunnel_broken").with("address", &request.address);
             log::info(line.with("error", error));
@@ -180,14 +229,45 @@
 
 /// Forwards bytes in both directions until either side closes its connection. Both connections are
 /// closed then: a caller that has left must not keep the upstream at work.
-async fn forward(framed: FramedLink, mut upstream: TcpStream) -> io::Result<()> {
+async fn forward(framed: FramedLink, mut upstream: TcpStream, in_frames: bool) -> io::Result<()> {
     let mut parts = framed.into_parts();
     upstream.write_all(&parts.read_buf).await?;
     let (mut peer_read, mut peer_write) = parts.io.split();
     let (mut upstream_read, mut upstream_write) = upstream.split();
+    let to_peer = async {
+        match in_frames {
+            true => send_frames(upstream_read, peer_write).await,
+            false => copy(&mut upstream_read, &mut peer_write).await.map(drop),
+        }
+    };
     let forwarded = tokio::select! {
-    forwarded = copy(&mut peer_read, &mut upstream_write) => forwarded,
-    forwarded = copy(&mut upstream_read, &mut peer_write) => forwarded,
+    forwarded = copy(&mut peer_read, &mut upstream_write) => forwarded.map(drop),
+    forwarded = to_peer => forwarded,
     };
-    forwarded.map(drop)
+    if forwarded.is_err() {
+        upstream.set_zero_linger()?;
+        if !in_frames {
+            // Nothing else tells the peer that the bytes aren't whole.
+            parts.io.set_zero_linger()?;
+        }
+    }
+    forwarded
+}
+
+/// Sends what an upstream sends in frames, and an empty frame if the upstream ends its connection in
+/// order.
+async fn send_frames(
+    mut upstream: impl AsyncRead + Unpin,
+    peer: impl AsyncWrite + Unpin,
+) -> io::Result<()> {
+    let mut frames = FramedWrite::new(peer, codec());
+    let mut buffer = BytesMut::new();
+    loop {
+        buffer.reserve(BUFFER_BYTES);
+        let count = upstream.read_buf(&mut buffer).await?;
+        frames.send(buffer.split().freeze()).await?;
+        if count == 0 {
+            return Ok(());
+        }
+    }
 }
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -82,6 +82,9 @@
     /// Address of the upstream, `ip:port`.
     #[prost(string, tag = "1")]
     pub address: String,
+    /// Whether the node reads bytes in frames, whose end is marked by an empty one.
+    #[prost(bool, tag = "2")]
+    pub reads_frames: bool,
 }
 
 /// Reply to a [`TunnelRequest`].
@@ -90,6 +93,11 @@
     /// Whether the tunnel is open.
     #[prost(enumeration = "TunnelResult", tag = "1")]
     pub result: i32,
+    /// Whether the upstream's bytes follow in frames. An empty frame says that the upstream has
+    /// ended its connection in order; without one, it was reset, or the relay has ended. Bytes for
+    /// the upstream are sent without frames.
+    #[prost(bool, tag = "2")]
+    pub sends_frames: bool,
 }
 
 /// Result of opening a tunnel.
