--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -351,6 +351,8 @@
     pub piece_key: Option<Arc<str>>,
     /// Number of the last event that the caller received of an interrupted stream.
     pub last_event: Option<u64>,
+    /// The caller's earlier request that brought the first event of the stream.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// A field of a request is malformed.
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -200,6 +200,8 @@
     /// `None` before the first bytes.
     stream_times: Option<StreamTimes>,
     last_response: Option<LastResponse>,
+    /// The versions of the upstreams whose bytes were received, in order, without repetitions.
+    received_versions: Vec<Arc<str>>,
     is_ended: bool,
     _in_flight: InFlight,
 }
@@ -268,6 +270,7 @@
             home: None,
             stream_times: None,
             last_response: None,
+            received_versions: Vec::new(),
             is_ended: false,
             serving,
             request,
@@ -279,6 +282,11 @@
         }
     }
 
+    /// Returns the service.
+    pub fn service(&self) -> &Arc<str> {
+        &self.service
+    }
+
     /// Returns the request id.
     pub fn request_id(&self) -> &str {
         &self.request.id
@@ -334,6 +342,10 @@
         }
         self.release_results();
         opened.record_intact();
+        let version = &opened.target.version;
+        if self.received_versions.last() != Some(version) {
+            self.received_versions.push(version.clone());
+        }
         let now = self.serving.now();
         let relative_speed = opened.prefill.map_or(1.0, |prefill| prefill.relative_speed);
         if let Some(prefill) = opened.prefill.take() {
@@ -440,6 +452,8 @@
             let end = position.map_or("complete", |position| position.name());
             telemetry::record_response_end(&self.service, response.framing.name(), end);
         }
+        let versions =
+            (!self.received_versions.is_empty()).then(|| self.received_versions.join(","));
         let took = self.serving.now().saturating_sub(self.arrived_at);
         let first_ms = self
             .stream_times
@@ -456,6 +470,7 @@
             .with_some("path", self.last_response.map(|response| response.path.name()))
             .with_some("framing", self.last_response.map(|response| response.framing.name()))
             .with_some("position", position.map(|position| position.name()))
+            .with_some("versions", versions)
             .with("config", self.serving.config.borrow().version())
             .with("took_ms", took.as_millis())
             .with_some("forecast_ms", self.forecast_time.map(|time| time.as_millis()))
@@ -501,6 +516,11 @@
         }
     }
 
+    /// Returns the version of the upstream.
+    pub fn version(&self) -> &Arc<str> {
+        &self.target.version
+    }
+
     /// Returns how the end of the body is marked.
     pub fn framing(&self) -> Framing {
         Framing::of(&self.head)
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -9,6 +9,7 @@
         framing::Framing,
         log,
         model::RetryPolicy,
+        telemetry,
     },
     bytes::Bytes,
     fernring_core::text::LogLine,
@@ -154,6 +155,8 @@
         loop {
             match self.exchange.reopen(self.last_event).await {
                 Ok(opened) if opened.status().is_success() => {
+                    let is_same = opened.version() == self.opened.version();
+                    telemetry::record_resumption(self.exchange.service(), is_same);
                     self.opened = opened;
                     return Ok(Some(Bytes::new()));
                 }
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -249,6 +249,16 @@
     counter!("fernring_gateway_response_ends_total", &labels).increment(1);
 }
 
+/// Counts a stream that goes on at another upstream within one answer, by whether that one has the
+/// version of the upstream before.
+pub(crate) fn record_resumption(service: &Arc<str>, is_same_version: bool) {
+    let labels = [
+        ("service", bounded_label(service).to_string()),
+        ("version", if is_same_version { "same" } else { "other" }.to_owned()),
+    ];
+    counter!("fernring_gateway_resumptions_total", &labels).increment(1);
+}
+
 /// Counts a rejection by a brittle upstream.
 pub(crate) fn record_brittle_rejection() {
     counter!("fernring_gateway_brittle_rejections_total").increment(1);
