Streams go on only at the version that began them

Callers received streams whose events came from upstreams of two versions, within one answer and over their requests. A stream's next upstream was chosen like any other; nothing recorded the version that brought the first event.

The first event that is forwarded binds the stream to the version of the upstream as chosen for that send. Further sends are restricted to it, and checked right before the first byte. The node keeps the version under the request's id and, while the service has several, tells a few peers in different failure domains; a node that is asked to go on with a stream that it doesn't know asks them. Unknown origin beside several versions, and a version without an upstream that takes new work, are refused as not run (3014).

--- a/crates/fernring-core/src/code.rs
+++ b/crates/fernring-core/src/code.rs
@@ -139,6 +139,8 @@
     Limited = 3012, NotRun, 503;
     /// No upstream of a stage lies in a region where the request may be served.
     OutsideRegions = 3013, NotRun, 503;
+    /// The stream can't go on: the version that began it isn't known, or no upstream has it.
+    OriginUnavailable = 3014, NotRun, 503;
 
     /// A stage failed and no retry was possible within the window or the retry budget.
     StageFailed = 4000, Failed, 502;
--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -7,6 +7,7 @@
 //! | which part of a service may one workspace use? | [`workspace_shares`], from [`workspace_demands`] and [`workspace_reports`] |
 //! | may it be sent again, and when may its caller retry? | [`attempts`], [`budget`], [`retry_after`], [`retry_schedule`] |
 //! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`leaving`], [`backoff`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`rejection_guard`], [`selection`], [`prefill_speed`], [`engine_speeds`], [`prefill_budget`], [`prefill_pauses`], [`prefix_demand`] |
+//! | at which version may a stream go on? | [`origin_table`] |
 //! | in which regions may it be served? | [`residency`] |
 //! | which pieces go into which call, and which node sends it? | [`batching`], [`domain_preference`], [`workers`], [`worker_speeds`], [`worker_pools`], [`dispatch_round`], [`stage_plan`] |
 //! | has this node lost its direct path to the upstreams, and through which peer does it reach them? | [`reachability`], [`relays`] |
@@ -31,6 +32,7 @@
 pub mod engine_speeds;
 pub mod leaving;
 pub mod limits;
+pub mod origin_table;
 pub mod permit_issuer;
 pub mod prefill_budget;
 pub mod prefill_pauses;
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod stage_shares;
 pub mod stages;
 pub mod store;
+pub mod stream_origins;
 mod telemetry;
 pub mod tunnels;
 pub mod upstreams;
@@ -51,9 +52,9 @@
     decide::{
         admission, admission_gate, admission_shares, attempts, backlog, backlogs, backoff,
         batching, budget, cold, crash_detection, demand, dispatch_round, domain_preference,
-        eligibility, engine_speeds, leaving, limits, permit_issuer, prefill_budget, prefill_pauses,
-        prefill_speed, prefix_demand, quarantine, reachability, rejection_guard, relays,
-        request_size, residency, retry_after, retry_schedule, selection, slack, stage_plan,
+        eligibility, engine_speeds, leaving, limits, origin_table, permit_issuer, prefill_budget,
+        prefill_pauses, prefill_speed, prefix_demand, quarantine, reachability, rejection_guard,
+        relays, request_size, residency, retry_after, retry_schedule, selection, slack, stage_plan,
         throughput, worker_pools, worker_speeds, workers, workspace_demands, workspace_reports,
         workspace_shares,
     },
--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -28,6 +28,9 @@
 /// again.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
+/// Failure domains other than a node's own in which peers keep something for it.
+const OTHER_KEEPER_DOMAINS: usize = 2;
+
 /// Key by which the delegate that reports the loads of its domain is chosen.
 const LOAD_REPORTER_KEY: &str = "teller of loads";
 /// Key by which the readers of the store are chosen.
@@ -269,6 +272,48 @@
         owner.or_else(|| self.highest_ranked(now, me, key, is_included))
     }
 
+    /// Chooses live delegates other than this node (`me`) that keep something about `key`, by
+    /// rendezvous hashing: up to `own_domain` of them in this node's failure domain, and up to
+    /// `other_domain` in each of two others.
+    pub fn keepers(
+        &self,
+        now: Duration,
+        me: &Member,
+        key: &str,
+        own_domain: usize,
+        other_domain: usize,
+    ) -> Vec<SocketAddr> {
+        let mut by_domain: BTreeMap<&str, Vec<(u64, SocketAddr)>> = BTreeMap::new();
+        for peer in self.peers.values().filter(|peer| peer.is_live(now)) {
+            if peer.member.is_delegate {
+                let score = xxh3_64_with_seed(key.as_bytes(), peer.hash);
+                let ranked = by_domain.entry(&peer.member.failure_domain).or_default();
+                ranked.push((score, peer.member.address));
+            }
+        }
+        let mut first = |domain: &str, count: usize| {
+            let mut ranked = by_domain.remove(domain).unwrap_or_default();
+            ranked.sort_unstable();
+            ranked.into_iter().rev().take(count).map(|(_, address)| address).collect::<Vec<_>>()
+        };
+        let mut keepers = first(&me.failure_domain, own_domain);
+        let domain_score = |domain: &&str| {
+            xxh3_64_with_seed(key.as_bytes(), xxh3_64_with_seed(domain.as_bytes(), 0))
+        };
+        let mut others: Vec<_> = self
+            .live(now)
+            .filter(|peer| peer.is_delegate && peer.failure_domain != me.failure_domain)
+            .map(|peer| &*peer.failure_domain)
+            .collect();
+        others.sort_unstable();
+        others.dedup();
+        others.sort_by_key(domain_score);
+        for domain in others.into_iter().rev().take(OTHER_KEEPER_DOMAINS) {
+            keepers.extend(first(domain, other_domain));
+        }
+        keepers
+    }
+
     /// Returns the role of this node (`me`) in reading the store for the others.
     pub fn reader_role(&self, now: Duration, me: &Member) -> ReaderRole {
         if self.live(now).next().is_none() {
--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -192,6 +192,12 @@
         self.members.borrow().owner_among(self.now(), &me, key, includes_domain)
     }
 
+    /// Chooses peers that keep something about `key`, as [`Members::keepers`] does.
+    pub fn keepers(&self, key: &str, own_domain: usize, other_domain: usize) -> Vec<SocketAddr> {
+        let me = self.me.borrow();
+        self.members.borrow().keepers(self.now(), &me, key, own_domain, other_domain)
+    }
+
     /// Sets the capacity of this node's network link, in Mbit/s.
     pub fn set_link_mbps(&self, link_mbps: u32) {
         self.me.borrow_mut().link_mbps = link_mbps;
--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -28,6 +28,7 @@
         slack::MeanSlacks,
         stages::Stages,
         store_loops::{StoreLoops, TailedTopic},
+        stream_origins::StreamOrigins,
         tailing::Tailing,
         tunnels::Tunnels,
         upstreams::Upstreams,
@@ -192,6 +193,8 @@
             upstreams.clone(),
             decide_settings.clone(),
         ));
+        let stream_origins =
+            Rc::new(StreamOrigins::new(clock.clone(), peers.clone(), upstreams.clone()));
         let deadline_timer = Rc::new(DeadlineTimer::new(clock.clone()));
         let serving = Rc::new(ServingContext {
             clock: clock.clone(),
@@ -208,6 +211,7 @@
             decide_settings,
             retries: retries.clone(),
             rollouts: rollouts.clone(),
+            stream_origins: stream_origins.clone(),
             crash_attribution: crash_attribution.clone(),
             in_flight: Cell::new(0),
         });
@@ -231,6 +235,7 @@
             has_unconfirmed_orders: Cell::default(),
             registered_era: Cell::default(),
         });
+        spawn_local(stream_origins.run());
         spawn_local(owner.clone().run());
         spawn_local(owner.run_releases());
         spawn_local(crash_attribution.run());
--- a/crates/fernring-gateway/src/node/peer_messages.rs
+++ b/crates/fernring-gateway/src/node/peer_messages.rs
@@ -53,6 +53,13 @@
             GatewayBody::PermitReturn(returned) => {
                 self.upstreams.handle_permit_return(sender, &returned);
             }
+            GatewayBody::OriginReports(reports) => {
+                self.serving.stream_origins.handle_reports(reports);
+            }
+            GatewayBody::OriginQuery(query) => {
+                self.serving.stream_origins.handle_query(sender, &query);
+            }
+            GatewayBody::OriginReply(reply) => self.serving.stream_origins.handle_reply(reply),
             GatewayBody::RolloutReport(report) => {
                 self.serving.rollouts.handle_report(sender, report);
             }
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -205,6 +205,7 @@
             residency: queued
                 .iter()
                 .fold(Residency::default(), |all, piece| all.intersect(&piece.residency)),
+            version: None,
             connections_max,
             request_id: None,
         };
@@ -267,6 +268,7 @@
             rank: RANKS - 1,
             // A release holds only handles, and no data of a request.
             residency: Residency::default(),
+            version: None,
             connections_max: self.connections_max(key),
             request_id: None,
         };
--- a/crates/fernring-gateway/src/serving/context.rs
+++ b/crates/fernring-gateway/src/serving/context.rs
@@ -5,8 +5,8 @@
         config::ConfigState, crash_attribution::CrashAttribution, deadline_timer::DeadlineTimer,
         peers::Peers, prefill_pauses::PrefillPauses, prefill_speed::PrefillSpeeds,
         prefix_demand::PrefixDemands, retries::Retries, rollout::coordinator::Rollouts,
-        settings::DecideSettings, slack::MeanSlacks, stages::Stages, upstreams::Upstreams,
-        wire::Wire,
+        settings::DecideSettings, slack::MeanSlacks, stages::Stages, stream_origins::StreamOrigins,
+        upstreams::Upstreams, wire::Wire,
     },
     fernring_core::clock::Clock,
     std::{
@@ -46,6 +46,8 @@
     pub retries: Rc<Retries>,
     /// The versions that are being rolled out.
     pub rollouts: Rc<Rollouts>,
+    /// The versions that began the streams that may be resumed.
+    pub stream_origins: Rc<StreamOrigins>,
     /// The attribution of upstreams' crashes to requests.
     pub crash_attribution: Rc<CrashAttribution>,
     /// Number of requests in flight.
--- a/crates/fernring-gateway/src/serving/exchange/choosing.rs
+++ b/crates/fernring-gateway/src/serving/exchange/choosing.rs
@@ -66,7 +66,10 @@
             is_unreachable,
         );
         let candidates: Vec<_> = candidates.into_iter().filter(untried).collect();
-        let mut candidates = self.filter_by_version(candidates);
+        let mut candidates = match self.required_version() {
+            Some(_) => self.filter_by_origin(candidates),
+            None => self.filter_by_version(candidates),
+        };
         let mut by_speed = None;
         let (key, tokens) = match self.prompt_demand() {
             Some(demand) if self.chooses_by_speed(&mut candidates) => {
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -1,9 +1,10 @@
 //! The state of one request from its admission to its end. [`admitting`] decides whether it is
 //! admitted, [`staging`] runs its stages, [`choosing`] chooses an upstream, [`sending`] sends it
-//! there.
+//! there, [`resuming`] finds out where a stream may go on.
 
 mod admitting;
 mod choosing;
+mod resuming;
 mod sending;
 mod staging;
 
@@ -22,6 +23,7 @@
         framing::Framing,
         log,
         model::{RequestFields, RetryPolicy, Route, UpstreamKey, Workspace},
+        origin_table::Origin,
         prefill_budget::STREAM_TOKENS,
         refusal::Refusal,
         request_size::SizeBand,
@@ -200,6 +202,8 @@
     /// `None` before the first bytes.
     stream_times: Option<StreamTimes>,
     last_response: Option<LastResponse>,
+    /// The version that the stream may go on at; `None` before its first event was forwarded.
+    origin: Option<Origin>,
     /// The versions of the upstreams whose bytes were received, in order, without repetitions.
     received_versions: Vec<Arc<str>>,
     is_ended: bool,
@@ -270,6 +274,7 @@
             home: None,
             stream_times: None,
             last_response: None,
+            origin: None,
             received_versions: Vec::new(),
             is_ended: false,
             serving,
@@ -383,6 +388,7 @@
         if !self.may_send() {
             return Err(self.refusal_for(ResultCode::StageFailed, "no further attempt is allowed"));
         }
+        self.check_origin()?;
         if self.plan.has_released_results() {
             self.plan = StagePlan::new(&self.route.stages, &self.request.fields.piece_counts);
             self.patience_ends_at = self.end_at;
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -174,6 +174,7 @@
             request: self.upstream_request(target, left),
             rank: self.rank(),
             residency: self.residency.clone(),
+            version: self.required_version().cloned(),
             connections_max: self.serving.config.borrow().connections_max(&self.service),
             request_id: Some(self.request.id.clone()),
         };
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -28,6 +28,8 @@
     splitter: EventSplitter,
     /// Whether the response has had no bytes.
     is_empty: bool,
+    /// Whether the version of the upstream is recorded.
+    has_origin: bool,
     /// Number of the last complete event that was forwarded.
     last_event: Option<u64>,
     /// Whether the stream may be resumed at another upstream. A failure response may not, since its
@@ -48,6 +50,7 @@
             opened,
             splitter,
             is_empty: true,
+            has_origin: false,
             last_event,
             is_resumable,
             is_done: false,
@@ -132,6 +135,10 @@
         let complete = complete.map_err(|error| StreamFailure::Broken(error.to_string()))?;
         let number = last_event_number(&complete, |line| self.exchange.event_number(line));
         self.last_event = number.or(self.last_event);
+        if !complete.is_empty() && !self.has_origin {
+            self.exchange.record_origin(&self.opened)?;
+            self.has_origin = true;
+        }
         Ok(complete)
     }
 
@@ -158,6 +165,7 @@
                     let is_same = opened.version() == self.opened.version();
                     telemetry::record_resumption(self.exchange.service(), is_same);
                     self.opened = opened;
+                    self.has_origin = false;
                     return Ok(Some(Bytes::new()));
                 }
                 // The body of a failure response is no event and must not reach the caller.
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -185,10 +185,12 @@
     }
 
     async fn serve_stream(&self, mut exchange: Exchange) -> Response<CallerBody> {
-        let opened = match exchange.admit_and_run_stages().await {
-            Ok(()) => exchange.open().await,
-            Err(refusal) => Err(refusal),
+        let opened = async {
+            exchange.find_origin().await?;
+            exchange.admit_and_run_stages().await?;
+            exchange.open().await
         };
+        let opened = opened.await;
         let opened = match opened {
             Ok(opened) => opened,
             Err(refusal) => return self.refuse(&mut exchange, &refusal),
--- a/crates/fernring-gateway/src/store/directory.rs
+++ b/crates/fernring-gateway/src/store/directory.rs
@@ -238,6 +238,24 @@
         keys.filter_map(|key| Some((*key, self.upstreams.get(*key)?)))
     }
 
+    /// Lists the versions of the upstreams of each service.
+    pub fn versions(&self) -> impl Iterator<Item = (&Arc<str>, impl Iterator<Item = &Arc<str>>)> {
+        self.index.versions()
+    }
+
+    /// Returns the versions of the upstreams of a service, if it has any.
+    pub fn versions_of(
+        &self,
+        service: &str,
+    ) -> Option<(&Arc<str>, impl Iterator<Item = &Arc<str>>)> {
+        self.index.versions_of(service)
+    }
+
+    /// Returns the upstream of an instance.
+    pub fn of_instance(&self, instance: &str) -> Option<&Upstream> {
+        self.upstreams.get(*self.by_instance.get(instance)?)
+    }
+
     /// Lists the upstreams at an address.
     pub fn at_address(
         &self,
--- a/crates/fernring-gateway/src/store/index.rs
+++ b/crates/fernring-gateway/src/store/index.rs
@@ -11,6 +11,8 @@
     by_service: HashMap<Arc<str>, Vec<UpstreamKey>>,
     by_address: HashMap<SocketAddr, Vec<UpstreamKey>>,
     by_incarnation: HashMap<u32, Vec<UpstreamKey>>,
+    /// Number of upstreams of each version, by service.
+    versions: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
 }
 
 impl Index {
@@ -19,6 +21,8 @@
         self.by_service.entry(record.service.clone()).or_default().push(key);
         self.by_address.entry(record.address).or_default().push(key);
         self.by_incarnation.entry(record.incarnation_hash()).or_default().push(key);
+        let versions = self.versions.entry(record.service.clone()).or_default();
+        *versions.entry(record.version.clone()).or_default() += 1;
     }
 
     /// Removes an upstream that was added with this record.
@@ -26,6 +30,16 @@
         remove(&mut self.by_service, &record.service, key);
         remove(&mut self.by_address, &record.address, key);
         remove(&mut self.by_incarnation, &record.incarnation_hash(), key);
+        let Some(versions) = self.versions.get_mut(&record.service) else {
+            return;
+        };
+        if let Some(count) = versions.get_mut(&record.version) {
+            *count -= 1;
+        }
+        versions.retain(|_, count| *count > 0);
+        if versions.is_empty() {
+            self.versions.remove(&record.service);
+        }
     }
 
     /// Lists the upstreams of a service.
@@ -33,6 +47,22 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Lists the versions of the upstreams of each service.
+    pub(super) fn versions(
+        &self,
+    ) -> impl Iterator<Item = (&Arc<str>, impl Iterator<Item = &Arc<str>>)> {
+        self.versions.iter().map(|(service, versions)| (service, versions.keys()))
+    }
+
+    /// Returns the versions of the upstreams of a service, if it has any.
+    pub(super) fn versions_of(
+        &self,
+        service: &str,
+    ) -> Option<(&Arc<str>, impl Iterator<Item = &Arc<str>>)> {
+        let (service, versions) = self.versions.get_key_value(service)?;
+        Some((service, versions.keys()))
+    }
+
     /// Lists the upstreams at an address.
     pub(super) fn with_address(&self, address: SocketAddr) -> &[UpstreamKey] {
         self.by_address.get(&address).map_or(&[], Vec::as_slice)
--- /dev/null
+++ b/crates/fernring-gateway/src/stream_origins.rs
@@ -0,0 +1,347 @@
+//! Finds the version of the software that began a stream, which is the only one it may go on at.
+//!
+//! The node that forwards the first event of a stream that may be resumed knows its version. While a
+//! service has several versions, it also tells a few peers, chosen by the request's id: some in its
+//! own failure domain and one each in two others. A node that is asked to go on with a stream that
+//! it doesn't know asks the same peers. All of this is kept in memory for as long as a caller may
+//! wait; a stream whose origin nobody knows goes on only if its service has had one version.
+
+use {
+    crate::{
+        log,
+        origin_table::{Origin, STREAM_LIFETIME, StreamOriginTable, VersionHistory},
+        peers::Peers,
+        telemetry,
+        upstreams::Upstreams,
+    },
+    fernring_core::{clock::Clock, text::LogLine},
+    fernring_protocol::gateway::{
+        GatewayBody, OriginQuery, OriginReply, OriginReports, StreamOrigin,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeSet, HashMap, HashSet},
+        net::SocketAddr,
+        rc::Rc,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep, timeout_at},
+    },
+};
+
+/// Longest wait for the replies of peers; a round trip between failure domains takes a few
+/// milliseconds.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Age from which the upstreams' records may lack a version that peers know.
+const RECORDS_AGE_MAX: Duration = Duration::from_secs(2);
+/// Pause between looks for versions that have appeared or expired.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Most streams that one message reports.
+const REPORTED_MAX: usize = 500;
+/// Peers in the own failure domain, and in each of two others, that are told of a stream.
+const TOLD_PEERS: (usize, usize) = (2, 1);
+/// Peers that are asked: more, since a peer may have joined or left in the meantime.
+const ASKED_PEERS: (usize, usize) = (3, 2);
+
+/// How the origin of a stream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// This node knows the stream.
+    Own,
+    /// A peer knows the stream.
+    Peer,
+    /// The service has had a single version.
+    SingleVersion,
+    /// It wasn't found.
+    Unknown,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Peer => "peer",
+            Self::SingleVersion => "single_version",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// The origins of the streams that may be resumed.
+pub struct StreamOrigins {
+    clock: Rc<dyn Clock>,
+    peers: Rc<Peers>,
+    upstreams: Rc<Upstreams>,
+    table: RefCell<StreamOriginTable>,
+    history: RefCell<VersionHistory>,
+    /// Services with several versions, whose streams peers have been told of.
+    told_services: RefCell<HashSet<Arc<str>>>,
+    queries: RefCell<HashMap<u64, mpsc::Sender<OriginReply>>>,
+    next_ticket: Cell<u64>,
+}
+
+impl StreamOrigins {
+    /// Creates the state of a node that knows no streams.
+    pub fn new(clock: Rc<dyn Clock>, peers: Rc<Peers>, upstreams: Rc<Upstreams>) -> Self {
+        Self {
+            clock,
+            peers,
+            upstreams,
+            table: RefCell::default(),
+            history: RefCell::default(),
+            told_services: RefCell::default(),
+            queries: RefCell::default(),
+            // Distinct from the tickets of a process that ran at this address before.
+            next_ticket: Cell::new(rand::random()),
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.clock.now().monotonic
+    }
+
+    /// Records the origin of a stream whose first event is about to be forwarded. `lifetime` is how
+    /// long its caller may wait.
+    pub fn record(&self, request: &Arc<str>, origin: &Origin, lifetime: Duration) {
+        let expires_at = self.now() + lifetime.min(STREAM_LIFETIME);
+        self.table.borrow_mut().record(request, origin.clone(), expires_at, true);
+        if let Origin::Version { service, .. } = origin
+            && self.told_services.borrow().contains(service)
+        {
+            self.tell([(request.clone(), self.message(request, origin, expires_at))].into());
+        }
+    }
+
+    fn message(&self, request: &Arc<str>, origin: &Origin, expires_at: Duration) -> StreamOrigin {
+        let (service, version) = match origin {
+            Origin::Version { service, version } => (service.to_string(), version.to_string()),
+            Origin::Ambiguous => Default::default(),
+        };
+        let lifetime_ms = expires_at.saturating_sub(self.now()).as_millis() as u32;
+        StreamOrigin { request: request.to_string(), service, version, lifetime_ms }
+    }
+
+    fn tell(&self, streams: Vec<(Arc<str>, StreamOrigin)>) {
+        let (own_domain, other_domain) = TOLD_PEERS;
+        let mut by_peer: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
+        for (request, message) in streams {
+            for peer in self.peers.keepers(&request, own_domain, other_domain) {
+                by_peer.entry(peer).or_default().push(message.clone());
+            }
+        }
+        for (peer, messages) in by_peer {
+            for chunk in messages.chunks(REPORTED_MAX) {
+                let reports = OriginReports { streams: chunk.to_vec() };
+                self.peers.send(peer, GatewayBody::OriginReports(reports));
+            }
+        }
+    }
+
+    /// Tells peers of streams as soon as their service has several versions, and forgets old ones,
+    /// for as long as the process runs.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            sleep(EXPIRY_INTERVAL).await;
+            let now = self.now();
+            self.table.borrow_mut().expire(now);
+            let mut history = self.history.borrow_mut();
+            let directory = self.upstreams.directory();
+            for (service, versions) in directory.versions() {
+                history.record(now, service, versions);
+            }
+            let several: HashSet<Arc<str>> = directory
+                .versions()
+                .map(|(service, _)| service)
+                .filter(|service| history.has_several(service))
+                .cloned()
+                .collect();
+            drop((history, directory));
+            let told = self.told_services.replace(several.clone());
+            for service in several.difference(&told) {
+                log::info(LogLine::event("several_versions").with("service", service));
+                let table = self.table.borrow();
+                let own = table.own_of_service(now, service);
+                let message = |(request, origin, expires_at): (&Arc<str>, &Origin, Duration)| {
+                    (request.clone(), self.message(request, origin, expires_at))
+                };
+                let streams = own.map(message).collect();
+                drop(table);
+                self.tell(streams);
+            }
+        }
+    }
+
+    /// Lists the versions that a service has had for as long as a stream may last.
+    fn recent_versions(&self, service: &str) -> BTreeSet<Arc<str>> {
+        let now = self.now();
+        let mut history = self.history.borrow_mut();
+        let directory = self.upstreams.directory();
+        if let Some((service, versions)) = directory.versions_of(service) {
+            history.record(now, service, versions);
+        }
+        history.recent(service).cloned().collect()
+    }
+
+    /// Returns the origin of a stream that its caller resumes at a service; `resumes` is the request
+    /// that brought the first event, if the caller names it.
+    pub async fn find(
+        &self,
+        request: &str,
+        resumes: Option<&Arc<str>>,
+        service: &Arc<str>,
+    ) -> Option<Origin> {
+        let asked_at = self.now();
+        let (source, origin) = self.look_up(resumes, service).await;
+        telemetry::record_stream_origin(service, source.name());
+        let version = match &origin {
+            Some(Origin::Version { version, .. }) => Some(version),
+            _ => None,
+        };
+        let line = LogLine::event("stream_origin").with("request", request);
+        let line = line.with_some("resumes", resumes).with("source", source.name());
+        let line = line.with("service", service).with_some("version", version);
+        log::info(line.with("took_ms", self.now().saturating_sub(asked_at).as_millis()));
+        origin
+    }
+
+    async fn look_up(
+        &self,
+        resumes: Option<&Arc<str>>,
+        service: &Arc<str>,
+    ) -> (Source, Option<Origin>) {
+        let now = self.now();
+        let known = resumes.and_then(|id| self.table.borrow().find(now, id).cloned());
+        if known.is_some() {
+            return (Source::Own, known);
+        }
+        let mut versions = self.recent_versions(service);
+        let is_current = self.upstreams.records_age(now) <= RECORDS_AGE_MAX;
+        let is_long_known = self.history.borrow().is_long_known(now, service);
+        let mut has_reply = false;
+        // Peers may know of a version that was there before this node or came after its records.
+        if versions.len() != 1 || !is_current || !is_long_known {
+            let replies = self.ask(resumes, service).await;
+            has_reply = !replies.is_empty();
+            for reply in replies {
+                if let Some(origin) = reply_origin(&reply) {
+                    return (Source::Peer, Some(origin));
+                }
+                versions
+                    .extend(reply.recent_versions.iter().map(|version| version.as_str().into()));
+            }
+        }
+        match versions.first() {
+            Some(version) if versions.len() == 1 && (is_current || has_reply) => {
+                let (service, version) = (service.clone(), version.clone());
+                (Source::SingleVersion, Some(Origin::Version { service, version }))
+            }
+            _ => (Source::Unknown, None),
+        }
+    }
+
+    /// Asks peers for the origin of a stream. Returns the replies up to the first that names it.
+    async fn ask(&self, resumes: Option<&Arc<str>>, service: &Arc<str>) -> Vec<OriginReply> {
+        let request = resumes.map_or("", |id| id);
+        let (own_domain, other_domain) = ASKED_PEERS;
+        let peers = self.peers.keepers(request, own_domain, other_domain);
+        let ticket = self.next_ticket.get();
+        self.next_ticket.set(ticket.wrapping_add(1));
+        let (sender, mut received) = mpsc::channel(peers.len().max(1));
+        let _pending = PendingQuery::new(&self.queries, ticket, sender);
+        let query =
+            OriginQuery { ticket, request: request.to_owned(), service: service.to_string() };
+        for peer in &peers {
+            self.peers.send(*peer, GatewayBody::OriginQuery(query.clone()));
+        }
+        let deadline = Instant::now() + QUERY_TIMEOUT;
+        let mut replies = Vec::new();
+        while replies.len() < peers.len() {
+            let Ok(Some(reply)) = timeout_at(deadline, received.recv()).await else {
+                break;
+            };
+            let is_known = reply_origin(&reply).is_some();
+            replies.push(reply);
+            if is_known {
+                break;
+            }
+        }
+        replies
+    }
+
+    /// Records the origins of streams that a peer reports.
+    pub fn handle_reports(&self, reports: OriginReports) {
+        let now = self.now();
+        let mut table = self.table.borrow_mut();
+        for stream in reports.streams {
+            let lifetime = Duration::from_millis(stream.lifetime_ms.into()).min(STREAM_LIFETIME);
+            let origin = to_origin(&stream.service, &stream.version);
+            table.record(&stream.request.as_str().into(), origin, now + lifetime, false);
+        }
+    }
+
+    /// Replies to a peer's question for the origin of a stream.
+    pub fn handle_query(&self, sender: SocketAddr, query: &OriginQuery) {
+        let versions = self.recent_versions(&query.service);
+        let table = self.table.borrow();
+        let known = table.find(self.now(), &query.request);
+        let (service, version) = match known {
+            Some(Origin::Version { service, version }) => {
+                (service.to_string(), version.to_string())
+            }
+            Some(Origin::Ambiguous) | None => Default::default(),
+        };
+        let reply = OriginReply {
+            ticket: query.ticket,
+            is_known: known.is_some(),
+            service,
+            version,
+            recent_versions: versions.iter().map(ToString::to_string).collect(),
+        };
+        self.peers.send(sender, GatewayBody::OriginReply(reply));
+    }
+
+    /// Passes a reply to the query that waits for it.
+    pub fn handle_reply(&self, reply: OriginReply) {
+        if let Some(query) = self.queries.borrow().get(&reply.ticket) {
+            // The query takes one reply of each peer; further ones aren't needed.
+            query.try_send(reply).unwrap_or_default();
+        }
+    }
+}
+
+/// A query that waits for replies until it is dropped.
+struct PendingQuery<'a> {
+    queries: &'a RefCell<HashMap<u64, mpsc::Sender<OriginReply>>>,
+    ticket: u64,
+}
+
+impl<'a> PendingQuery<'a> {
+    fn new(
+        queries: &'a RefCell<HashMap<u64, mpsc::Sender<OriginReply>>>,
+        ticket: u64,
+        sender: mpsc::Sender<OriginReply>,
+    ) -> Self {
+        queries.borrow_mut().insert(ticket, sender);
+        Self { queries, ticket }
+    }
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        self.queries.borrow_mut().remove(&self.ticket);
+    }
+}
+
+fn to_origin(service: &str, version: &str) -> Origin {
+    match service.is_empty() {
+        true => Origin::Ambiguous,
+        false => Origin::Version { service: service.into(), version: version.into() },
+    }
+}
+
+fn reply_origin(reply: &OriginReply) -> Option<Origin> {
+    reply.is_known.then(|| to_origin(&reply.service, &reply.version))
+}
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -259,6 +259,12 @@
     counter!("fernring_gateway_resumptions_total", &labels).increment(1);
 }
 
+/// Counts a stream that its caller resumes, by how its version was found.
+pub(crate) fn record_stream_origin(service: &Arc<str>, source: &'static str) {
+    let labels = [("service", bounded_label(service).to_string()), ("source", source.to_owned())];
+    counter!("fernring_gateway_stream_origins_total", &labels).increment(1);
+}
+
 /// Counts a rejection by a brittle upstream.
 pub(crate) fn record_brittle_rejection() {
     counter!("fernring_gateway_brittle_rejections_total").increment(1);
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -141,6 +141,8 @@
     pub rank: usize,
     /// Regions in which it may be served.
     pub residency: Residency,
+    /// The version that the upstream must have, if not any.
+    pub version: Option<Arc<str>>,
     /// Connections that the upstream accepts from all nodes together.
     pub connections_max: u32,
     /// Identifier that the response has to carry; `None` if responses to this request carry none.
@@ -415,12 +417,13 @@
         target: &Target,
         send: UpstreamSend,
     ) -> Result<DecodedResponse, SendFailure> {
-        let UpstreamSend { request, rank, residency, connections_max, request_id } = send;
+        let UpstreamSend { request, rank, residency, version, connections_max, request_id } = send;
         let pool = self.pool(target)?;
         let has_permit = Cell::new(false);
         let brittle_permit = RefCell::new(None);
         let check = async || {
             self.check_region(target.key, &residency)?;
+            self.check_version(target.key, version.as_deref())?;
             if !has_permit.get() {
                 self.acquire_permit(target.key)?;
                 self.acquire_limit_permit(target, rank).await?;
--- a/crates/fernring-gateway/src/upstreams/versions.rs
+++ b/crates/fernring-gateway/src/upstreams/versions.rs
@@ -1,8 +1,9 @@
 //! Which versions of a service get requests during roll-outs.
 
 use {
-    super::Upstreams,
+    super::{Target, Upstreams},
     crate::{
+        eligibility::Ineligible,
         model::UpstreamKey,
         rollout::orders::{AdmittedVersions, VersionRule},
     },
@@ -60,6 +61,36 @@
             .is_some_and(|service_rule| *service_rule.rule.destination == *version)
     }
 
+    /// Returns whether an upstream of a service has a version and may get new work.
+    pub fn has_version(&self, service: &str, version: &str) -> bool {
+        let directory = self.directory.borrow();
+        let mut of_version =
+            directory.of_service(service).filter(|(_, u)| *u.record.version == *version);
+        of_version.any(|(key, upstream)| self.check_upstream(key, upstream, None).is_ok())
+    }
+
+    /// Checks that an upstream has a version, if one is required.
+    pub(super) fn check_version(
+        &self,
+        key: UpstreamKey,
+        required: Option<&str>,
+    ) -> Result<(), Ineligible> {
+        let directory = self.directory.borrow();
+        let upstream = directory.get(key).ok_or(Ineligible::Gone)?;
+        match required.is_none_or(|required| required == &*upstream.record.version) {
+            true => Ok(()),
+            false => Err(Ineligible::Version),
+        }
+    }
+
+    /// Returns whether the instance that was chosen for a send has another version by now, so that
+    /// it may have had it at the send.
+    pub fn has_other_version_since(&self, target: &Target) -> bool {
+        let directory = self.directory.borrow();
+        let upstream = directory.of_instance(&target.instance);
+        upstream.is_some_and(|upstream| upstream.record.version != target.version)
+    }
+
     /// Returns whether this node has a request in flight at an upstream of a service that runs
     /// another version.
     pub fn has_load_on_other_versions(&self, service: &str, version: &str) -> bool {
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod leaving;
 mod limits;
 mod members;
+mod origins;
 mod pause_detector;
 mod permit_issuer;
 mod prefill_budget;
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -12,7 +12,7 @@
     /// The message itself.
     #[prost(
         oneof = "GatewayBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<GatewayBody>,
 }
@@ -74,6 +74,74 @@
     /// Returns a permit to send to a brittle upstream.
     #[prost(message, tag = "19")]
     PermitReturn(PermitReturn),
+    /// Streams and the versions that began them.
+    #[prost(message, tag = "20")]
+    OriginReports(OriginReports),
+    /// Asks which version began a stream.
+    #[prost(message, tag = "21")]
+    OriginQuery(OriginQuery),
+    /// Reply to [`OriginQuery`].
+    #[prost(message, tag = "22")]
+    OriginReply(OriginReply),
+}
+
+/// Streams and the versions that began them.
+#[derive(Clone, PartialEq, Message)]
+pub struct OriginReports {
+    /// The streams.
+    #[prost(message, repeated, tag = "1")]
+    pub streams: Vec<StreamOrigin>,
+}
+
+/// A stream and the version that began it.
+#[derive(Clone, PartialEq, Message)]
+pub struct StreamOrigin {
+    /// The caller's request that brought the first event.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// The service; empty if the stream may go on nowhere.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// The version.
+    #[prost(string, tag = "3")]
+    pub version: String,
+    /// How long the stream may still be resumed, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub lifetime_ms: u32,
+}
+
+/// Asks which version began a stream.
+#[derive(Clone, PartialEq, Message)]
+pub struct OriginQuery {
+    /// Identifies the reply.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// The caller's request that brought the first event; empty if it isn't known.
+    #[prost(string, tag = "2")]
+    pub request: String,
+    /// The service at which the stream is to go on.
+    #[prost(string, tag = "3")]
+    pub service: String,
+}
+
+/// Reply to [`OriginQuery`].
+#[derive(Clone, PartialEq, Message)]
+pub struct OriginReply {
+    /// The query that it replies to.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Whether the sender knows the stream.
+    #[prost(bool, tag = "2")]
+    pub is_known: bool,
+    /// The service of the stream; empty if the stream may go on nowhere.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// The version that began the stream.
+    #[prost(string, tag = "4")]
+    pub version: String,
+    /// Versions that the queried service has had, for as long as a stream may last.
+    #[prost(string, repeated, tag = "5")]
+    pub recent_versions: Vec<String>,
 }
 
 /// Requests a tunnel to an upstream.
