--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -28,8 +28,8 @@
 /// again.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
-/// Failure domains other than a node's own in which peers keep something for it.
-const OTHER_KEEPER_DOMAINS: usize = 2;
+/// Failure domains other than a node's own in which peers hold state for it.
+const OTHER_HOLDER_DOMAINS: usize = 2;
 
 /// Key by which the delegate that reports the loads of its domain is chosen.
 const LOAD_REPORTER_KEY: &str = "teller of loads";
@@ -272,10 +272,10 @@
         owner.or_else(|| self.highest_ranked(now, me, key, is_included))
     }
 
-    /// Chooses live delegates other than this node (`me`) that keep something about `key`, by
+    /// Chooses live delegates other than this node (`me`) that hold state about `key`, by
     /// rendezvous hashing: up to `own_domain` of them in this node's failure domain, and up to
     /// `other_domain` in each of two others.
-    pub fn keepers(
+    pub fn holders(
         &self,
         now: Duration,
         me: &Member,
@@ -296,7 +296,7 @@
             ranked.sort_unstable();
             ranked.into_iter().rev().take(count).map(|(_, address)| address).collect::<Vec<_>>()
         };
-        let mut keepers = first(&me.failure_domain, own_domain);
+        let mut holders = first(&me.failure_domain, own_domain);
         let domain_score = |domain: &&str| {
             xxh3_64_with_seed(key.as_bytes(), xxh3_64_with_seed(domain.as_bytes(), 0))
         };
@@ -308,10 +308,10 @@
         others.sort_unstable();
         others.dedup();
         others.sort_by_key(domain_score);
-        for domain in others.into_iter().rev().take(OTHER_KEEPER_DOMAINS) {
-            keepers.extend(first(domain, other_domain));
+        for domain in others.into_iter().rev().take(OTHER_HOLDER_DOMAINS) {
+            holders.extend(first(domain, other_domain));
         }
-        keepers
+        holders
     }
 
     /// Returns the role of this node (`me`) in reading the store for the others.
--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -192,10 +192,10 @@
         self.members.borrow().owner_among(self.now(), &me, key, includes_domain)
     }
 
-    /// Chooses peers that keep something about `key`, as [`Members::keepers`] does.
-    pub fn keepers(&self, key: &str, own_domain: usize, other_domain: usize) -> Vec<SocketAddr> {
+    /// Chooses peers that hold state about `key`, as [`Members::holders`] does.
+    pub fn holders(&self, key: &str, own_domain: usize, other_domain: usize) -> Vec<SocketAddr> {
         let me = self.me.borrow();
-        self.members.borrow().keepers(self.now(), &me, key, own_domain, other_domain)
+        self.members.borrow().holders(self.now(), &me, key, own_domain, other_domain)
     }
 
     /// Sets the capacity of this node's network link, in Mbit/s.
--- a/crates/fernring-gateway/src/stream_origins.rs
+++ b/crates/fernring-gateway/src/stream_origins.rs
@@ -1,7 +1,7 @@
 //! Finds the version of the software that began a stream, which is the only one it may go on at.
 //!
 //! The node that forwards the first event of a stream that may be resumed knows its version. While a
-//! service has several versions, it also tells a few peers, chosen by the request's id: some in its
+//! service has several versions, it also reports to a few peers, chosen by the request's id: some in its
 //! own failure domain and one each in two others. A node that is asked to go on with a stream that
 //! it doesn't know asks the same peers. All of this is kept in memory for as long as a caller may
 //! wait; a stream whose origin nobody knows goes on only if its service has had one version.
@@ -41,10 +41,10 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Most streams that one message reports.
 const REPORTED_MAX: usize = 500;
-/// Peers in the own failure domain, and in each of two others, that are told of a stream.
-const TOLD_PEERS: (usize, usize) = (2, 1);
-/// Peers that are asked: more, since a peer may have joined or left in the meantime.
-const ASKED_PEERS: (usize, usize) = (3, 2);
+/// Peers in the own failure domain, and in each of two others, that a stream is reported to.
+const REPORTED_PEERS: (usize, usize) = (2, 1);
+/// Peers that are queried: more, since a peer may have joined or left in the meantime.
+const QUERIED_PEERS: (usize, usize) = (3, 2);
 
 /// How the origin of a stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,8 +77,8 @@
     upstreams: Rc<Upstreams>,
     table: RefCell<StreamOriginTable>,
     history: RefCell<VersionHistory>,
-    /// Services with several versions, whose streams peers have been told of.
-    told_services: RefCell<HashSet<Arc<str>>>,
+    /// Services with several versions, whose streams have been reported to peers.
+    reported_services: RefCell<HashSet<Arc<str>>>,
     queries: RefCell<HashMap<u64, mpsc::Sender<OriginReply>>>,
     next_ticket: Cell<u64>,
 }
@@ -92,7 +92,7 @@
             upstreams,
             table: RefCell::default(),
             history: RefCell::default(),
-            told_services: RefCell::default(),
+            reported_services: RefCell::default(),
             queries: RefCell::default(),
             // Distinct from the tickets of a process that ran at this address before.
             next_ticket: Cell::new(rand::random()),
@@ -109,9 +109,9 @@
         let expires_at = self.now() + lifetime.min(STREAM_LIFETIME);
         self.table.borrow_mut().record(request, origin.clone(), expires_at, true);
         if let Origin::Version { service, .. } = origin
-            && self.told_services.borrow().contains(service)
+            && self.reported_services.borrow().contains(service)
         {
-            self.tell([(request.clone(), self.message(request, origin, expires_at))].into());
+            self.report([(request.clone(), self.message(request, origin, expires_at))].into());
         }
     }
 
@@ -124,11 +124,11 @@
         StreamOrigin { request: request.to_string(), service, version, lifetime_ms }
     }
 
-    fn tell(&self, streams: Vec<(Arc<str>, StreamOrigin)>) {
-        let (own_domain, other_domain) = TOLD_PEERS;
+    fn report(&self, streams: Vec<(Arc<str>, StreamOrigin)>) {
+        let (own_domain, other_domain) = REPORTED_PEERS;
         let mut by_peer: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
         for (request, message) in streams {
-            for peer in self.peers.keepers(&request, own_domain, other_domain) {
+            for peer in self.peers.holders(&request, own_domain, other_domain) {
                 by_peer.entry(peer).or_default().push(message.clone());
             }
         }
@@ -140,7 +140,7 @@
         }
     }
 
-    /// Tells peers of streams as soon as their service has several versions, and forgets old ones,
+    /// Reports streams to peers as soon as their service has several versions, and forgets old ones,
     /// for as long as the process runs.
     pub async fn run(self: Rc<Self>) {
         loop {
@@ -159,8 +159,8 @@
                 .cloned()
                 .collect();
             drop((history, directory));
-            let told = self.told_services.replace(several.clone());
-            for service in several.difference(&told) {
+            let reported = self.reported_services.replace(several.clone());
+            for service in several.difference(&reported) {
                 log::info(LogLine::event("several_versions").with("service", service));
                 let table = self.table.borrow();
                 let own = table.own_of_service(now, service);
@@ -169,7 +169,7 @@
                 };
                 let streams = own.map(message).collect();
                 drop(table);
-                self.tell(streams);
+                self.report(streams);
             }
         }
     }
@@ -223,7 +223,7 @@
         let mut has_reply = false;
         // Peers may know of a version that was there before this node or came after its records.
         if versions.len() != 1 || !is_current || !is_long_known {
-            let replies = self.ask(resumes, service).await;
+            let replies = self.query(resumes, service).await;
             has_reply = !replies.is_empty();
             for reply in replies {
                 if let Some(origin) = reply_origin(&reply) {
@@ -242,11 +242,11 @@
         }
     }
 
-    /// Asks peers for the origin of a stream. Returns the replies up to the first that names it.
-    async fn ask(&self, resumes: Option<&Arc<str>>, service: &Arc<str>) -> Vec<OriginReply> {
+    /// Queries peers for the origin of a stream. Returns the replies up to the first that names it.
+    async fn query(&self, resumes: Option<&Arc<str>>, service: &Arc<str>) -> Vec<OriginReply> {
         let request = resumes.map_or("", |id| id);
-        let (own_domain, other_domain) = ASKED_PEERS;
-        let peers = self.peers.keepers(request, own_domain, other_domain);
+        let (own_domain, other_domain) = QUERIED_PEERS;
+        let peers = self.peers.holders(request, own_domain, other_domain);
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket.wrapping_add(1));
         let (sender, mut received) = mpsc::channel(peers.len().max(1));
--- a/crates/fernring-gateway/tests/testsuite/origins.rs
+++ b/crates/fernring-gateway/tests/testsuite/origins.rs
@@ -1,4 +1,4 @@
-//! Tests of the origins of streams, the versions of services, and the peers that keep them.
+//! Tests of the origins of streams, the versions of services, and the peers that hold them.
 
 use {
     fernring_gateway::{
@@ -86,18 +86,18 @@
         for stream in 0..200_usize {
             let key = format!("r{stream}");
             let writer = &nodes[stream % nodes.len()];
-            let told = members_without(writer, &nodes).keepers(START, writer, &key, 2, 1);
+            let told = members_without(writer, &nodes).holders(START, writer, &key, 2, 1);
             let expected = 2 + domains.min(3) as usize - 1;
             assert_eq!(told.len(), expected);
-            assert!(told.iter().all(|keeper| *keeper != writer.address));
+            assert!(told.iter().all(|holder| *holder != writer.address));
             // The writer and one of those it told have ended since.
             let ended = [writer.address, told[0]];
             let left: Vec<_> =
                 nodes.iter().filter(|node| !ended.contains(&node.address)).cloned().collect();
             let reader = &left[(stream * 7) % left.len()];
-            let asked = members_without(reader, &left).keepers(START, reader, &key, 3, 2);
+            let asked = members_without(reader, &left).holders(START, reader, &key, 3, 2);
             let asked: BTreeSet<_> = asked.into_iter().chain([reader.address]).collect();
-            assert!(told.iter().any(|keeper| asked.contains(keeper)), "{domains} {key}");
+            assert!(told.iter().any(|holder| asked.contains(holder)), "{domains} {key}");
         }
     }
 }
