Log lines name the shared parts of a request's prompt

A crash could not be traced to anything that several requests share: the lines name a digest of the whole request only. routed, send_failed, stream_broken and request_ended name the ids of the parts now. No decision changes.

--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -355,6 +355,13 @@
     pub resumes: Option<Arc<str>>,
 }
 
+impl RequestFields {
+    /// Returns the parts of the prompt that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.prompt.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A field of a request is malformed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{field} can't be read")]
--- a/crates/fernring-gateway/src/serving/exchange/choosing.rs
+++ b/crates/fernring-gateway/src/serving/exchange/choosing.rs
@@ -172,6 +172,7 @@
             .with("pipeline", &self.route.name)
             .with_some("workspace", self.workspace.as_ref().map(|workspace| &workspace.name))
             .with("content", self.request.fingerprint)
+            .with_some("parts", self.shared_part_names())
             .with("service", &self.service)
             .with("upstream", &target.instance)
             .with("version", &target.version)
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -302,6 +302,14 @@
         self.request.fingerprint
     }
 
+    /// Lists the ids of the parts of the prompt that other requests may share, for log lines;
+    /// `None` if there are none.
+    pub fn shared_part_names(&self) -> Option<String> {
+        let names = self.request.fields.shared_parts().iter().map(|part| format!("{:x}", part.id));
+        let names: Vec<_> = names.collect();
+        (!names.is_empty()).then(|| names.join(","))
+    }
+
     /// Returns which requests of the route may be sent again.
     pub fn retry_policy(&self) -> RetryPolicy {
         self.route.retry_policy
@@ -470,6 +478,7 @@
             .with("content", self.request.fingerprint)
             .with("pipeline", &self.route.name)
             .with_some("workspace", self.workspace.as_ref().map(|workspace| &workspace.name))
+            .with_some("parts", self.shared_part_names())
             .with("outcome", end.name())
             .with("code", end.code().number())
             .with("sends", self.tried.len())
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -283,6 +283,7 @@
         let line = LogLine::event("send_failed")
             .with("request", &self.request.id)
             .with("content", self.request.fingerprint)
+            .with_some("parts", self.shared_part_names())
             .with("upstream", &target.instance)
             .with("address", target.address)
             .with("end", outcome.name())
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -145,6 +145,7 @@
     async fn resume(&mut self, loss: ConnectionLoss) -> Result<Option<Bytes>, StreamFailure> {
         let line = LogLine::event("stream_broken").with("request", self.exchange.request_id());
         let line = line.with("content", self.exchange.fingerprint());
+        let line = line.with_some("parts", self.exchange.shared_part_names());
         let line = line.with("upstream", self.opened.instance()).with("reason", &loss.reason);
         let line = line.with("framing", self.opened.framing().name());
         let line = line.with("position", self.splitter.position().name());
