--- a/crates/fernring-gateway/src/crash_attribution/mod.rs
+++ b/crates/fernring-gateway/src/crash_attribution/mod.rs
@@ -4,6 +4,7 @@
 //! and keeps quarantined requests in the store. [`crate::crash_detection`] decides whether
 //! an upstream has crashed, [`crate::quarantine`] which requests are quarantined for it.
 
+mod parts;
 mod persistence;
 
 use {
@@ -12,9 +13,10 @@
         connector::{Connect, dial::ConnectFailure},
         crash_detection::{Crash, CrashDetector, Disconnect, Incarnation, ProbeResult},
         directory::Effect,
-        fingerprint::Fingerprint,
+        fingerprint::{Fingerprint, PartKey, RequestTraits},
         log,
         model::UpstreamKey,
+        part_quarantine::{PartClearance, PartCrashRecord, PartQuarantine},
         peers::Peers,
         quarantine::{
             ATTRIBUTION_LIFETIME, ClearanceRecord, CrashRecord, Quarantine, QuarantineChange,
@@ -27,7 +29,9 @@
     },
     bytes::Bytes,
     fernring_core::{clock::Clock, text::LogLine},
-    fernring_protocol::gateway::{ClearanceReport, CrashReport, CrashReports, GatewayBody},
+    fernring_protocol::gateway::{
+        ClearanceReport, CrashReport, CrashReports, GatewayBody, PartClearanceReport,
+    },
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
@@ -67,7 +71,20 @@
 struct InFlight {
     target: Target,
     /// How many sends of each request are in flight.
-    fingerprints: BTreeMap<Fingerprint, usize>,
+    requests: BTreeMap<RequestTraits, usize>,
+}
+
+/// What a node tells its peers.
+enum Observation {
+    Crash {
+        incarnation: Incarnation,
+        at: Duration,
+        fingerprints: Vec<Fingerprint>,
+        /// The requests whose prompts have shared parts.
+        requests: Vec<RequestTraits>,
+    },
+    Clearance(ClearanceRecord),
+    PartClearance(PartClearance),
 }
 
 /// Counts a request as in flight at an upstream until the guard is dropped.
@@ -75,12 +92,12 @@
 pub struct InFlightGuard {
     crash_attribution: Rc<CrashAttribution>,
     key: UpstreamKey,
-    fingerprint: Fingerprint,
+    request: RequestTraits,
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.crash_attribution.release(self.key, self.fingerprint);
+        self.crash_attribution.release(self.key, &self.request);
     }
 }
 
@@ -94,13 +111,14 @@
     in_flight: RefCell<HashMap<UpstreamKey, InFlight>>,
     crash_detector: RefCell<CrashDetector>,
     quarantine: RefCell<Quarantine>,
+    part_quarantine: RefCell<PartQuarantine>,
     /// Reports that wait for [`BATCH_DELAY`] before they go to all peers.
-    pending_reports: RefCell<(Vec<CrashRecord>, Vec<ClearanceRecord>)>,
+    pending_reports: RefCell<Vec<Observation>>,
     /// Notified when a probe has finished.
     probe_finished: Notify,
-    /// Notified when another request is quarantined.
+    /// Notified when another request or part is quarantined.
     quarantine_changed: Notify,
-    persisted: RefCell<persistence::PersistedFingerprints>,
+    persisted: RefCell<persistence::PersistedKeys>,
 }
 
 impl std::fmt::Debug for CrashAttribution {
@@ -127,6 +145,7 @@
             in_flight: RefCell::default(),
             crash_detector: RefCell::default(),
             quarantine: RefCell::default(),
+            part_quarantine: RefCell::default(),
             pending_reports: RefCell::default(),
             probe_finished: Notify::new(),
             quarantine_changed: Notify::new(),
@@ -134,8 +153,16 @@
         }
     }
 
-    /// Returns whether a request is quarantined. Checked right before each send.
-    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+    /// Returns whether a request is quarantined, as a whole or for a part of its prompt. Checked
+    /// right before each send.
+    pub fn is_quarantined(&self, request: &RequestTraits) -> bool {
+        self.is_whole_quarantined(request.fingerprint)
+            || self.decide_settings.get().turn_away
+                && self.part_quarantine.borrow().culprit(&request.parts).is_some()
+    }
+
+    /// Returns whether a request is quarantined as a whole.
+    pub fn is_whole_quarantined(&self, fingerprint: Fingerprint) -> bool {
         self.decide_settings.get().turn_away && self.quarantine.borrow().is_quarantined(fingerprint)
     }
 
@@ -144,17 +171,17 @@
         self.quarantine.borrow().is_suspect(fingerprint)
     }
 
-    /// Returns whether any request is quarantined.
+    /// Returns whether any request is quarantined as a whole.
     pub fn has_quarantined(&self) -> bool {
         let quarantine = self.quarantine.borrow();
         self.decide_settings.get().turn_away && quarantine.quarantined().next().is_some()
     }
 
     /// Waits until a request is quarantined.
-    pub async fn wait_until_quarantined(&self, fingerprint: Fingerprint) {
+    pub async fn wait_until_quarantined(&self, request: &RequestTraits) {
         loop {
             let changed = self.quarantine_changed.notified();
-            if self.is_quarantined(fingerprint) {
+            if self.is_quarantined(request) {
                 return;
             }
             changed.await;
@@ -164,7 +191,7 @@
     /// Waits while the quarantine of a request is ambiguous: an answer that is in progress on
     /// another node may clear it.
     pub async fn wait_until_settled(&self, fingerprint: Fingerprint) {
-        while self.is_quarantined(fingerprint)
+        while self.is_whole_quarantined(fingerprint)
             && self.quarantine.borrow().is_ambiguous(self.now(), fingerprint)
         {
             sleep(AMBIGUITY_POLL_INTERVAL).await;
@@ -172,57 +199,65 @@
     }
 
     /// Returns the final answer for a quarantined request that has not run.
-    pub fn refusal(&self, not_run: NotRun, fingerprint: Fingerprint) -> Refusal {
-        Refusal::quarantined(not_run, self.quarantine_reason(fingerprint))
-    }
-
-    /// Returns the reason for a quarantine: the incarnations that crashed while the request was in
-    /// flight there.
-    pub fn quarantine_reason(&self, fingerprint: Fingerprint) -> String {
-        format!(
-            "upstreams ended under it: {}",
-            join_names(&self.quarantine.borrow().crashes_of(fingerprint))
-        )
+    pub fn refusal(&self, not_run: NotRun, request: &RequestTraits) -> Refusal {
+        Refusal::quarantined(not_run, self.quarantine_reason(request))
+    }
+
+    /// Returns the reason for a quarantine: the incarnations that crashed while the request, or
+    /// others with a part of its prompt, were in flight there.
+    pub fn quarantine_reason(&self, request: &RequestTraits) -> String {
+        let part_quarantine = self.part_quarantine.borrow();
+        match part_quarantine.culprit(&request.parts) {
+            Some(part) => {
+                let crashes = part_quarantine.crashes_of(part).iter();
+                let ended: Vec<_> = crashes.map(|crash| crash.incarnation.clone()).collect();
+                format!("upstreams ended under part {part}: {}", join_names(&ended))
+            }
+            None => {
+                let ended = self.quarantine.borrow().crashes_of(request.fingerprint);
+                format!("upstreams ended under it: {}", join_names(&ended))
+            }
+        }
     }
 
     /// Counts a request as in flight at an upstream until the returned guard is dropped.
     pub fn track_in_flight(
         self: &Rc<Self>,
         target: &Target,
-        fingerprint: Fingerprint,
+        request: &RequestTraits,
     ) -> InFlightGuard {
         let mut in_flight = self.in_flight.borrow_mut();
         let entry = in_flight
             .entry(target.key)
-            .or_insert_with(|| InFlight { target: target.clone(), fingerprints: BTreeMap::new() });
-        *entry.fingerprints.entry(fingerprint).or_default() += 1;
-        InFlightGuard { crash_attribution: self.clone(), key: target.key, fingerprint }
+            .or_insert_with(|| InFlight { target: target.clone(), requests: BTreeMap::new() });
+        *entry.requests.entry(request.clone()).or_default() += 1;
+        InFlightGuard { crash_attribution: self.clone(), key: target.key, request: request.clone() }
     }
 
-    fn release(&self, key: UpstreamKey, fingerprint: Fingerprint) {
+    fn release(&self, key: UpstreamKey, request: &RequestTraits) {
         let mut in_flight = self.in_flight.borrow_mut();
         let Some(entry) = in_flight.get_mut(&key) else {
             return;
         };
-        if let Some(count) = entry.fingerprints.get_mut(&fingerprint) {
+        if let Some(count) = entry.requests.get_mut(request) {
             *count -= 1;
             if *count == 0 {
-                entry.fingerprints.remove(&fingerprint);
+                entry.requests.remove(request);
             }
         }
-        if entry.fingerprints.is_empty() {
+        if entry.requests.is_empty() {
             in_flight.remove(&key);
         }
     }
 
     /// Records that a send broke off. If the upstream has crashed, the crash is attributed to
-    /// `fingerprint`. A call with pieces of several requests attributes it to none of them: each of
+    /// `request`. A call with pieces of several requests attributes it to none of them: each of
     /// these requests is tested by itself in the calls that follow.
     pub fn record_broken_send(
         self: &Rc<Self>,
         target: &Target,
         disconnect: Disconnect,
-        fingerprint: Option<Fingerprint>,
+        request: Option<&RequestTraits>,
     ) {
         if self.upstreams.is_leaving(target) {
             return;
@@ -233,7 +268,7 @@
             endpoint(target),
             &incarnation,
             disconnect,
-            fingerprint,
+            request,
         );
         self.report_crash(crash);
         self.probe_if_due(target);
@@ -261,7 +296,7 @@
             return;
         }
         log::info(LogLine::event("suspect_cleared").with("content", fingerprint));
-        self.publish(None, Some(ClearanceRecord { fingerprint, at: now }));
+        self.publish(Observation::Clearance(ClearanceRecord { fingerprint, at: now }));
     }
 
     /// Handles upstreams that appeared, restarted, began to drain or are gone.
@@ -301,18 +336,18 @@
     fn handle_gone(self: &Rc<Self>, key: UpstreamKey) {
         let now = self.now();
         let entry = self.in_flight.borrow().get(&key).map(|entry| {
-            (entry.target.clone(), entry.fingerprints.keys().copied().collect::<Vec<_>>())
+            (entry.target.clone(), entry.requests.keys().cloned().collect::<Vec<_>>())
         });
         let entry = entry.filter(|(target, _)| !self.upstreams.is_leaving(target));
         let mut crash_detector = self.crash_detector.borrow_mut();
-        if let Some((target, fingerprints)) = &entry {
-            for fingerprint in fingerprints {
+        if let Some((target, requests)) = &entry {
+            for request in requests {
                 crash_detector.record_disconnect(
                     now,
                     endpoint(target),
                     &target.incarnation(),
                     Disconnect::Silent,
-                    Some(*fingerprint),
+                    Some(request),
                 );
             }
         }
@@ -359,36 +394,40 @@
     }
 
     fn report_crash(self: &Rc<Self>, crash: Option<Crash>) {
-        let Some(Crash { incarnation, fingerprints }) = crash else {
+        let Some(Crash { incarnation, requests }) = crash else {
             return;
         };
-        for fingerprint in &fingerprints {
+        for request in &requests {
             let line = LogLine::event("upstream_ended").with("upstream", &incarnation);
-            log::warn(line.with("content", fingerprint));
+            let line = line.with("content", request.fingerprint);
+            log::warn(line.with_some("parts", join_parts(&request.parts)));
         }
         telemetry::record_upstream_crash();
-        let record = CrashRecord { incarnation, at: self.now(), fingerprints };
+        let at = self.now();
+        let fingerprints = requests.iter().map(|request| request.fingerprint).collect();
+        let record = CrashRecord { incarnation: incarnation.clone(), at, fingerprints };
         self.attribute(&record);
-        self.publish(Some(record), None);
+        let requests = self.suspects_of(&requests, at);
+        let part_record = PartCrashRecord { incarnation, at, requests };
+        self.attribute_to_parts(&part_record);
+        let CrashRecord { incarnation, fingerprints, .. } = record;
+        let requests = part_record.requests;
+        self.publish(Observation::Crash { incarnation, at, fingerprints, requests });
     }
 
     /// Reports what this node has observed to all peers, after [`BATCH_DELAY`].
-    fn publish(self: &Rc<Self>, crash: Option<CrashRecord>, cleared: Option<ClearanceRecord>) {
+    fn publish(self: &Rc<Self>, observation: Observation) {
         let mut pending_reports = self.pending_reports.borrow_mut();
-        let was_empty = pending_reports.0.is_empty() && pending_reports.1.is_empty();
-        pending_reports.0.extend(crash);
-        pending_reports.1.extend(cleared);
-        if !was_empty {
+        pending_reports.push(observation);
+        if pending_reports.len() > 1 {
             return;
         }
         let crash_attribution = self.clone();
         spawn_local(async move {
             sleep(BATCH_DELAY).await;
-            let (crashes, cleared) =
-                std::mem::take(&mut *crash_attribution.pending_reports.borrow_mut());
-            crash_attribution
-                .peers
-                .send_to_live_peers(crash_attribution.encode_reports(crashes, cleared));
+            let observations = std::mem::take(&mut *crash_attribution.pending_reports.borrow_mut());
+            let reports = crash_attribution.encode_reports(&observations);
+            crash_attribution.peers.send_to_live_peers(GatewayBody::Crashes(reports));
         });
     }
 
@@ -414,7 +453,7 @@
     /// Handles a peer's reports of crashes and answers, and forwards those that are new to the
     /// followers of this node. A peer that attributes crashes to a request that got a complete
     /// answer here gets that answer reported back.
-    pub fn handle_reports(&self, sender: SocketAddr, received: CrashReports) {
+    pub fn handle_reports(self: &Rc<Self>, sender: SocketAddr, received: CrashReports) {
         let now = self.now();
         let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
         let fingerprint_of = |bytes: &Bytes| Fingerprint::from_bytes(bytes);
@@ -429,6 +468,8 @@
                 new_reports.cleared.push(report);
             }
         }
+        new_reports.cleared_parts =
+            self.handle_part_clearances(received.cleared_parts, received.is_reply);
         for report in received.crashes {
             let incarnation = Incarnation {
                 instance: report.instance.as_str().into(),
@@ -437,19 +478,24 @@
             let fingerprints: Vec<_> =
                 report.fingerprints.iter().filter_map(fingerprint_of).collect();
             let crashed_at = at(report.age_ms);
+            let part_record = parts::decode_crash(&report, &incarnation, crashed_at);
             let quarantine = self.quarantine.borrow();
-            covering_answers.extend(
-                fingerprints
-                    .iter()
-                    .filter_map(|fingerprint| quarantine.covering_answer(*fingerprint, crashed_at)),
-            );
+            let answers = fingerprints
+                .iter()
+                .filter_map(|fingerprint| quarantine.covering_answer(*fingerprint, crashed_at));
+            covering_answers.extend(answers.map(Observation::Clearance));
             drop(quarantine);
-            if self.attribute(&CrashRecord { incarnation, at: crashed_at, fingerprints }) {
+            let part_answers = self.covering_part_answers(&part_record);
+            covering_answers.extend(part_answers.into_iter().map(Observation::PartClearance));
+            let is_new_for_parts = self.attribute_to_parts(&part_record);
+            let record = CrashRecord { incarnation, at: crashed_at, fingerprints };
+            if self.attribute(&record) || is_new_for_parts {
                 new_reports.crashes.push(report);
             }
         }
         if !covering_answers.is_empty() {
-            self.peers.send(sender, self.encode_reports(Vec::new(), covering_answers));
+            let reply = CrashReports { is_reply: true, ..self.encode_reports(&covering_answers) };
+            self.peers.send(sender, GatewayBody::Crashes(reply));
         }
         if new_reports != CrashReports::default() {
             self.peers.send_to_followers(GatewayBody::Crashes(new_reports));
@@ -463,8 +509,20 @@
 
     fn send_known(&self, peer: SocketAddr, limit: usize) {
         let (crashes, cleared) = self.quarantine.borrow().records(limit);
-        if !crashes.is_empty() || !cleared.is_empty() {
-            self.peers.send(peer, self.encode_reports(crashes, cleared));
+        let crashes = crashes.into_iter().map(|record| {
+            let CrashRecord { incarnation, at, fingerprints } = record;
+            Observation::Crash { incarnation, at, fingerprints, requests: Vec::new() }
+        });
+        let part_crashes = self.part_quarantine.borrow().records(limit);
+        let part_crashes = part_crashes.into_iter().map(|record| {
+            let PartCrashRecord { incarnation, at, requests } = record;
+            Observation::Crash { incarnation, at, fingerprints: Vec::new(), requests }
+        });
+        let cleared = cleared.into_iter().map(Observation::Clearance);
+        let observations: Vec<_> = crashes.chain(part_crashes).chain(cleared).collect();
+        if !observations.is_empty() {
+            let reports = self.encode_reports(&observations);
+            self.peers.send(peer, GatewayBody::Crashes(reports));
         }
     }
 
@@ -477,6 +535,9 @@
             for fingerprint in self.quarantine.borrow_mut().expire(self.now()) {
                 log::info(LogLine::event("suspect_forgotten").with("content", fingerprint));
             }
+            for part in self.part_quarantine.borrow_mut().expire(self.now()) {
+                log::info(LogLine::event("part_forgotten").with("part", part));
+            }
             if let Some(peer) = self.peers.random_peer() {
                 self.send_known(peer, GOSSIP_SUSPECTS_MAX);
             }
@@ -484,33 +545,43 @@
         }
     }
 
-    fn encode_reports(
-        &self,
-        crashes: Vec<CrashRecord>,
-        cleared: Vec<ClearanceRecord>,
-    ) -> GatewayBody {
+    fn encode_reports(&self, observations: &[Observation]) -> CrashReports {
         let now = self.now();
-        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u32;
+        let age_ms = |at: &Duration| now.saturating_sub(*at).as_millis() as u32;
         let bytes = |fingerprint: &Fingerprint| Bytes::copy_from_slice(fingerprint.bytes());
-        let crashes = crashes.into_iter().map(|record| CrashReport {
-            instance: record.incarnation.instance.to_string(),
-            started_ms: record.incarnation.started_ms,
-            age_ms: age_ms(record.at),
-            fingerprints: record.fingerprints.iter().map(bytes).collect(),
-        });
-        let cleared = cleared.into_iter().map(|record| ClearanceReport {
-            fingerprint: bytes(&record.fingerprint),
-            age_ms: age_ms(record.at),
-        });
-        GatewayBody::Crashes(CrashReports {
-            crashes: crashes.collect(),
-            cleared: cleared.collect(),
-        })
+        let mut reports = CrashReports::default();
+        for observation in observations {
+            match observation {
+                Observation::Crash { incarnation, at, fingerprints, requests } => {
+                    reports.crashes.push(CrashReport {
+                        instance: incarnation.instance.to_string(),
+                        started_ms: incarnation.started_ms,
+                        age_ms: age_ms(at),
+                        fingerprints: fingerprints.iter().map(bytes).collect(),
+                        requests: parts::encode_requests(requests),
+                    });
+                }
+                Observation::Clearance(ClearanceRecord { fingerprint, at }) => {
+                    let report =
+                        ClearanceReport { fingerprint: bytes(fingerprint), age_ms: age_ms(at) };
+                    reports.cleared.push(report);
+                }
+                Observation::PartClearance(PartClearance { part, at }) => {
+                    reports.cleared_parts.push(PartClearanceReport {
+                        service: part.service.to_string(),
+                        part: part.id,
+                        age_ms: age_ms(at),
+                    });
+                }
+            }
+        }
+        reports
     }
 
-    /// Returns the number of quarantined requests.
+    /// Returns the number of quarantined requests and parts of prompts.
     pub fn quarantined_count(&self) -> usize {
-        self.quarantine.borrow().quarantined().count()
+        let parts = self.part_quarantine.borrow().quarantined().count();
+        self.quarantine.borrow().quarantined().count() + parts
     }
 
     /// Returns the time on a clock that started long before the process, so that older events have
@@ -528,3 +599,8 @@
     let names: Vec<_> = incarnations.iter().map(Incarnation::to_string).collect();
     names.join(",")
 }
+
+fn join_parts(parts: &[PartKey]) -> Option<String> {
+    let names: Vec<_> = parts.iter().map(PartKey::to_string).collect();
+    (!names.is_empty()).then(|| names.join(","))
+}
--- a/crates/fernring-gateway/src/crash_attribution/persistence.rs
+++ b/crates/fernring-gateway/src/crash_attribution/persistence.rs
@@ -1,26 +1,33 @@
-//! Keeps quarantined requests in the store, so that they survive a restart of all nodes at once.
+//! Keeps what is quarantined in the store, so that it survives a restart of all nodes at once.
 
 use {
     super::CrashAttribution,
     crate::{
         crash_detection::Incarnation,
-        fingerprint::Fingerprint,
+        fingerprint::{Fingerprint, PartKey, RequestTraits},
         log,
+        part_quarantine::PartCrashRecord,
         quarantine::CrashRecord,
-        wire::{KeyedRecord, StoreError, Topic},
+        wire::{KeyedRecord, Topic},
     },
     fernring_core::{clock::saturating_ms, text::LogLine},
-    serde::{Deserialize, Serialize},
-    std::{collections::BTreeSet, time::Duration},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt,
+        time::Duration,
+    },
 };
 
-/// Prefix of the keys of these records among the records of nodes, which every node reads at its
-/// start anyway.
+/// Prefix of the keys of quarantined requests among the records of nodes, which every node reads at
+/// its start anyway.
 const RECORD_KEY_PREFIX: &str = "turned-away/";
+/// Prefix of the keys of quarantined parts of prompts.
+const PART_RECORD_KEY_PREFIX: &str = "turned-away-part/";
 
-/// Requests whose records are in the store, as far as this node knows.
+/// Keys of the records that are in the store, as far as this node knows.
 #[derive(Debug, Default)]
-pub(super) struct PersistedFingerprints(BTreeSet<Fingerprint>);
+pub(super) struct PersistedKeys(BTreeSet<String>);
 
 /// A quarantined request as stored, in TOML.
 #[derive(Debug, Serialize, Deserialize)]
@@ -36,56 +43,82 @@
     started_ms: Option<u64>,
 }
 
+/// A quarantined part of prompts as stored, in TOML.
+#[derive(Debug, Serialize, Deserialize)]
+struct PartQuarantineRecord {
+    service: String,
+    /// Identifier of the part, in hexadecimal.
+    part: String,
+    ended: Vec<PartCrashEntry>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PartCrashEntry {
+    /// When the incarnation crashed, in Unix milliseconds.
+    at_ms: u64,
+    instance: String,
+    started_ms: Option<u64>,
+    /// Fingerprint of the request that was in flight there.
+    content: String,
+}
+
 fn record_key(fingerprint: Fingerprint) -> String {
     format!("{RECORD_KEY_PREFIX}{fingerprint}")
 }
 
+/// Returns the key of a part's record. Names of services may have characters that keys may not.
+fn part_record_key(part: &PartKey) -> String {
+    let digest = Fingerprint::of(None, &part.service, &part.id.to_be_bytes());
+    format!("{PART_RECORD_KEY_PREFIX}{digest}")
+}
+
 impl CrashAttribution {
     /// Writes missing records and removes expired ones, among those whose keys this node owns.
     pub(super) async fn persist(&self) {
-        let (now, quarantined) = (self.now(), self.quarantined_fingerprints());
-        let is_mine = |fingerprint: &Fingerprint| {
-            self.peers.owner(&record_key(*fingerprint)) == self.peers.address()
-        };
-        let missing_records = quarantined
-            .iter()
-            .filter(|fingerprint| !self.persisted.borrow().0.contains(fingerprint));
-        for fingerprint in missing_records.copied().filter(is_mine).collect::<Vec<_>>() {
-            let record = self.record(now, fingerprint);
-            self.write_record(fingerprint, record.as_deref()).await;
+        let quarantined = self.quarantined_records();
+        let is_mine = |key: &String| self.peers.owner(key) == self.peers.address();
+        let missing =
+            quarantined.iter().filter(|(key, _)| !self.persisted.borrow().0.contains(*key));
+        for (key, record) in missing.filter(|(key, _)| is_mine(key)).collect::<Vec<_>>() {
+            self.write_record(key, Some(record)).await;
         }
-        let expired =
-            self.persisted.borrow().0.difference(&quarantined).copied().collect::<Vec<_>>();
-        for fingerprint in expired {
-            match is_mine(&fingerprint) {
-                true => self.write_record(fingerprint, None).await,
-                false => drop(self.persisted.borrow_mut().0.remove(&fingerprint)),
+        let persisted = self.persisted.borrow().0.clone();
+        for key in persisted.iter().filter(|key| !quarantined.contains_key(*key)) {
+            match is_mine(key) {
+                true => self.write_record(key, None).await,
+                false => drop(self.persisted.borrow_mut().0.remove(key)),
             }
         }
     }
 
-    fn quarantined_fingerprints(&self) -> BTreeSet<Fingerprint> {
-        self.quarantine.borrow().quarantined().map(|(fingerprint, _)| fingerprint).collect()
-    }
-
-    fn record(&self, now: Duration, fingerprint: Fingerprint) -> Option<String> {
+    /// Returns the records of all that is quarantined, by key.
+    fn quarantined_records(&self) -> BTreeMap<String, String> {
         let quarantine = self.quarantine.borrow();
-        let (_, at) =
-            quarantine.quarantined().find(|(quarantined, _)| *quarantined == fingerprint)?;
-        let ended =
-            quarantine.crashes_of(fingerprint).into_iter().map(|incarnation| CrashedIncarnation {
+        let requests = quarantine.quarantined().filter_map(|(fingerprint, at)| {
+            let ended = quarantine.crashes_of(fingerprint).into_iter();
+            let ended = ended.map(|incarnation| CrashedIncarnation {
                 instance: incarnation.instance.to_string(),
                 started_ms: incarnation.started_ms,
             });
-        let age_ms = saturating_ms(now.saturating_sub(at));
-        let at_ms = self.clock.now().wall_ms().saturating_sub(age_ms);
-        match toml::to_string(&QuarantineRecord { at_ms, ended: ended.collect() }) {
-            Ok(record) => Some(record),
-            Err(error) => {
-                log::warn(LogLine::event("suspect_not_kept").with("error", error));
-                None
-            }
-        }
+            let record = QuarantineRecord { at_ms: self.wall_ms(at), ended: ended.collect() };
+            Some((record_key(fingerprint), encode(&record, fingerprint)?))
+        });
+        let part_quarantine = self.part_quarantine.borrow();
+        let parts = part_quarantine.quarantined().filter_map(|part| {
+            let ended = part_quarantine.crashes_of(part).iter().map(|crash| PartCrashEntry {
+                at_ms: self.wall_ms(crash.at),
+                instance: crash.incarnation.instance.to_string(),
+                started_ms: crash.incarnation.started_ms,
+                content: crash.request.to_string(),
+            });
+            let record = PartQuarantineRecord {
+                service: part.service.to_string(),
+                part: format!("{:x}", part.id),
+                ended: ended.collect(),
+            };
+            Some((part_record_key(part), encode(&record, part)?))
+        });
+        requests.chain(parts).collect()
     }
 
     /// Forgets which records are in the store after it was restored from a backup: they may be
@@ -96,45 +129,110 @@
 
     /// Writes a record, or removes it if `record` is `None`. A failed write is repeated in the next
     /// round.
-    async fn write_record(&self, fingerprint: Fingerprint, record: Option<&str>) {
-        let value = record.map(str::as_bytes);
-        let written = self.store.write(Topic::Nodes, &record_key(fingerprint), value).await;
+    async fn write_record(&self, key: &str, record: Option<&String>) {
+        let value = record.map(String::as_bytes);
+        let written = self.store.write(Topic::Nodes, key, value).await;
         match (written, record) {
-            (Ok(()), Some(_)) => drop(self.persisted.borrow_mut().0.insert(fingerprint)),
-            (Ok(()), None) => drop(self.persisted.borrow_mut().0.remove(&fingerprint)),
-            (Err(error), _) => self.log_not_persisted(fingerprint, &error),
+            (Ok(()), Some(_)) => drop(self.persisted.borrow_mut().0.insert(key.to_owned())),
+            (Ok(()), None) => drop(self.persisted.borrow_mut().0.remove(key)),
+            (Err(error), _) => log_not_persisted(key, &error),
         }
     }
 
-    fn log_not_persisted(&self, fingerprint: Fingerprint, error: &StoreError) {
-        let line = LogLine::event("suspect_not_kept").with("content", fingerprint);
-        log::warn(line.with("error", error));
-    }
-
     /// Attributes the crashes of the records that a starting node finds among those of nodes.
     /// Records older than the lifetime of an attribution are removed by their owner.
     pub fn load_records(&self, records: &[KeyedRecord]) {
         for record in records {
-            let Some(fingerprint) =
+            if let Some(fingerprint) =
                 record.key.strip_prefix(RECORD_KEY_PREFIX).and_then(Fingerprint::parse)
-            else {
-                continue;
-            };
-            let value = record.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
-            let Some(stored) =
-                value.and_then(|value| toml::from_str::<QuarantineRecord>(value).ok())
-            else {
-                log::warn(LogLine::event("suspect_unreadable").with("content", fingerprint));
+            {
+                self.load_request(record, fingerprint);
+            } else if record.key.starts_with(PART_RECORD_KEY_PREFIX) {
+                self.load_part(record);
+            }
+        }
+    }
+
+    fn load_request(&self, record: &KeyedRecord, fingerprint: Fingerprint) {
+        let Some(stored) = decode::<QuarantineRecord>(record) else {
+            return;
+        };
+        self.persisted.borrow_mut().0.insert(record.key.to_string());
+        let at = self.time_of(stored.at_ms);
+        for crash in stored.ended {
+            let incarnation =
+                Incarnation { instance: crash.instance.into(), started_ms: crash.started_ms };
+            self.attribute(&CrashRecord { incarnation, at, fingerprints: vec![fingerprint] });
+        }
+    }
+
+    fn load_part(&self, record: &KeyedRecord) {
+        let Some(stored) = decode::<PartQuarantineRecord>(record) else {
+            return;
+        };
+        let Ok(id) = u64::from_str_radix(&stored.part, 16) else {
+            log_unreadable(&record.key, "the part is no number");
+            return;
+        };
+        self.persisted.borrow_mut().0.insert(record.key.to_string());
+        let part = PartKey { service: stored.service.into(), id };
+        for crash in stored.ended {
+            let Some(fingerprint) = Fingerprint::parse(&crash.content) else {
+                log_unreadable(&record.key, "the content is no digest");
                 continue;
             };
-            self.persisted.borrow_mut().0.insert(fingerprint);
-            let age_ms = self.clock.now().wall_ms().saturating_sub(stored.at_ms);
-            let at = self.now().saturating_sub(Duration::from_millis(age_ms));
-            for crash in stored.ended {
-                let incarnation =
-                    Incarnation { instance: crash.instance.into(), started_ms: crash.started_ms };
-                self.attribute(&CrashRecord { incarnation, at, fingerprints: vec![fingerprint] });
-            }
+            let request = RequestTraits { fingerprint, parts: [part.clone()].into() };
+            let incarnation =
+                Incarnation { instance: crash.instance.into(), started_ms: crash.started_ms };
+            self.attribute_to_parts(&PartCrashRecord {
+                incarnation,
+                at: self.time_of(crash.at_ms),
+                requests: vec![request],
+            });
         }
     }
+
+    /// Returns the Unix milliseconds of a time of this node.
+    fn wall_ms(&self, at: Duration) -> u64 {
+        let age_ms = saturating_ms(self.now().saturating_sub(at));
+        self.clock.now().wall_ms().saturating_sub(age_ms)
+    }
+
+    /// Returns the time of this node at some Unix milliseconds.
+    fn time_of(&self, wall_ms: u64) -> Duration {
+        let age_ms = self.clock.now().wall_ms().saturating_sub(wall_ms);
+        self.now().saturating_sub(Duration::from_millis(age_ms))
+    }
+}
+
+/// Encodes a record; logs why that fails.
+fn encode(record: &impl Serialize, key: impl fmt::Display) -> Option<String> {
+    match toml::to_string(record) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            log_not_persisted(key, &error);
+            None
+        }
+    }
+}
+
+/// Decodes a record; logs why that fails.
+fn decode<T: DeserializeOwned>(record: &KeyedRecord) -> Option<T> {
+    let value = std::str::from_utf8(record.value.as_deref()?).map_err(|error| error.to_string());
+    let decoded = value.and_then(|value| toml::from_str(value).map_err(|error| error.to_string()));
+    match decoded {
+        Ok(decoded) => Some(decoded),
+        Err(error) => {
+            log_unreadable(&record.key, error);
+            None
+        }
+    }
+}
+
+fn log_not_persisted(key: impl fmt::Display, error: &impl fmt::Display) {
+    log::warn(LogLine::event("suspect_not_kept").with("content", key).with("error", error));
+}
+
+fn log_unreadable(key: &str, error: impl fmt::Display) {
+    log::warn(LogLine::event("suspect_unreadable").with("content", key).with("error", error));
 }
--- a/crates/fernring-gateway/src/decide/crash_detection.rs
+++ b/crates/fernring-gateway/src/decide/crash_detection.rs
@@ -9,7 +9,7 @@
 //! use {
 //!     fernring_gateway::{
 //!         crash_detection::{CrashDetector, Disconnect, Incarnation, ProbeResult},
-//!         fingerprint::Fingerprint,
+//!         fingerprint::{Fingerprint, RequestTraits},
 //!         model::UpstreamKey,
 //!     },
 //!     std::time::Duration,
@@ -18,20 +18,20 @@
 //! let (now, key) = (Duration::ZERO, UpstreamKey::default());
 //! let incarnation = Incarnation { instance: "i-1".into(), started_ms: None };
 //! let address = "10.0.0.1:8080".parse().unwrap();
-//! let fingerprint = Fingerprint::of(None, "/x", b"");
+//! let request = RequestTraits::without_parts(Fingerprint::of(None, "/x", b""));
 //! let mut detector = CrashDetector::default();
 //! assert!(
 //!     detector
-//!         .record_disconnect(now, (key, address), &incarnation, Disconnect::Closed, Some(fingerprint))
+//!         .record_disconnect(now, (key, address), &incarnation, Disconnect::Closed, Some(&request))
 //!         .is_none(),
 //!     "not known yet"
 //! );
 //! let crash = detector.record_probe(key, ProbeResult::Refused).unwrap();
-//! assert_eq!(crash.fingerprints, [fingerprint]);
+//! assert_eq!(crash.requests, [request]);
 //! ```
 
 use {
-    crate::{fingerprint::Fingerprint, model::UpstreamKey},
+    crate::{fingerprint::RequestTraits, model::UpstreamKey},
     std::{collections::HashMap, fmt, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -98,8 +98,8 @@
 pub struct Crash {
     /// The incarnation.
     pub incarnation: Incarnation,
-    /// Fingerprints of the requests that ran or waited there, without duplicates.
-    pub fingerprints: Vec<Fingerprint>,
+    /// The requests that ran or waited there, without duplicates.
+    pub requests: Vec<RequestTraits>,
 }
 
 /// What happened to an upstream's record.
@@ -125,7 +125,7 @@
     probed_at: Option<Duration>,
     departure: Option<Departure>,
     /// Requests whose upstream isn't known to have crashed.
-    fingerprints: Vec<Fingerprint>,
+    requests: Vec<RequestTraits>,
 }
 
 impl BrokenUpstream {
@@ -145,11 +145,11 @@
     }
 
     fn take_crash(&mut self) -> Option<Crash> {
-        if self.fingerprints.is_empty() || !self.has_crashed() {
+        if self.requests.is_empty() || !self.has_crashed() {
             return None;
         }
-        let fingerprints = std::mem::take(&mut self.fingerprints);
-        Some(Crash { incarnation: self.incarnation.clone(), fingerprints })
+        let requests = std::mem::take(&mut self.requests);
+        Some(Crash { incarnation: self.incarnation.clone(), requests })
     }
 }
 
@@ -163,14 +163,14 @@
 
 impl CrashDetector {
     /// Records that the connection of a send broke; returns a crash if one is known now.
-    /// `fingerprint` is that of the request to attribute a crash to, if any.
+    /// `request` is the one to attribute a crash to, if any.
     pub fn record_disconnect(
         &mut self,
         now: Duration,
         (key, address): (UpstreamKey, SocketAddr),
         incarnation: &Incarnation,
         disconnect: Disconnect,
-        fingerprint: Option<Fingerprint>,
+        request: Option<&RequestTraits>,
     ) -> Option<Crash> {
         let departure = self.departures.get(&key).map(|(_, departure)| *departure);
         match departure {
@@ -187,14 +187,14 @@
             probe: None,
             probed_at: None,
             departure,
-            fingerprints: Vec::new(),
+            requests: Vec::new(),
         });
         broken.last_broken_at = now;
         broken.was_closed |= disconnect == Disconnect::Closed;
-        if let Some(fingerprint) = fingerprint
-            && !broken.fingerprints.contains(&fingerprint)
+        if let Some(request) = request
+            && !broken.requests.contains(request)
         {
-            broken.fingerprints.push(fingerprint);
+            broken.requests.push(request.clone());
         }
         broken.take_crash()
     }
--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -11,7 +11,7 @@
 //! | in which regions may it be served? | [`residency`] |
 //! | which pieces go into which call, and which node sends it? | [`batching`], [`domain_preference`], [`workers`], [`worker_speeds`], [`worker_pools`], [`dispatch_round`], [`stage_plan`] |
 //! | has this node lost its direct path to the upstreams, and through which peer does it reach them? | [`reachability`], [`relays`] |
-//! | has an upstream crashed, and under which request? | [`crash_detection`], [`quarantine`] |
+//! | has an upstream crashed, and under which request? | [`crash_detection`], [`quarantine`] (whole requests), [`part_quarantine`] (parts of prompts) |
 
 pub mod admission;
 pub mod admission_gate;
@@ -33,6 +33,7 @@
 pub mod leaving;
 pub mod limits;
 pub mod origin_table;
+pub mod part_quarantine;
 pub mod permit_issuer;
 pub mod prefill_budget;
 pub mod prefill_pauses;
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -10,6 +10,7 @@
         batching::{Batch, BatchLimit, BatchQueue, QueuedPiece},
         connections::{ConnectionLoss, SendFailure},
         crash_detection::Disconnect,
+        fingerprint::RequestTraits,
         framing::Framing,
         log,
         model::{BatchConfig, Piece, PieceOutcome, Service, UpstreamKey},
@@ -121,7 +122,7 @@
         self.crash_attribution.record_broken_send(
             target,
             disconnect,
-            first.filter(|_| is_single_request),
+            first.filter(|_| is_single_request).map(RequestTraits::without_parts).as_ref(),
         );
         disconnect == Disconnect::Closed
             && self.crash_attribution.has_upstream_crashed(target.key).await
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -404,7 +404,7 @@
         }
         let works = self.works.borrow();
         let is_quarantined =
-            |work: &&u64| self.crash_attribution.is_quarantined(works[*work].fingerprint);
+            |work: &&u64| self.crash_attribution.is_whole_quarantined(works[*work].fingerprint);
         let quarantined: Vec<_> = works.keys().filter(is_quarantined).copied().collect();
         drop(works);
         for work in quarantined {
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -19,7 +19,7 @@
         crash_attribution::InFlightGuard,
         engine_speeds::EventGaps,
         events::EventPosition,
-        fingerprint::Fingerprint,
+        fingerprint::{Fingerprint, RequestTraits},
         framing::Framing,
         log,
         model::{RequestFields, RetryPolicy, Route, UpstreamKey, Workspace},
@@ -44,6 +44,9 @@
     thiserror::Error,
 };
 
+/// Time from the first bytes of a response after which more of them prove that its prompt doesn't
+/// crash its upstream.
+const PROGRESS_TIME: Duration = Duration::from_secs(1);
 /// Content type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -82,6 +85,9 @@
     tracked: Option<TrackedSend>,
     /// The prefill of a model engine, until the first event has been received.
     prefill: Option<Prefill>,
+    first_bytes_at: Option<Duration>,
+    /// Whether bytes have come for [`PROGRESS_TIME`].
+    has_progressed: bool,
 }
 
 /// The prefill of a prompt in progress.
@@ -171,6 +177,8 @@
 pub struct Exchange {
     serving: Rc<ServingContext>,
     request: CallerRequest,
+    /// What a crash of an upstream may be attributed to.
+    traits: RequestTraits,
     route: Arc<Route>,
     workspace: Option<Arc<Workspace>>,
     /// The regions in which the request may be served.
@@ -211,8 +219,9 @@
 }
 
 /// The response that was received last.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct LastResponse {
+    target: Target,
     /// The way that it took.
     path: Path,
     framing: Framing,
@@ -254,6 +263,7 @@
     ) -> Self {
         let time_limit = route.wait_limit(request.fields.remaining);
         let service = draw_service(&route);
+        let traits = RequestTraits::new(request.fingerprint, &service, &request.fields);
         let workspace_residency = workspace.as_ref().map(|workspace| &workspace.residency);
         let residency = workspace_residency
             .map_or_else(|| route.residency.clone(), |own| route.residency.intersect(own));
@@ -279,6 +289,7 @@
             is_ended: false,
             serving,
             request,
+            traits,
             route,
             workspace,
             residency,
@@ -360,6 +371,11 @@
             self.received_versions.push(version.clone());
         }
         let now = self.serving.now();
+        let first_bytes_at = *opened.first_bytes_at.get_or_insert(now);
+        if !opened.has_progressed && now >= first_bytes_at + PROGRESS_TIME {
+            opened.has_progressed = true;
+            self.serving.crash_attribution.record_part_answer(&self.traits);
+        }
         let relative_speed = opened.prefill.map_or(1.0, |prefill| prefill.relative_speed);
         if let Some(prefill) = opened.prefill.take() {
             let took = now.saturating_sub(prefill.sent_at);
@@ -421,12 +437,12 @@
         forecast: RetryForecast,
     ) -> Refusal {
         let not_run = self.attempts.not_run();
-        let fingerprint = self.request.fingerprint;
-        if self.serving.crash_attribution.is_quarantined(fingerprint) {
+        let crash_attribution = &self.serving.crash_attribution;
+        if crash_attribution.is_quarantined(&self.traits) {
             return match not_run {
-                Some(not_run) => self.serving.crash_attribution.refusal(not_run, fingerprint),
+                Some(not_run) => crash_attribution.refusal(not_run, &self.traits),
                 None => {
-                    let reason = self.serving.crash_attribution.quarantine_reason(fingerprint);
+                    let reason = crash_attribution.quarantine_reason(&self.traits);
                     Refusal::may_have_run(ResultCode::StageFailed, reason)
                 }
             };
@@ -456,13 +472,14 @@
             && status.is_success()
         {
             self.serving.crash_attribution.record_answer(self.request.fingerprint);
+            self.record_part_answer();
             if let Some(size) = self.size {
                 telemetry::record_size(&self.route.name, size, "answered");
             }
         }
         self.record_event_gaps();
-        let position = self.last_response.and_then(|response| response.position);
-        if let (ExchangeEnd::Answered { .. }, Some(response)) = (end, self.last_response) {
+        let position = self.last_response.as_ref().and_then(|response| response.position);
+        if let (ExchangeEnd::Answered { .. }, Some(response)) = (end, &self.last_response) {
             let end = position.map_or("complete", |position| position.name());
             telemetry::record_response_end(&self.service, response.framing.name(), end);
         }
@@ -482,8 +499,11 @@
             .with("outcome", end.name())
             .with("code", end.code().number())
             .with("sends", self.tried.len())
-            .with_some("path", self.last_response.map(|response| response.path.name()))
-            .with_some("framing", self.last_response.map(|response| response.framing.name()))
+            .with_some("path", self.last_response.as_ref().map(|response| response.path.name()))
+            .with_some(
+                "framing",
+                self.last_response.as_ref().map(|response| response.framing.name()),
+            )
             .with_some("position", position.map(|position| position.name()))
             .with_some("versions", versions)
             .with("config", self.serving.config.borrow().version())
@@ -499,6 +519,21 @@
         }
     }
 
+    /// Clears the parts of the prompt. Without a marked end, the upstream may have crashed at the end
+    /// of its response.
+    fn record_part_answer(&self) {
+        let Some(response) = &self.last_response else {
+            return;
+        };
+        let crash_attribution = &self.serving.crash_attribution;
+        match response.framing {
+            Framing::Connection => {
+                crash_attribution.record_unmarked_end(&response.target, &self.traits);
+            }
+            _ => crash_attribution.record_part_answer(&self.traits),
+        }
+    }
+
     fn record_event_gaps(&self) {
         let is_stream_of_engine = self.route.streaming && self.route.prefix_affinity;
         if let Some(times) = self.stream_times.filter(|_| is_stream_of_engine) {
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -116,7 +116,7 @@
             self.serving.crash_attribution.record_broken_send(
                 target,
                 disconnect,
-                Some(self.request.fingerprint),
+                Some(&self.traits),
             );
         }
     }
@@ -139,9 +139,10 @@
 
     /// Returns whether the request may be sent to another upstream.
     pub fn may_send(&self) -> bool {
-        let is_quarantined =
-            self.serving.crash_attribution.is_quarantined(self.request.fingerprint);
-        self.attempts.may_send() && !is_quarantined && !self.time_left().is_zero()
+        let crash_attribution = &self.serving.crash_attribution;
+        let is_barred = crash_attribution.is_quarantined(&self.traits)
+            || self.attempts.next_is_extra() && crash_attribution.forbids_retry(&self.traits);
+        self.attempts.may_send() && !is_barred && !self.time_left().is_zero()
     }
 
     /// Returns the final answer for a request without an eligible upstream.
@@ -178,8 +179,7 @@
             connections_max: self.serving.config.borrow().connections_max(&self.service),
             request_id: Some(self.request.id.clone()),
         };
-        let guard =
-            self.serving.crash_attribution.track_in_flight(target, self.request.fingerprint);
+        let guard = self.serving.crash_attribution.track_in_flight(target, &self.traits);
         let is_first = self.tried.len() <= 1;
         let (service, route) = (&self.service, &self.route.name);
         let tracked = self.serving.rollouts.track_send(service, target, route, is_first);
@@ -195,7 +195,7 @@
         let sent = tokio::select! {
         sent = self.wait_at_most(None, sent) => sent,
         // The upstream hasn't started to respond, so cancelling the request may prevent its crash.
-        () = self.serving.crash_attribution.wait_until_quarantined(self.request.fingerprint) => {
+        () = self.serving.crash_attribution.wait_until_quarantined(&self.traits) => {
         let reason = "quarantined while waiting for the response".to_owned();
         return Err(FailedSend::without_connection_loss(SendOutcome::Unknown, reason));
         }
@@ -220,7 +220,12 @@
             Some(Ok(response)) => response,
         };
         let framing = Framing::of(&response.head);
-        self.last_response = Some(LastResponse { path: response.path, framing, position: None });
+        self.last_response = Some(LastResponse {
+            target: target.clone(),
+            path: response.path,
+            framing,
+            position: None,
+        });
         if let Some((outcome, reason)) = check_head(&response) {
             return Err(failed(FailedSend::without_connection_loss(outcome, reason)));
         }
@@ -236,6 +241,8 @@
             _attribution_guard: guard,
             tracked: None,
             prefill: None,
+            first_bytes_at: None,
+            has_progressed: false,
         };
         if let Some(tracked) = tracked.as_ref().filter(|_| opened.is_failure()) {
             tracked.record_failure();
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -32,7 +32,7 @@
     /// not run.
     pub async fn admit_and_run_stages(&mut self) -> Result<(), Refusal> {
         self.wait_for_quarantine_decision().await;
-        if self.serving.crash_attribution.is_quarantined(self.request.fingerprint) {
+        if self.serving.crash_attribution.is_quarantined(&self.traits) {
             return Err(self.refusal_for(ResultCode::EndsUpstreams, ""));
         }
         if self.serving.upstreams.connector().is_isolated() {
@@ -82,7 +82,7 @@
             self.home = self.choose_home();
         }
         for _ in 0..STAGE_RUNS_MAX {
-            match self.run_stages_once().await {
+            match self.run_stages_unless_quarantined().await {
                 WorkOutcome::Completed(_) => {
                     self.inputs = self.plan.final_handles();
                     return Ok(());
@@ -120,6 +120,16 @@
         self.due_at = self.serving.now() + self.admission_demand().due_time();
     }
 
+    async fn run_stages_unless_quarantined(&mut self) -> WorkOutcome {
+        let (serving, traits) = (self.serving.clone(), self.traits.clone());
+        tokio::select! {
+            outcome = self.run_stages_once() => outcome,
+            () = serving.crash_attribution.wait_until_quarantined(&traits) => {
+                WorkOutcome::Quarantined
+            }
+        }
+    }
+
     async fn run_stages_once(&mut self) -> WorkOutcome {
         let serving = self.serving.clone();
         let lead = self.chain_lead();
--- a/crates/fernring-gateway/src/serving/fingerprint.rs
+++ b/crates/fernring-gateway/src/serving/fingerprint.rs
@@ -10,7 +10,10 @@
 //! assert_ne!(fingerprint, Fingerprint::of(Some("w"), "/line/", b"7why?"), "fields don't run together");
 //! ```
 
-use std::fmt;
+use {
+    crate::model::RequestFields,
+    std::{fmt, rc::Rc, sync::Arc},
+};
 
 /// Context string of the key derivation, which separates this digest from other uses of the same
 /// function.
@@ -58,6 +61,45 @@
     }
 }
 
+/// A part of prompts, as the upstreams of one service process it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PartKey {
+    /// The service.
+    pub service: Arc<str>,
+    /// Identifier of the part.
+    pub id: u64,
+}
+
+impl fmt::Display for PartKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:x}", self.service, self.id)
+    }
+}
+
+/// What a crash of an upstream may be attributed to: the whole request, and the parts of its prompt
+/// that other requests may share.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestTraits {
+    /// Fingerprint of the whole request.
+    pub fingerprint: Fingerprint,
+    /// The shared parts of its prompt.
+    pub parts: Rc<[PartKey]>,
+}
+
+impl RequestTraits {
+    /// Returns the traits of a request to a service.
+    pub fn new(fingerprint: Fingerprint, service: &Arc<str>, fields: &RequestFields) -> Self {
+        let key = |id| PartKey { service: service.clone(), id };
+        let parts = fields.shared_parts().iter().map(|part| key(part.id));
+        Self { fingerprint, parts: parts.collect() }
+    }
+
+    /// Returns the traits of a request whose prompt is unknown.
+    pub fn without_parts(fingerprint: Fingerprint) -> Self {
+        Self { fingerprint, parts: Rc::default() }
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/fernring-gateway/tests/testsuite/crash_detection.rs
+++ b/crates/fernring-gateway/tests/testsuite/crash_detection.rs
@@ -5,7 +5,7 @@
         crash_detection::{
             CRASH_EVIDENCE_TIME_MAX, CrashDetector, Disconnect, Incarnation, ProbeResult,
         },
-        fingerprint::Fingerprint,
+        fingerprint::{Fingerprint, RequestTraits},
         model::UpstreamKey,
     },
     slotmap::SlotMap,
@@ -22,8 +22,8 @@
     SocketAddr::from(([10, 0, 0, 1], 8080))
 }
 
-fn fingerprint(name: &str) -> Fingerprint {
-    Fingerprint::of(None, name, b"")
+fn request(name: &str) -> RequestTraits {
+    RequestTraits::without_parts(Fingerprint::of(None, name, b""))
 }
 
 /// Returns a detector with one broken send, and the key of its upstream.
@@ -35,7 +35,7 @@
         (key, address()),
         &incarnation(),
         disconnect,
-        Some(fingerprint("a")),
+        Some(&request("a")),
     );
     assert_eq!(crash, None, "a disconnect alone is no evidence");
     (detector, key)
@@ -45,7 +45,7 @@
 fn refused_connection_after_disconnect_is_a_crash() {
     let (mut detector, key) = detector_with_broken_send(Disconnect::Closed);
     let crash = detector.record_probe(key, ProbeResult::Refused).unwrap();
-    assert_eq!((crash.incarnation, crash.fingerprints), (incarnation(), vec![fingerprint("a")]));
+    assert_eq!((crash.incarnation, crash.requests), (incarnation(), vec![request("a")]));
 }
 
 #[test]
@@ -78,10 +78,7 @@
     );
     let other_address = SocketAddr::from(([10, 0, 0, 2], 8080));
     assert!(detector.record_new_upstream(NOW, next_key, other_address).is_empty());
-    assert_eq!(
-        detector.record_new_upstream(NOW, next_key, address())[0].fingerprints,
-        [fingerprint("a")]
-    );
+    assert_eq!(detector.record_new_upstream(NOW, next_key, address())[0].requests, [request("a")]);
 }
 
 #[test]
@@ -118,7 +115,7 @@
             (key, address()),
             &incarnation(),
             Disconnect::Closed,
-            Some(fingerprint("a"))
+            Some(&request("a"))
         ),
         None
     );
@@ -137,7 +134,7 @@
             (key, address()),
             &incarnation(),
             Disconnect::Closed,
-            Some(fingerprint("a"))
+            Some(&request("a"))
         ),
         None
     );
@@ -154,10 +151,10 @@
             (key, address()),
             &incarnation(),
             Disconnect::Closed,
-            Some(fingerprint("b")),
+            Some(&request("b")),
         )
         .unwrap();
-    assert_eq!(second_crash.fingerprints, [fingerprint("b")], "each fingerprint is reported once");
+    assert_eq!(second_crash.requests, [request("b")], "each request is reported once");
     let mut detector = CrashDetector::default();
     assert_eq!(detector.record_restart(NOW, key), None);
     assert!(
@@ -167,7 +164,7 @@
                 (key, address()),
                 &incarnation(),
                 Disconnect::Closed,
-                Some(fingerprint("c"))
+                Some(&request("c"))
             )
             .is_some()
     );
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod limits;
 mod members;
 mod origins;
+mod part_quarantine;
 mod pause_detector;
 mod permit_issuer;
 mod prefill_budget;
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -789,6 +789,12 @@
     /// The requests that were answered in full.
     #[prost(message, repeated, tag = "2")]
     pub cleared: Vec<ClearanceReport>,
+    /// The parts of prompts whose requests were answered.
+    #[prost(message, repeated, tag = "3")]
+    pub cleared_parts: Vec<PartClearanceReport>,
+    /// Whether this replies to a report of the receiver.
+    #[prost(bool, tag = "4")]
+    pub is_reply: bool,
 }
 
 /// The crash of one incarnation of an upstream.
@@ -806,6 +812,37 @@
     /// Fingerprints of the requests that were in flight.
     #[prost(bytes = "bytes", repeated, tag = "4")]
     pub fingerprints: Vec<bytes::Bytes>,
+    /// The requests in flight whose prompts have shared parts.
+    #[prost(message, repeated, tag = "5")]
+    pub requests: Vec<SuspectRequest>,
+}
+
+/// A request that was in flight at a crash.
+#[derive(Clone, PartialEq, Message)]
+pub struct SuspectRequest {
+    /// Fingerprint of the request.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub fingerprint: bytes::Bytes,
+    /// The service of the upstream.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Identifiers of the shared parts of its prompt that are suspect.
+    #[prost(uint64, repeated, tag = "3")]
+    pub parts: Vec<u64>,
+}
+
+/// An answer to a request with a part, which clears the part of earlier crashes.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartClearanceReport {
+    /// The service that answered.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Identifier of the part.
+    #[prost(uint64, tag = "2")]
+    pub part: u64,
+    /// Time since the answer, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// A request that was answered in full, which clears it of earlier crashes.
