Used-up connections are no fault of the upstream

Callers got 503 though upstreams had room: a node that had used up its share of an upstream's connections recorded the send as one that the upstream refused. It avoided the upstream, and its heartbeats told the peers of its failure domain to avoid it, too.

Cause: a send without a connection ended as 'not sent', which is evidence about the upstream. It ends as ineligible now, which is not.

used_up_connections_are_not_blamed_on_the_upstream failed before (one upstream listed as unreachable) and passes.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -237,10 +237,7 @@
             }
         }
         if self.open_count() >= open_max.max(1) {
-            return Err(SendFailure::NotSent(format!(
-                "{} connections are open",
-                self.open_count()
-            )));
+            return Err(SendFailure::Ineligible(Ineligible::NoConnection));
         }
         let connection = self.connect().await?;
         check().await.map_err(SendFailure::Ineligible)?;
