A node with most new connections borrows those of its peers

Callers got 503 (code 3004) where most of them came to one node, though upstreams had half of their connections open.

Cause: a node may open an equal share of the connections that an upstream accepts, whoever has the callers. Where its own are used up, a node now asks peers for a tunnel that counts as one of theirs. A peer lends one while fewer than its share are open; idle ones of its own make room. The sum over all nodes is bounded as before, without any agreement.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        connector::{Connect, Connected, Path, TunnelGuard},
+        connector::{Connect, Connected, Path, TunnelGuard, dial::ConnectFailure},
         crash_detection::Disconnect,
         eligibility::Ineligible,
     },
@@ -34,6 +34,8 @@
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
 /// Time by which an idle connection is closed before the upstream would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// Time for which an idle connection of a peer is kept. The peer may need it for its own callers.
+const BORROWED_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest number of idle connections to one upstream.
 const IDLE_CONNECTIONS_MAX: usize = 16;
 /// Largest number of response bytes that are buffered while they aren't read.
@@ -128,10 +130,59 @@
 struct PoolState {
     idle: Vec<IdleConnection>,
     open_count: usize,
+    /// Open connections that count as those of peers.
+    borrowed_count: usize,
+    /// Connections that are open for peers.
+    lent_count: usize,
     /// Tasks of all open connections; finished ones are removed when the next connection is opened.
     tasks: Vec<AbortHandle>,
 }
 
+impl PoolState {
+    /// Returns the number of connections that count as this node's.
+    fn own_count(&self) -> usize {
+        self.open_count - self.borrowed_count + self.lent_count
+    }
+
+    fn count_opened(&mut self, is_borrowed: bool) {
+        self.open_count += 1;
+        self.borrowed_count += usize::from(is_borrowed);
+    }
+
+    fn count_closed(&mut self, is_borrowed: bool) {
+        self.open_count -= 1;
+        self.borrowed_count -= usize::from(is_borrowed);
+    }
+
+    /// Closes an idle connection that counts as this node's; `None` if there is none.
+    fn close_own_idle(&mut self) -> Option<()> {
+        let index = self.idle.iter().position(|idle| !idle.connection.path.is_borrowed())?;
+        self.idle.swap_remove(index);
+        self.count_closed(false);
+        Some(())
+    }
+
+    /// Closes the idle connections for which `is_kept` doesn't hold.
+    fn retain_idle(&mut self, is_kept: impl Fn(&IdleConnection) -> bool) {
+        let (kept, closed) = std::mem::take(&mut self.idle).into_iter().partition(is_kept);
+        self.idle = kept;
+        let closed: Vec<IdleConnection> = closed;
+        for idle in &closed {
+            self.count_closed(idle.connection.path.is_borrowed());
+        }
+    }
+}
+
+/// A connection of this node that a peer uses, until it is dropped.
+#[derive(Debug)]
+pub struct LentConnection(Rc<RefCell<PoolState>>);
+
+impl Drop for LentConnection {
+    fn drop(&mut self) {
+        self.0.borrow_mut().lent_count -= 1;
+    }
+}
+
 /// The connections to one upstream.
 #[derive(Debug, Clone)]
 pub struct ConnectionPool {
@@ -175,21 +226,29 @@
     /// Closes idle connections that have expired or that the upstream has closed.
     pub fn expire(&self) {
         let now = self.now();
-        let mut state = self.state.borrow_mut();
-        let before = state.idle.len();
-        state.idle.retain(|idle| {
+        self.state.borrow_mut().retain_idle(|idle| {
             idle.expires_at > now
                 && !idle.connection.sender.is_closed()
                 && self.connector.is_usable(self.address, idle.connection.path)
         });
-        state.open_count -= before - state.idle.len();
+    }
+
+    /// Counts a connection of a peer as one of at most `open_max` of this node, in place of an idle
+    /// one if need be; `None` if none is left.
+    pub fn lend(&self, open_max: usize) -> Option<LentConnection> {
+        self.expire();
+        let mut state = self.state.borrow_mut();
+        if state.own_count() >= open_max {
+            state.close_own_idle()?;
+        }
+        state.lent_count += 1;
+        Some(LentConnection(self.state.clone()))
     }
 
     /// Closes all idle connections. Called after one has failed: others may be dead as well without
     /// any sign, which only the next request on them would reveal.
     pub fn close_idle(&self) {
-        let idle = std::mem::take(&mut self.state.borrow_mut().idle);
-        self.state.borrow_mut().open_count -= idle.len();
+        self.state.borrow_mut().retain_idle(|_| false);
     }
 
     /// Closes all connections, including those in use: pending exchanges fail at once.
@@ -200,8 +259,8 @@
         }
     }
 
-    /// Sends a request and waits for the head of its response. Opens a new connection only if fewer
-    /// than `open_max` are open.
+    /// Sends a request and waits for the head of its response. Opens a new connection if fewer than
+    /// `open_max` count as this node's, or else borrows one of a peer.
     ///
     /// # Errors
     /// Returns a [`SendFailure`] if no response arrived. [`SendFailure::NotSent`] guarantees that
@@ -236,10 +295,7 @@
                 Err(ExchangeError::Broken(loss)) => return Err(SendFailure::Broken(loss)),
             }
         }
-        if self.open_count() >= open_max.max(1) {
-            return Err(SendFailure::Ineligible(Ineligible::NoConnection));
-        }
-        let connection = self.connect().await?;
+        let connection = self.connect(open_max.max(1)).await?;
         check().await.map_err(SendFailure::Ineligible)?;
         match self.exchange(connection, request).await {
             Ok(response) => Ok(response),
@@ -254,8 +310,9 @@
         loop {
             self.expire();
             let idle = self.state.borrow_mut().idle.pop()?;
-            let mut active =
-                ActiveConnection { connection: Some(idle.connection), pool: self.clone() };
+            let is_borrowed = idle.connection.path.is_borrowed();
+            let connection = Some(idle.connection);
+            let mut active = ActiveConnection { connection, is_borrowed, pool: self.clone() };
             if timeout(READY_TIMEOUT, active.sender().ready())
                 .await
                 .is_ok_and(|ready| ready.is_ok())
@@ -265,10 +322,18 @@
         }
     }
 
-    async fn connect(&self) -> Result<ActiveConnection, SendFailure> {
-        self.state.borrow_mut().open_count += 1;
-        let mut active = ActiveConnection { connection: None, pool: self.clone() };
-        let Connected { stream, path, tunnel } = self.connector.connect(self.address).await?;
+    async fn connect(&self, open_max: usize) -> Result<ActiveConnection, SendFailure> {
+        let is_borrowed = self.state.borrow().own_count() >= open_max;
+        self.state.borrow_mut().count_opened(is_borrowed);
+        let mut active = ActiveConnection { connection: None, is_borrowed, pool: self.clone() };
+        let connected = match is_borrowed {
+            true => self.connector.borrow(self.address).await.map_err(|failure| match failure {
+                ConnectFailure::NoPath => SendFailure::Ineligible(Ineligible::NoConnection),
+                failure => failure.into(),
+            })?,
+            false => self.connector.connect(self.address).await?,
+        };
+        let Connected { stream, path, tunnel } = connected;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES_MAX)
             .handshake(TokioIo::new(stream))
@@ -315,6 +380,11 @@
     }
 
     fn return_idle(&self, connection: Connection, idle_timeout: Duration) {
+        let is_borrowed = connection.path.is_borrowed();
+        let idle_timeout = match is_borrowed {
+            true => idle_timeout.min(BORROWED_IDLE_TIMEOUT),
+            false => idle_timeout,
+        };
         let expires_at = self.now() + idle_timeout;
         let mut state = self.state.borrow_mut();
         if state.idle.len() >= IDLE_CONNECTIONS_MAX
@@ -322,7 +392,7 @@
             || !self.connector.is_usable(self.address, connection.path)
             || idle_timeout.is_zero()
         {
-            state.open_count -= 1;
+            state.count_closed(is_borrowed);
             return;
         }
         state.idle.push(IdleConnection { connection, expires_at });
@@ -348,6 +418,7 @@
 #[derive(Debug)]
 struct ActiveConnection {
     connection: Option<Connection>,
+    is_borrowed: bool,
     pool: ConnectionPool,
 }
 
@@ -367,7 +438,7 @@
     fn return_to_pool(mut self, idle_timeout: Duration) {
         if let Some(connection) = self.connection.take() {
             self.pool.return_idle(connection, idle_timeout);
-            self.pool.state.borrow_mut().open_count += 1;
+            self.pool.state.borrow_mut().count_opened(self.is_borrowed);
         }
         // Compensates for the decrement when `self` is dropped.
     }
@@ -375,7 +446,7 @@
 
 impl Drop for ActiveConnection {
     fn drop(&mut self) {
-        self.pool.state.borrow_mut().open_count -= 1;
+        self.pool.state.borrow_mut().count_closed(self.is_borrowed);
     }
 }
 
--- a/crates/fernring-gateway/src/connector/mod.rs
+++ b/crates/fernring-gateway/src/connector/mod.rs
@@ -43,6 +43,11 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Relays that are tried for one connection.
 const RELAYS_TRIED_MAX: usize = 3;
+/// Peers that are asked to lend one connection. Most peers have one left while a single node has
+/// most of the callers.
+const LENDERS_ASKED_MAX: usize = 4;
+/// How long a peer isn't asked again that had no connection to an upstream left.
+const FAILED_LENDER_TIME: Duration = Duration::from_millis(100);
 /// How long a relay isn't tried again that opened no tunnel to an upstream.
 const FAILED_RELAY_TIME: Duration = Duration::from_secs(1);
 
@@ -53,6 +58,8 @@
     Direct,
     /// Through the peer with this address.
     Tunnel(SocketAddr),
+    /// Through the peer with this address, as one of the connections that it may open.
+    Borrowed(SocketAddr),
 }
 
 impl Path {
@@ -61,8 +68,14 @@
         match self {
             Self::Direct => "direct",
             Self::Tunnel(_) => "tunnel",
+            Self::Borrowed(_) => "borrowed",
         }
     }
+
+    /// Returns whether the connection counts as one of a peer's.
+    pub fn is_borrowed(self) -> bool {
+        matches!(self, Self::Borrowed(_))
+    }
 }
 
 /// Counts a tunnel as open until it is dropped.
@@ -127,6 +140,14 @@
     /// Returns the reason if no connection could be opened within [`CONNECT_TIMEOUT`].
     async fn connect(&self, address: SocketAddr) -> Result<Connected, ConnectFailure>;
 
+    /// Opens a connection through a peer, as one of those that the peer may open.
+    ///
+    /// # Errors
+    /// Returns the reason if no peer has one left.
+    async fn borrow(&self, _address: SocketAddr) -> Result<Connected, ConnectFailure> {
+        Err(ConnectFailure::NoPath)
+    }
+
     /// Returns whether idle connections to an address on a path may be used.
     fn is_usable(&self, _address: SocketAddr, _path: Path) -> bool {
         true
@@ -163,7 +184,7 @@
     /// Returns whether open tunnels through a peer may be used for further requests.
     fn is_usable(&self, relay: SocketAddr) -> bool;
 
-    /// Opens a tunnel.
+    /// Opens a tunnel, as one of the relay's connections if `is_borrowed`.
     ///
     /// # Errors
     /// Returns the reason if the tunnel can't be opened.
@@ -171,6 +192,7 @@
         &self,
         relay: SocketAddr,
         upstream: SocketAddr,
+        is_borrowed: bool,
     ) -> Result<TunnelStream, TunnelFailure>;
 }
 
@@ -182,6 +204,8 @@
     open_tunnels: Rc<RefCell<HashMap<SocketAddr, usize>>>,
     /// Relays that opened no tunnel to an upstream, and until when they aren't tried again.
     failed_relays: RefCell<HashMap<(SocketAddr, SocketAddr), Duration>>,
+    /// Peers that lent no connection to an upstream, and until when they aren't asked again.
+    failed_lenders: RefCell<HashMap<(SocketAddr, SocketAddr), Duration>>,
 }
 
 impl Debug for Connector {
@@ -198,6 +222,7 @@
             tunnels: RefCell::default(),
             open_tunnels: Rc::default(),
             failed_relays: RefCell::default(),
+            failed_lenders: RefCell::default(),
         }
     }
 
@@ -210,7 +235,9 @@
     pub(crate) fn expire(&self) {
         self.own_path.expire();
         let now = self.own_path.now();
-        self.failed_relays.borrow_mut().retain(|_, until| now < *until);
+        for failed in [&self.failed_relays, &self.failed_lenders] {
+            failed.borrow_mut().retain(|_, until| now < *until);
+        }
     }
 
     /// Sets the transport of tunnels. Without it, all connections are direct.
@@ -218,20 +245,25 @@
         *self.tunnels.borrow_mut() = Some(tunnels);
     }
 
+    /// Lists the peers that may open a tunnel to an upstream, the best ones first, without those
+    /// that failed.
     fn ranked_relays(
         &self,
         transport: &dyn TunnelTransport,
         upstream: SocketAddr,
-    ) -> impl Iterator<Item = SocketAddr> {
+        failed: &HashMap<(SocketAddr, SocketAddr), Duration>,
+    ) -> Vec<SocketAddr> {
         let open_tunnels = self.open_tunnels.borrow();
-        let failed = self.failed_relays.borrow();
+        let now = self.own_path.now();
         let drawn = |relay: Relay| {
             let open_tunnels = open_tunnels.get(&relay.address).copied().unwrap_or(0);
             (Relay { open_tunnels, ..relay }, rand::random())
         };
         let mut relays = transport.relays(upstream);
-        relays.retain(|relay| !failed.contains_key(&(relay.address, upstream)));
-        rank(relays.into_iter().map(drawn).collect()).into_iter().take(RELAYS_TRIED_MAX)
+        relays.retain(|relay| {
+            failed.get(&(relay.address, upstream)).is_none_or(|until| now >= *until)
+        });
+        rank(relays.into_iter().map(drawn).collect())
     }
 
     /// Opens a tunnel to an upstream through one of the best relays.
@@ -239,8 +271,9 @@
         let transport = self.tunnels.borrow().clone();
         let transport = transport.ok_or(TunnelFailure::Unavailable)?;
         let mut failure = TunnelFailure::Unavailable;
-        for relay in self.ranked_relays(&*transport, address) {
-            let opened = timeout(RELAY_TIMEOUT, transport.open(relay, address)).await;
+        let relays = self.ranked_relays(&*transport, address, &self.failed_relays.borrow());
+        for relay in relays.into_iter().take(RELAYS_TRIED_MAX) {
+            let opened = timeout(RELAY_TIMEOUT, transport.open(relay, address, false)).await;
             let opened = opened.unwrap_or_else(|_| Err(timed_out()));
             telemetry::record_tunnel("client", if opened.is_ok() { "open" } else { "failed" });
             let line = LogLine::event("tunnel_opened").with("address", address);
@@ -333,6 +366,29 @@
         }
     }
 
+    async fn borrow(&self, address: SocketAddr) -> Result<Connected, ConnectFailure> {
+        let transport = self.tunnels.borrow().clone().ok_or(ConnectFailure::NoPath)?;
+        let relays = self.ranked_relays(&*transport, address, &self.failed_lenders.borrow());
+        for relay in relays.into_iter().take(LENDERS_ASKED_MAX) {
+            let opened = timeout(RELAY_TIMEOUT, transport.open(relay, address, true)).await;
+            let opened = opened.unwrap_or_else(|_| Err(timed_out()));
+            telemetry::record_tunnel("borrower", if opened.is_ok() { "open" } else { "failed" });
+            match opened {
+                Ok(stream) => {
+                    let tunnel = Some(TunnelGuard::new(&self.open_tunnels, relay));
+                    let (stream, path) = (Box::new(stream), Path::Borrowed(relay));
+                    return Ok(Connected { stream, path, tunnel });
+                }
+                Err(TunnelFailure::Upstream(failure)) => return Err(failure),
+                Err(TunnelFailure::Unavailable | TunnelFailure::NoReply(_)) => {
+                    let until = self.own_path.now() + FAILED_LENDER_TIME;
+                    self.failed_lenders.borrow_mut().insert((relay, address), until);
+                }
+            }
+        }
+        Err(ConnectFailure::NoPath)
+    }
+
     fn is_usable(&self, address: SocketAddr, path: Path) -> bool {
         let is_unreached = self.own_path.reachability().is_unreached(address);
         match path {
@@ -341,6 +397,10 @@
                 let tunnels = self.tunnels.borrow();
                 is_unreached && tunnels.as_ref().is_some_and(|transport| transport.is_usable(relay))
             }
+            Path::Borrowed(relay) => {
+                let tunnels = self.tunnels.borrow();
+                tunnels.as_ref().is_some_and(|transport| transport.is_usable(relay))
+            }
         }
     }
 
--- a/crates/fernring-gateway/src/decide/eligibility.rs
+++ b/crates/fernring-gateway/src/decide/eligibility.rs
@@ -29,7 +29,7 @@
     /// It announces a limit, and the permits of all nodes are used up: see [`crate::limits`].
     #[error("the upstream takes no more now")]
     Limited,
-    /// This node may open no further connection to it.
+    /// This node may open no further connection to it, and no peer lends one.
     #[error("no connection to the upstream is left")]
     NoConnection,
     /// Neither this node nor a peer reaches any upstream: see [`crate::reachability`].
--- a/crates/fernring-gateway/src/node/tunnels.rs
+++ b/crates/fernring-gateway/src/node/tunnels.rs
@@ -64,7 +64,8 @@
         &self,
         relay: SocketAddr,
         upstream: SocketAddr,
+        is_borrowed: bool,
     ) -> Result<TunnelStream, TunnelFailure> {
-        open(self.peers.address(), relay, upstream).await
+        open(self.peers.address(), relay, upstream, is_borrowed).await
     }
 }
--- a/crates/fernring-gateway/src/tunnels.rs
+++ b/crates/fernring-gateway/src/tunnels.rs
@@ -8,6 +8,7 @@
 
 use {
     crate::{
+        connections::LentConnection,
         connector::{
             dial::{ConnectFailure, connect},
             own_path::OwnPath,
@@ -85,7 +86,8 @@
     }
 }
 
-/// Opens a tunnel to an upstream through a peer. `sender` is this node's own address.
+/// Opens a tunnel to an upstream through a peer, as one of the peer's connections if `is_borrowed`.
+/// `sender` is this node's own address.
 ///
 /// # Errors
 /// Returns the reason if the tunnel can't be opened.
@@ -93,9 +95,10 @@
     sender: SocketAddr,
     relay: SocketAddr,
     upstream: SocketAddr,
+    is_borrowed: bool,
 ) -> Result<TunnelStream, TunnelFailure> {
     let mut framed = Framed::new(connect(relay).await?, codec());
-    let request = TunnelRequest { address: upstream.to_string(), reads_frames: true };
+    let request = TunnelRequest { address: upstream.to_string(), reads_frames: true, is_borrowed };
     send(&mut framed, sender, GatewayBody::TunnelRequest(request)).await?;
     let Some(reply) = framed.next().await else {
         return Err(TunnelFailure::NoReply("connection closed".to_owned()));
@@ -106,6 +109,9 @@
         return Err(TunnelFailure::NoReply("unexpected message".to_owned()));
     };
     match response.result() {
+        TunnelResult::Open if is_borrowed && !response.is_lent => {
+            return Err(TunnelFailure::Unavailable);
+        }
         TunnelResult::Open => {}
         TunnelResult::Unavailable => return Err(TunnelFailure::Unavailable),
         TunnelResult::Refused => return Err(TunnelFailure::Upstream(ConnectFailure::Refused)),
@@ -189,7 +195,11 @@
     /// Serves the tunnel that a peer requests on a connection, until either side closes it.
     pub async fn serve(&self, own: SocketAddr, request: TunnelRequest, mut framed: FramedLink) {
         let _open = OpenTunnel::new(&self.open_count);
-        let dialed = self.dial(&request).await;
+        let lent = request.is_borrowed.then(|| self.lend(&request)).flatten();
+        let dialed = match request.is_borrowed && lent.is_none() {
+            true => Err(TunnelResult::Unavailable),
+            false => self.dial(&request).await,
+        };
         let result = match &dialed {
             Ok(_) => TunnelResult::Open,
             Err(result) => *result,
@@ -197,9 +207,11 @@
         telemetry::record_tunnel("relay", result.name());
         let line = LogLine::event("tunnel_relayed").with("address", &request.address);
         let line = line.with("result", result.name());
+        let line = line.with("is_borrowed", request.is_borrowed);
         log::info(line.with("open", self.open_count()));
         let sends_frames = request.reads_frames;
-        let response = TunnelResponse { result: result.into(), sends_frames };
+        let response =
+            TunnelResponse { result: result.into(), sends_frames, is_lent: lent.is_some() };
         let sent = send(&mut framed, own, GatewayBody::TunnelResponse(response)).await;
         if let (Ok(()), Ok(upstream)) = (sent, dialed)
             && let Err(error) = forward(framed, upstream, sends_frames).await
@@ -209,6 +221,11 @@
         }
     }
 
+    /// Counts a tunnel as one of this node's connections to its upstream, if one is left.
+    fn lend(&self, request: &TunnelRequest) -> Option<LentConnection> {
+        self.upstreams.lend_connection(request.address.parse().ok()?)
+    }
+
     async fn dial(&self, request: &TunnelRequest) -> Result<TcpStream, TunnelResult> {
         let address = request.address.parse().map_err(|_| TunnelResult::Unavailable)?;
         let is_registered = self.upstreams.directory().at_address(address).next().is_some();
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -27,7 +27,9 @@
     crate::{
         cold::PeakNodeCount,
         config::ConfigState,
-        connections::{ConnectionPool, ResponseBody, SendFailure, UpstreamResponse},
+        connections::{
+            ConnectionPool, LentConnection, ResponseBody, SendFailure, UpstreamResponse,
+        },
         connector::{Connector, Path},
         crash_detection::Incarnation,
         directory::{Change, Directory, Effect, Upstream},
@@ -500,6 +502,17 @@
             as usize
     }
 
+    /// Counts a connection of a peer to an upstream as one of those that this node may open; `None`
+    /// if none is left.
+    pub fn lend_connection(&self, address: SocketAddr) -> Option<LentConnection> {
+        let (key, connections_max) = {
+            let directory = self.directory.borrow();
+            let (key, upstream) = directory.at_address(address).next()?;
+            (key, self.config.borrow().connections_max(&upstream.record.service))
+        };
+        self.pool(&self.target(key)?).ok()?.lend(self.connections_share(connections_max).max(1))
+    }
+
     fn pool(&self, target: &Target) -> Result<ConnectionPool, SendFailure> {
         if self.directory.borrow().get(target.key).is_none() {
             return Err(SendFailure::NotSent("the upstream is gone".to_owned()));
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -153,6 +153,9 @@
     /// Whether the node reads bytes in frames, whose end is marked by an empty one.
     #[prost(bool, tag = "2")]
     pub reads_frames: bool,
+    /// Whether the tunnel counts as one of the connections that the relay may open to the upstream.
+    #[prost(bool, tag = "3")]
+    pub is_borrowed: bool,
 }
 
 /// Reply to a [`TunnelRequest`].
@@ -166,6 +169,10 @@
     /// the upstream are sent without frames.
     #[prost(bool, tag = "2")]
     pub sends_frames: bool,
+    /// Whether the tunnel counts as one of the connections that the relay may open. A relay that
+    /// doesn't know of this opens a tunnel that counts for nobody.
+    #[prost(bool, tag = "3")]
+    pub is_lent: bool,
 }
 
 /// Result of opening a tunnel.
