--- a/crates/fernring-standins/examples/soak/faults.rs
+++ b/crates/fernring-standins/examples/soak/faults.rs
@@ -5,7 +5,7 @@
     crate::{
         ledger::{Ledger, Outcome, RequestKind},
         nodes::Nodes,
-        upstreams::{DEADLY_PREFIX, Upstream, Upstreams},
+        upstreams::{DEADLY_PREFIX, DEADLY_SEPARATOR, Upstream, Upstreams},
     },
     clap::ValueEnum,
     fernring_standins::{
@@ -31,6 +31,9 @@
 const LEAVING_TIME: Duration = Duration::from_secs(3);
 /// Time from the first response that announces that an upstream is leaving until its record says so.
 const RECORD_DELAY: Duration = Duration::from_secs(1);
+/// Crashes after which nodes must know a deadly request, and a deadly part of prompts.
+const REQUEST_CRASHES_MAX: usize = 3;
+const PART_CRASHES_MAX: usize = 5;
 /// Number of times that a deadly request is sent, and the pause between two of them.
 const DEADLY_REQUESTS: usize = 24;
 const DEADLY_PAUSE: Duration = Duration::from_millis(300);
@@ -60,6 +63,8 @@
     Config,
     /// A request that crashes each upstream that runs it is sent repeatedly.
     Deadly,
+    /// Requests that share a deadly part of their prompts; no other fault is injected.
+    DeadlyPart,
     /// A node's settings file is rewritten unchanged, changed and invalid, with a SIGHUP each time.
     Settings,
     /// Upstreams announce limits; no other fault is injected.
@@ -197,7 +202,8 @@
             FaultKind::StoreBusy => self.inject_store_outage(Mode::Busy, time).await,
             FaultKind::StoreSilent => self.inject_store_outage(Mode::Silent, time).await,
             FaultKind::Config => self.change_config(version).await,
-            FaultKind::Deadly => self.send_deadly_requests(draw).await,
+            FaultKind::Deadly => self.send_deadly_requests(draw, false).await,
+            FaultKind::DeadlyPart => self.send_deadly_requests(draw, true).await,
             FaultKind::Settings => {
                 let node = draw as usize % self.nodes.count();
                 self.nodes.rewrite_settings(node).await
@@ -255,18 +261,30 @@
         upstream.crash();
     }
 
-    /// Sends the same deadly request repeatedly under new ids, to various nodes, and replaces the
-    /// upstreams that it crashes.
-    async fn send_deadly_requests(&self, draw: u64) -> anyhow::Result<()> {
+    /// Sends the same deadly request repeatedly under new ids, or requests that share a deadly part
+    /// and are otherwise different, to various nodes, and replaces the upstreams that they crash.
+    async fn send_deadly_requests(&self, draw: u64, share_part: bool) -> anyhow::Result<()> {
         let kinds =
             [RequestKind::Safe, RequestKind::Once, RequestKind::Stream, RequestKind::Resume];
         let kind = kinds[draw as usize % kinds.len()];
-        let body = format!("{DEADLY_PREFIX}-{draw}");
+        let (name, limit) = match share_part {
+            true => (format!("{DEADLY_PREFIX}-part-{draw}"), PART_CRASHES_MAX),
+            false => (format!("{DEADLY_PREFIX}-{draw}"), REQUEST_CRASHES_MAX),
+        };
+        self.ledger.limit_crashes(&name, limit);
         for number in 0..DEADLY_REQUESTS {
-            let id = format!("{body}-{number}");
+            let id = format!("{name}-{number}");
+            let (headers, body) = match share_part {
+                true => {
+                    let part = format!("{:x}", draw | 1 << 60);
+                    let prompt = format!("Prompt-Prefix: a:90,{part}:10,{number:x}:5\r\n");
+                    (prompt, format!("{name}{DEADLY_SEPARATOR}{number}"))
+                }
+                false => (String::new(), name.clone()),
+            };
             let node = (draw as usize / 7 + number * 5) % self.nodes.count();
             self.ledger.record_deadly_request(&id, kind, node);
-            tokio::spawn(self.clone().send_deadly_request(id, kind, node, body.clone()));
+            tokio::spawn(self.clone().send_deadly_request(id, kind, node, headers, body));
             sleep(DEADLY_PAUSE).await;
             for crashed in self.upstreams.take_crashed() {
                 self.upstreams.replace(&crashed).await?;
@@ -280,10 +298,17 @@
         Ok(())
     }
 
-    async fn send_deadly_request(self, id: String, kind: RequestKind, node: usize, body: String) {
+    async fn send_deadly_request(
+        self,
+        id: String,
+        kind: RequestKind,
+        node: usize,
+        headers: String,
+        body: String,
+    ) {
         let request = format!(
             "POST /{}/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Remaining: 4000\r\n\
-             Authorization: Bearer secret\r\nContent-Length: {}\r\n\r\n{body}",
+             Authorization: Bearer secret\r\n{headers}Content-Length: {}\r\n\r\n{body}",
             kind.name(),
             body.len()
         );
--- a/crates/fernring-standins/examples/soak/ledger.rs
+++ b/crates/fernring-standins/examples/soak/ledger.rs
@@ -204,8 +204,10 @@
     violations: Vec<String>,
     faults: BTreeMap<String, u32>,
     /// When upstreams crashed while running a deadly request, and the node that the request was
-    /// sent to, by body of the request.
+    /// sent to, by the name of what is deadly.
     crashes: BTreeMap<String, Vec<(Instant, usize)>>,
+    /// Number of crashes after which nodes must know what is deadly, by its name.
+    crash_limits: HashMap<String, usize>,
     /// Ordered roll-outs, oldest first.
     ordered: Vec<RolloutOrder>,
     /// Versions of the upstreams of the service that is rolled out, by instance.
@@ -263,11 +265,16 @@
         self.lock().requests.insert(id.to_owned(), record);
     }
 
+    /// Sets the number of crashes after which nodes must know what is deadly.
+    pub(crate) fn limit_crashes(&self, name: &str, limit: usize) {
+        self.lock().crash_limits.insert(name.to_owned(), limit);
+    }
+
     /// Records that an upstream crashes because it began to run a deadly request.
-    pub(crate) fn record_crash(&self, body: &str, id: &str) {
+    pub(crate) fn record_crash(&self, name: &str, id: &str) {
         let mut inner = self.lock();
         if let Some(node) = inner.requests.get(id).and_then(|record| record.deadly_node) {
-            inner.crashes.entry(body.to_owned()).or_default().push((Instant::now(), node));
+            inner.crashes.entry(name.to_owned()).or_default().push((Instant::now(), node));
         }
     }
 
@@ -402,14 +409,15 @@
     pub(crate) fn check(&self, was_undisturbed: impl Fn(usize, Instant) -> bool) -> Report {
         let inner = self.lock();
         let mut violations = inner.violations.clone();
-        for (body, crashes) in &inner.crashes {
-            let Some((third_at, _)) = crashes.get(2) else { continue };
+        for (name, crashes) in &inner.crashes {
+            let limit = inner.crash_limits[name];
+            let Some((last_at, _)) = crashes.get(limit - 1) else { continue };
             let late = crashes.iter().filter(|(at, node)| {
-                *at > *third_at + CRASH_KNOWN_WITHIN
+                *at > *last_at + CRASH_KNOWN_WITHIN
                     && was_undisturbed(*node, *at - CRASH_KNOWN_WITHIN)
             });
             if late.count() > LATE_CRASHES_MAX {
-                violations.push(format!("{body} ended {} upstreams", crashes.len()));
+                violations.push(format!("{name} ended {} upstreams", crashes.len()));
             }
         }
         let named =
--- a/crates/fernring-standins/examples/soak/upstreams.rs
+++ b/crates/fernring-standins/examples/soak/upstreams.rs
@@ -50,6 +50,8 @@
 
 /// Prefix of the body of a deadly request, which crashes each upstream that begins to run it.
 pub(crate) const DEADLY_PREFIX: &str = "deadly";
+/// Ends what the bodies of different requests with the same deadly part have in common.
+pub(crate) const DEADLY_SEPARATOR: char = '/';
 
 /// Returns the complete body of a plain response.
 pub(crate) fn plain_body(id: &str) -> String {
@@ -346,7 +348,8 @@
         self.ledger.record_run(&id, request.path(), &self.instance);
         let body = String::from_utf8_lossy(&request.body);
         if body.starts_with(DEADLY_PREFIX) {
-            self.ledger.record_crash(&body, &id);
+            let name = body.split(DEADLY_SEPARATOR).next().unwrap_or_default();
+            self.ledger.record_crash(name, &id);
             self.crash();
             return false;
         }
--- a/crates/fernring-standins/tests/testsuite/soak.rs
+++ b/crates/fernring-standins/tests/testsuite/soak.rs
@@ -25,6 +25,13 @@
     run_soak(303, 15, 60, &["--only", "deadly"]);
 }
 
+/// Requests that are different but for a deadly part of their prompts, sometimes several such parts
+/// at once, beside sound requests with the part before it.
+#[test]
+fn only_requests_with_deadly_parts_are_refused() {
+    run_soak(307, 15, 60, &["--only", "deadly-part"]);
+}
+
 /// Upstreams of plain requests, streams and pieces announce limits, one after the other and several
 /// at once.
 #[test]
