Crashes explained by a part count for no whole request

A popular request, not yet answered, was in flight at three crashes; the parts that had caused them were quarantined 1.5 s later, at their fourth or fifth crash.

A request whose crashes may turn out to be those of a shared part waits 2 s for that decision, less than nodes have to know a crashing request; a crash that a part explains is taken off all whole requests, quarantined ones too.

--- a/crates/fernring-gateway/src/crash_attribution/mod.rs
+++ b/crates/fernring-gateway/src/crash_attribution/mod.rs
@@ -163,7 +163,9 @@
 
     /// Returns whether a request is quarantined as a whole.
     pub fn is_whole_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.decide_settings.get().turn_away && self.quarantine.borrow().is_quarantined(fingerprint)
+        self.decide_settings.get().turn_away
+            && self.quarantine.borrow().is_quarantined(fingerprint)
+            && !self.may_be_explained(fingerprint)
     }
 
     /// Returns whether an upstream has crashed under a request since its last complete answer.
--- a/crates/fernring-gateway/src/crash_attribution/parts.rs
+++ b/crates/fernring-gateway/src/crash_attribution/parts.rs
@@ -20,6 +20,9 @@
 /// address, and the record of a process that has already restarted there.
 const END_EVIDENCE_TIME: Duration = Duration::from_secs(1);
 
+/// How long after the last crash under a whole request it is decided whether a part is the cause.
+const PART_DECISION_TIME: Duration = Duration::from_secs(2);
+
 impl CrashAttribution {
     /// Returns whether upstreams have crashed under several requests that share a part with this
     /// one, so that it should not be sent a second time.
@@ -60,6 +63,18 @@
         });
     }
 
+    /// Returns whether the crashes under a request may turn out to be those of a part that it
+    /// doesn't have, which needs more of them to be quarantined.
+    pub(super) fn may_be_explained(&self, fingerprint: Fingerprint) -> bool {
+        let quarantine = self.quarantine.borrow();
+        let is_recent = quarantine
+            .last_at(fingerprint)
+            .is_some_and(|last_at| self.now() < last_at + PART_DECISION_TIME);
+        let part_quarantine = self.part_quarantine.borrow();
+        let mut crashes = quarantine.crashes_of(fingerprint).into_iter();
+        is_recent && crashes.any(|incarnation| part_quarantine.may_explain(&incarnation))
+    }
+
     pub(super) fn attribute_to_parts(&self, record: &PartCrashRecord) -> bool {
         let change = self.part_quarantine.borrow_mut().record_crash(self.now(), record);
         self.handle_part_change(&change);
@@ -67,6 +82,9 @@
     }
 
     fn handle_part_change(&self, change: &PartQuarantineChange) {
+        for (incarnation, at) in &change.newly_explained {
+            self.quarantine.borrow_mut().record_explained(incarnation, *at);
+        }
         let quarantine = self.part_quarantine.borrow();
         for part in &change.newly_quarantined {
             let crashes = quarantine.crashes_of(part);
--- a/crates/fernring-gateway/src/decide/part_quarantine.rs
+++ b/crates/fernring-gateway/src/decide/part_quarantine.rs
@@ -65,9 +65,9 @@
 /// Share of the crashes of its time that a part with fewer than [`CRASHES_MAX`] must explain. Of
 /// upstreams that crash by themselves, a rare part is in flight at few.
 const EXPLAINED_SHARE_MIN: f64 = 1.0 / 3.0;
-/// Number of different requests in flight at crashes, from which on requests with the part aren't
-/// sent a second time.
-const RETRY_REQUESTS_MAX: usize = 2;
+/// Number of different requests in flight at crashes, from which on their part is taken for a
+/// possible cause: requests with it aren't sent a second time.
+const SUSPECT_REQUESTS_MIN: usize = 2;
 /// Crashes within this time of each other count once.
 const COINCIDENCE_TIME: Duration = Duration::from_millis(150);
 /// How long after an answer crashes aren't attributed to its parts.
@@ -109,6 +109,8 @@
     pub is_new: bool,
     /// Parts that are quarantined from now on.
     pub newly_quarantined: Vec<PartKey>,
+    /// Incarnations whose crash is explained by a part from now on, with the time of the crash.
+    pub newly_explained: Vec<(Incarnation, Duration)>,
 }
 
 /// A crash with a part in flight.
@@ -176,6 +178,10 @@
         counts
     }
 
+    fn is_shared_suspect(&self) -> bool {
+        self.counts().requests >= SUSPECT_REQUESTS_MIN
+    }
+
     /// Removes the crashes that an answer covers; returns whether there were any.
     fn clear(&mut self, at: Duration) -> bool {
         if self.cleared_at.is_some_and(|cleared_at| at <= cleared_at) {
@@ -219,11 +225,15 @@
 
     /// Returns whether a request with these parts should not be sent a second time.
     pub fn forbids_retry(&self, parts: &[PartKey]) -> bool {
-        let is_suspect = |part: &PartKey| {
-            let attribution = self.attributions.get(part);
-            attribution.is_some_and(|found| found.counts().requests >= RETRY_REQUESTS_MAX)
-        };
-        parts.iter().any(is_suspect)
+        let mut found = parts.iter().filter_map(|part| self.attributions.get(part));
+        found.any(Attribution::is_shared_suspect)
+    }
+
+    /// Returns whether a part that several requests share may be the cause of a crash.
+    pub fn may_explain(&self, incarnation: &Incarnation) -> bool {
+        self.attributions.values().any(|attribution| {
+            attribution.has_crash(incarnation) && attribution.is_shared_suspect()
+        })
     }
 
     /// Lists the quarantined parts.
@@ -270,6 +280,7 @@
                 attribution.last_at = attribution.last_at.max(*at);
             }
             change.is_new = self.explain(incarnation, *at, &culprit);
+            change.newly_explained = vec![(incarnation.clone(), *at)];
             return change;
         }
         if self.explained.contains_key(incarnation) {
@@ -282,7 +293,7 @@
             }
         }
         if change.is_new {
-            change.newly_quarantined = self.update_quarantine();
+            self.update_quarantine(&mut change);
         }
         self.evict_excess();
         change
@@ -311,9 +322,9 @@
         self.attributions.entry(part.clone()).or_default().attribute(crash)
     }
 
-    /// Quarantines the parts with enough crashes; returns them. Crashes with a certain cause no
-    /// longer count for other parts.
-    fn update_quarantine(&mut self) -> Vec<PartKey> {
+    /// Quarantines the parts with enough crashes. Crashes with a certain cause no longer count for
+    /// other parts.
+    fn update_quarantine(&mut self, change: &mut PartQuarantineChange) {
         let is_due = |(_, attribution): &(&PartKey, &Attribution)| {
             !attribution.is_quarantined && self.is_due(attribution)
         };
@@ -330,11 +341,14 @@
             .cloned()
             .collect();
         for part in &certain {
-            for crash in self.crashes_of(part).to_vec() {
-                self.explain(&crash.incarnation, crash.at, part);
+            for PartCrash { incarnation, at, .. } in self.crashes_of(part).to_vec() {
+                if self.explain(&incarnation, at, part) {
+                    change.newly_explained.push((incarnation, at));
+                }
             }
         }
-        due.into_iter().filter(|part| self.is_quarantined(part)).collect()
+        change.newly_quarantined =
+            due.into_iter().filter(|part| self.is_quarantined(part)).collect();
     }
 
     fn is_due(&self, attribution: &Attribution) -> bool {
@@ -383,9 +397,12 @@
             return PartQuarantineChange::default();
         };
         let is_new = attribution.clear(at);
-        // Without this part, the cause of its crashes may be certain.
-        let newly_quarantined = if is_new { self.update_quarantine() } else { Vec::new() };
-        PartQuarantineChange { is_new, newly_quarantined }
+        let mut change = PartQuarantineChange { is_new, ..PartQuarantineChange::default() };
+        if is_new {
+            // Without this part, the cause of its crashes may be certain.
+            self.update_quarantine(&mut change);
+        }
+        change
     }
 
     /// Records a peer's report of an answer.
--- a/crates/fernring-gateway/src/decide/quarantine.rs
+++ b/crates/fernring-gateway/src/decide/quarantine.rs
@@ -184,6 +184,11 @@
             && others.any(|(_, other)| shares_crashes(other))
     }
 
+    /// Returns the time of the last crash or complete answer of a suspect request.
+    pub fn last_at(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        self.attributions.get(&fingerprint).map(Attribution::last_at)
+    }
+
     /// Lists the incarnations that crashed under a request.
     pub fn crashes_of(&self, fingerprint: Fingerprint) -> Vec<Incarnation> {
         let crashes = self
@@ -270,6 +275,15 @@
         true
     }
 
+    /// Records that a crash is explained by something else than a whole request: it no longer counts
+    /// for any of them.
+    pub fn record_explained(&mut self, incarnation: &Incarnation, at: Duration) {
+        self.explained.insert(incarnation.clone(), at);
+        for attribution in self.attributions.values_mut() {
+            attribution.crashes.retain(|(_, known_incarnation)| known_incarnation != incarnation);
+        }
+    }
+
     /// Records a complete answer to a request; returns whether it removed any crash.
     pub fn record_answer(&mut self, fingerprint: Fingerprint, at: Duration) -> bool {
         self.answers.insert(fingerprint, at);
--- a/crates/fernring-gateway/tests/testsuite/quarantine.rs
+++ b/crates/fernring-gateway/tests/testsuite/quarantine.rs
@@ -47,6 +47,18 @@
     );
 }
 
+/// Something that several requests share may be the cause of crashes under a request that is always in flight.
+#[test]
+fn explained_crash_no_longer_counts_for_a_quarantined_request() {
+    let mut quarantine = Quarantine::default();
+    (1..=3).for_each(|number| drop(crash(&mut quarantine, number, &[7])));
+    assert!(quarantine.is_quarantined(fingerprint(7)));
+    quarantine.record_explained(&incarnation(2), seconds(2));
+    assert!(!quarantine.is_quarantined(fingerprint(7)));
+    assert!(crash(&mut quarantine, 2, &[7]).is_empty(), "it was explained");
+    assert_eq!(crash(&mut quarantine, 4, &[7]), [fingerprint(7)]);
+}
+
 #[test]
 fn same_incarnation_counts_once() {
     let mut quarantine = Quarantine::default();
