--- a/crates/fernring-gateway/src/connector/mod.rs
+++ b/crates/fernring-gateway/src/connector/mod.rs
@@ -47,7 +47,7 @@
 /// most of the callers.
 const LENDERS_ASKED_MAX: usize = 4;
 /// How long a peer isn't asked again that had no connection to an upstream left.
-const FAILED_LENDER_TIME: Duration = Duration::from_millis(100);
+const FULL_LENDER_TIME: Duration = Duration::from_millis(100);
 /// How long a relay isn't tried again that opened no tunnel to an upstream.
 const FAILED_RELAY_TIME: Duration = Duration::from_secs(1);
 
@@ -305,6 +305,42 @@
         }
     }
 
+    /// Borrows a connection to an upstream from one of the peers with the fewest tunnels.
+    async fn borrow_from_any(&self, address: SocketAddr) -> Result<Connected, ConnectFailure> {
+        let transport = self.tunnels.borrow().clone().ok_or(ConnectFailure::NoPath)?;
+        let lenders = self.ranked_relays(&*transport, address, &self.failed_lenders.borrow());
+        for lender in lenders.into_iter().take(LENDERS_ASKED_MAX) {
+            // Counts as failed if the lender doesn't reply before this node gives up.
+            self.record_failed_lender(lender, address, FAILED_RELAY_TIME);
+            let opened = transport.open(lender, address, true).await;
+            telemetry::record_tunnel("borrower", if opened.is_ok() { "open" } else { "failed" });
+            match opened {
+                Ok(stream) => {
+                    self.failed_lenders.borrow_mut().remove(&(lender, address));
+                    let tunnel = Some(TunnelGuard::new(&self.open_tunnels, lender));
+                    let (stream, path) = (Box::new(stream), Path::Borrowed(lender));
+                    return Ok(Connected { stream, path, tunnel });
+                }
+                Err(TunnelFailure::Upstream(failure)) => return Err(failure),
+                Err(TunnelFailure::Unavailable) => {
+                    self.record_failed_lender(lender, address, FULL_LENDER_TIME);
+                }
+                Err(TunnelFailure::NoReply(_)) => {}
+            }
+        }
+        Err(ConnectFailure::NoPath)
+    }
+
+    fn record_failed_lender(&self, lender: SocketAddr, upstream: SocketAddr, time: Duration) {
+        let until = self.own_path.now() + time;
+        self.failed_lenders.borrow_mut().insert((lender, upstream), until);
+    }
+
+    fn is_relay_usable(&self, relay: SocketAddr) -> bool {
+        let transport = self.tunnels.borrow();
+        transport.as_ref().is_some_and(|transport| transport.is_usable(relay))
+    }
+
     /// Returns the number of open tunnels.
     pub fn open_tunnel_count(&self) -> usize {
         self.open_tunnels.borrow().values().sum()
@@ -367,40 +403,16 @@
     }
 
     async fn borrow(&self, address: SocketAddr) -> Result<Connected, ConnectFailure> {
-        let transport = self.tunnels.borrow().clone().ok_or(ConnectFailure::NoPath)?;
-        let relays = self.ranked_relays(&*transport, address, &self.failed_lenders.borrow());
-        for relay in relays.into_iter().take(LENDERS_ASKED_MAX) {
-            let opened = timeout(RELAY_TIMEOUT, transport.open(relay, address, true)).await;
-            let opened = opened.unwrap_or_else(|_| Err(timed_out()));
-            telemetry::record_tunnel("borrower", if opened.is_ok() { "open" } else { "failed" });
-            match opened {
-                Ok(stream) => {
-                    let tunnel = Some(TunnelGuard::new(&self.open_tunnels, relay));
-                    let (stream, path) = (Box::new(stream), Path::Borrowed(relay));
-                    return Ok(Connected { stream, path, tunnel });
-                }
-                Err(TunnelFailure::Upstream(failure)) => return Err(failure),
-                Err(TunnelFailure::Unavailable | TunnelFailure::NoReply(_)) => {
-                    let until = self.own_path.now() + FAILED_LENDER_TIME;
-                    self.failed_lenders.borrow_mut().insert((relay, address), until);
-                }
-            }
-        }
-        Err(ConnectFailure::NoPath)
+        let borrowed = timeout(RELAY_TIMEOUT, self.borrow_from_any(address)).await;
+        borrowed.unwrap_or(Err(ConnectFailure::NoPath))
     }
 
     fn is_usable(&self, address: SocketAddr, path: Path) -> bool {
         let is_unreached = self.own_path.reachability().is_unreached(address);
         match path {
             Path::Direct => !is_unreached,
-            Path::Tunnel(relay) => {
-                let tunnels = self.tunnels.borrow();
-                is_unreached && tunnels.as_ref().is_some_and(|transport| transport.is_usable(relay))
-            }
-            Path::Borrowed(relay) => {
-                let tunnels = self.tunnels.borrow();
-                tunnels.as_ref().is_some_and(|transport| transport.is_usable(relay))
-            }
+            Path::Tunnel(relay) => is_unreached && self.is_relay_usable(relay),
+            Path::Borrowed(relay) => self.is_relay_usable(relay),
         }
     }
 
