A repeated request's crash hides no other request's

Cause: crashes within 150 ms count once, and only the request of the first of them counted. Where requests are sent twice, the first is often a repeat of one that had counted, so that four different requests took eight crashes and more.

--- a/crates/fernring-gateway/src/decide/part_quarantine.rs
+++ b/crates/fernring-gateway/src/decide/part_quarantine.rs
@@ -166,18 +166,27 @@
 
     fn counts(&self) -> Counts {
         let mut counts = Counts { crashes: 0, requests: 0 };
-        let (mut counted_at, mut requests) = (None, HashSet::new());
-        for crash in &self.crashes {
-            if counted_at.is_some_and(|counted_at| crash.at < counted_at + COINCIDENCE_TIME) {
-                continue;
-            }
-            counted_at = Some(crash.at);
+        let mut counted_requests = HashSet::new();
+        let mut crashes = &self.crashes[..];
+        while let Some(first) = crashes.first() {
+            let end = crashes.partition_point(|crash| crash.at < first.at + COINCIDENCE_TIME);
+            let (coincident, later) = crashes.split_at(end);
             counts.crashes += 1;
-            counts.requests += usize::from(requests.insert(crash.request));
+            // The other requests may count for a later crash.
+            let uncounted =
+                coincident.iter().filter(|crash| !counted_requests.contains(&crash.request));
+            let first_gone = uncounted.min_by_key(|crash| self.last_crash_of(crash.request));
+            counted_requests.extend(first_gone.map(|crash| crash.request));
+            crashes = later;
         }
+        counts.requests = counted_requests.len();
         counts
     }
 
+    fn last_crash_of(&self, request: Fingerprint) -> Option<Duration> {
+        self.crashes.iter().rfind(|crash| crash.request == request).map(|crash| crash.at)
+    }
+
     fn is_shared_suspect(&self) -> bool {
         self.counts().requests >= SUSPECT_REQUESTS_MIN
     }
--- a/crates/fernring-gateway/tests/testsuite/part_quarantine.rs
+++ b/crates/fernring-gateway/tests/testsuite/part_quarantine.rs
@@ -109,6 +109,18 @@
     assert!(!refuses(&quarantine, &[1]));
 }
 
+/// A request that is sent again crashes a second upstream, at the moment at which another request crashes one.
+#[test]
+fn crash_of_a_repeat_hides_no_other_request() {
+    let mut quarantine = PartQuarantine::default();
+    let crashes = [(150, 1), (270, 2), (300, 1), (390, 3), (420, 2), (510, 4), (540, 3), (660, 4)];
+    for (number, (ms, of)) in crashes.into_iter().enumerate() {
+        let at = at_ms(ms);
+        quarantine.record_crash(at, &record(number, at, &[request(of, &[1])]));
+    }
+    assert!(refuses(&quarantine, &[1]));
+}
+
 /// A failure domain ends with all its upstreams, some of which have requests of the same caller in flight.
 #[test]
 fn crashes_at_the_same_moment_count_once() {
