--- a/crates/fernring-gateway/src/crash_attribution/parts.rs
+++ b/crates/fernring-gateway/src/crash_attribution/parts.rs
@@ -63,8 +63,8 @@
         });
     }
 
-    /// Returns whether the crashes under a request may turn out to be those of a part that it
-    /// doesn't have, which needs more of them to be quarantined.
+    /// Returns whether the crashes under a request may turn out to be those of a part that several
+    /// requests share. A part needs more crashes than a request to be quarantined.
     pub(super) fn may_be_explained(&self, fingerprint: Fingerprint) -> bool {
         let quarantine = self.quarantine.borrow();
         let is_recent = quarantine
