Requests and parts share how long an answer counts and how old ones are dropped

part_quarantine had a copy of the coverage time, of the bound on remembered answers and of the loop that drops the older half. No behaviour changes: beyond 4,096 entries both forms dropped what is older than the median.

--- a/crates/fernring-gateway/src/decide/part_quarantine.rs
+++ b/crates/fernring-gateway/src/decide/part_quarantine.rs
@@ -48,7 +48,7 @@
     crate::{
         crash_detection::Incarnation,
         fingerprint::{Fingerprint, PartKey, RequestTraits},
-        quarantine::ATTRIBUTION_LIFETIME,
+        quarantine::{ANSWER_COVERAGE_TIME, ANSWERS_MAX, ATTRIBUTION_LIFETIME, drop_older_half},
     },
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -70,12 +70,8 @@
 const SUSPECT_REQUESTS_MIN: usize = 2;
 /// Crashes within this time of each other count once.
 const COINCIDENCE_TIME: Duration = Duration::from_millis(150);
-/// How long after an answer crashes aren't attributed to its parts.
-const ANSWER_COVERAGE_TIME: Duration = Duration::from_secs(60);
 /// Most crashes that are kept of one part.
 const KEPT_CRASHES_MAX: usize = 16;
-/// Most answered parts that are remembered; beyond it, the older half is dropped.
-const ANSWERS_MAX: usize = 4_096;
 /// Most parts with attributions. Beyond it, those with the fewest crashes are dropped first, and of
 /// these the oldest.
 const ATTRIBUTIONS_MAX: usize = 4_096;
@@ -514,12 +510,3 @@
 fn importance(attribution: &Attribution) -> (bool, usize, Duration) {
     (attribution.is_quarantined, attribution.crashes.len(), attribution.last_at)
 }
-
-/// Drops the entries that are older than the median.
-fn drop_older_half<K: std::hash::Hash + Eq>(times: &mut HashMap<K, Duration>) {
-    let mut sorted: Vec<_> = times.values().copied().collect();
-    let middle = sorted.len() / 2;
-    let (_, median, _) = sorted.select_nth_unstable(middle);
-    let median = *median;
-    times.retain(|_, at| *at > median);
-}
--- a/crates/fernring-gateway/src/decide/quarantine.rs
+++ b/crates/fernring-gateway/src/decide/quarantine.rs
@@ -56,11 +56,11 @@
 pub const ATTRIBUTION_LIFETIME: Duration = Duration::from_secs(15 * 60);
 /// How long after a complete answer crashes aren't attributed. The cause that makes a harmless
 /// request dangerous, a new release of the upstreams, takes longer to reach the third of them.
-const ANSWER_COVERAGE_TIME: Duration = Duration::from_secs(60);
+pub(crate) const ANSWER_COVERAGE_TIME: Duration = Duration::from_secs(60);
 /// Number of complete answers that are remembered, some 200 KB; beyond it, the older half is
 /// dropped. A request that is sent less often than once in this many answers of a node isn't in
 /// flight at three crashes in a row by chance.
-const ANSWERS_MAX: usize = 4_096;
+pub(crate) const ANSWERS_MAX: usize = 4_096;
 /// Maximum number of attributions, some 600 KB. Beyond it, those with the fewest crashes are
 /// dropped first, and of these the oldest: pushing out an attribution with two crashes takes
 /// thousands of requests that crashed two upstreams each.
@@ -364,10 +364,7 @@
         if self.answers.len() <= ANSWERS_MAX {
             return;
         }
-        let mut times: Vec<_> = self.answers.values().copied().collect();
-        let (_, median, _) = times.select_nth_unstable(ANSWERS_MAX / 2);
-        let median = *median;
-        self.answers.retain(|_, at| *at > median);
+        drop_older_half(&mut self.answers);
     }
 
     /// Keeps the number of attributions bounded.
@@ -385,3 +382,12 @@
         self.attributions.retain(|fingerprint, _| !evicted.contains(fingerprint));
     }
 }
+
+/// Drops the entries that are older than the median.
+pub(crate) fn drop_older_half<K: std::hash::Hash + Eq>(times: &mut HashMap<K, Duration>) {
+    let mut sorted: Vec<_> = times.values().copied().collect();
+    let middle = sorted.len() / 2;
+    let (_, median, _) = sorted.select_nth_unstable(middle);
+    let median = *median;
+    times.retain(|_, at| *at > median);
+}
