--- a/review/standins/src/bin/late_extra.rs
+++ b/review/standins/src/bin/late_extra.rs
@@ -156,6 +156,7 @@
                  Pieces: {PIECES}\r\nPiece-Key: key-of-{id}\r\nDeadline-Remaining: 8000\r\n\
                  Authorization: Bearer k1\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{{}}"
             );
+            record.line(&format!("client sends {id}"));
             let answer = exchange(front, request.as_bytes(), Duration::from_millis(6_400));
             let body = String::from_utf8_lossy(&answer.body).into_owned();
             let is_served = answer.status == 200 && answer.end == End::Complete;
--- a/review/standins/src/bin/slow_reader.rs
+++ b/review/standins/src/bin/slow_reader.rs
@@ -94,6 +94,7 @@
              Token-Counts: 1200,480\r\nPrompt-Prefix: 5c1e07a2:200,{id}:1000\r\n\
              Deadline-Remaining: 10000\r\nAuthorization: Bearer k1\r\nContent-Length: 2\r\n\r\n{{}}"
         );
+        record.line(&format!("client sends {id}"));
         stream.write_all(request.as_bytes())?;
         let mut reader = BufReader::with_capacity(1_024, stream);
         read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
