--- a/review/standins/src/bin/late_extra.rs
+++ b/review/standins/src/bin/late_extra.rs
@@ -3,7 +3,9 @@
 
 use {
     review_standins::{
-        finish, gateway::start_nodes, has_trouble,
+        finish,
+        gateway::start_nodes,
+        has_trouble,
         http::{End, chunk, exchange, response, serve},
         pieces::{Maker, Results},
         record::Record,
@@ -162,9 +164,14 @@
             let is_served = answer.status == 200 && answer.end == End::Complete;
             let is_foreign = is_served && !body.contains(&format!("about key-of-{id}\n"));
             let first = body.lines().nth(1).unwrap_or_default().to_owned();
-            record.line(&format!("client gets {} for {id}, {:?}: {first}", answer.status, answer.end));
+            record.line(&format!(
+                "client gets {} for {id}, {:?}: {first}",
+                answer.status, answer.end
+            ));
             if is_foreign {
-                record.line(&format!("MIXED: the client of {id} gets the answer to another question: {first}"));
+                record.line(&format!(
+                    "MIXED: the client of {id} gets the answer to another question: {first}"
+                ));
             }
             (is_served, is_foreign)
         }));
--- a/review/standins/src/bin/lost_owner.rs
+++ b/review/standins/src/bin/lost_owner.rs
@@ -5,7 +5,9 @@
 use {
     review_standins::{
         engine::{refuse_unexpected, stream_head},
-        finish, gateway::start_nodes, has_trouble,
+        finish,
+        gateway::start_nodes,
+        has_trouble,
         http::{End, chunk, exchange, response, serve},
         pieces::{Maker, Results},
         record::Record,
@@ -184,7 +186,11 @@
         record.line(&format!("{} is ready: {}", node.name, node.is_ready()));
     }
     let after = ask(others[0].front, "d0000000".to_owned(), record);
-    record.line(&format!("a request after that: {} in {} ms", after.status, after.took.as_millis()));
+    record.line(&format!(
+        "a request after that: {} in {} ms",
+        after.status,
+        after.took.as_millis()
+    ));
     // The two forms of the rule: more than half of those that were unanswered at timeoutMs; eight or
     // more, and over a quarter of those that last longer.
     let most = late.len() * 2 > unanswered;
--- a/review/standins/src/bin/slow_reader.rs
+++ b/review/standins/src/bin/slow_reader.rs
@@ -4,7 +4,9 @@
 use {
     review_standins::{
         engine::{refuse_unexpected, stream_head},
-        finish, gateway::start_nodes, has_trouble,
+        finish,
+        gateway::start_nodes,
+        has_trouble,
         http::{chunk, read_chunk, read_head, serve},
         record::Record,
         store::{Engine, Store},
@@ -51,7 +53,8 @@
     name[..2].copy_from_slice(&INET.to_ne_bytes());
     name[2..4].copy_from_slice(&address.port().to_be_bytes());
     name[4..8].copy_from_slice(&address.ip().octets());
-    let check = |result: c_int| if result < 0 { Err(io::Error::last_os_error()) } else { Ok(result) };
+    let check =
+        |result: c_int| if result < 0 { Err(io::Error::last_os_error()) } else { Ok(result) };
     let window = WINDOW;
     // SAFETY: the pointers are valid for the sizes that are given; the socket is owned from here on.
     unsafe {
--- a/review/standins/src/pieces.rs
+++ b/review/standins/src/pieces.rs
@@ -101,7 +101,8 @@
                     let key = match field("inputs") {
                         None => field("key").map_or_else(String::new, |key| key.text().to_owned()),
                         Some(inputs) => {
-                            let key = |input: &Json| results.get(input.text()).map(|p| p.key.clone());
+                            let key =
+                                |input: &Json| results.get(input.text()).map(|p| p.key.clone());
                             inputs.list().iter().filter_map(key).collect::<Vec<_>>().join("+")
                         }
                     };
