--- a/crates/fernring-gateway/src/decide/attempts.rs
+++ b/crates/fernring-gateway/src/decide/attempts.rs
@@ -78,6 +78,11 @@
         self.sends < self.sends_max && (repeatable || !self.may_have_run)
     }
 
+    /// Returns how many more sends are allowed, if the request may be repeated.
+    pub fn left(&self) -> u32 {
+        self.sends_max.saturating_sub(self.sends)
+    }
+
     /// Returns whether the next send would be beyond the first one.
     pub fn next_is_extra(&self) -> bool {
         self.sends > 0
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -86,6 +86,8 @@
     /// The prefill of a model engine, until the first event has been received.
     prefill: Option<Prefill>,
     first_bytes_at: Option<Duration>,
+    /// When its head or bytes of its body were received last.
+    received_at: Duration,
     /// Whether bytes have come for [`PROGRESS_TIME`].
     has_progressed: bool,
 }
@@ -326,6 +328,16 @@
         self.route.retry_policy
     }
 
+    /// Returns how many more sends are allowed, the one under way included.
+    pub fn attempts_left(&self) -> u32 {
+        self.attempts.left()
+    }
+
+    /// Returns how long nothing has been received of a response: since its last bytes or its head.
+    pub fn silent_time(&self, opened: &OpenedResponse) -> Duration {
+        self.serving.now().saturating_sub(opened.received_at)
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.end_at.saturating_sub(self.serving.now())
@@ -371,6 +383,7 @@
             self.received_versions.push(version.clone());
         }
         let now = self.serving.now();
+        opened.received_at = now;
         let first_bytes_at = *opened.first_bytes_at.get_or_insert(now);
         if !opened.has_progressed && now >= first_bytes_at + PROGRESS_TIME {
             opened.has_progressed = true;
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -242,6 +242,7 @@
             tracked: None,
             prefill: None,
             first_bytes_at: None,
+            received_at: self.serving.now(),
             has_progressed: false,
         };
         if let Some(tracked) = tracked.as_ref().filter(|_| opened.is_failure()) {
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -147,6 +147,8 @@
         let line = line.with("content", self.exchange.fingerprint());
         let line = line.with_some("parts", self.exchange.shared_part_names());
         let line = line.with("upstream", self.opened.instance()).with("reason", &loss.reason);
+        let line = line.with("silent_ms", self.exchange.silent_time(&self.opened).as_millis());
+        let line = line.with("attempts_left", self.exchange.attempts_left());
         let line = line.with("framing", self.opened.framing().name());
         let line = line.with("position", self.splitter.position().name());
         log::warn(line.with_some("last_event", self.last_event));
@@ -171,7 +173,10 @@
                 }
                 // The body of a failure response is no event and must not reach the caller.
                 Ok(failed) => self.exchange.record_failure_head(&failed),
-                Err(_) => return Err(StreamFailure::Broken(loss.reason)),
+                Err(refusal) => {
+                    let reason = format!("{}; not resumed: {}", loss.reason, refusal.detail);
+                    return Err(StreamFailure::Broken(reason));
+                }
             }
         }
     }
