A resumable request is offered to others while its upstream sends no head

Callers were held to their deadline by an upstream that stayed silent before the head of its response (504, one send of two), though another one could have served them. Cause: the wait for the head ended only with the response or the deadline. It now follows the same rule as the middle of a stream: the silent upstream keeps the request, others are asked at the last moment at which they may still be in time, and whoever responds first serves it.

Test: resumable_request_is_held_by_an_upstream_that_is_silent_before_the_head failed before (off the list); request_offered_to_others_loses_its_answer guards that a late head is still used.

--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -292,7 +292,7 @@
         };
         let silence = Silence { since: self.serving.now(), caller_waits_since: self.arrived_at };
         self.is_sending = true;
-        let received = self.receive(holder, head, silence, self.resume_after, false).await;
+        let received = self.receive(holder, head, silence, self.resume_after, true).await;
         self.is_sending = false;
         received
     }
