A call to a silent worker isn't ended before its pieces expire

Callers of routes with stages got 503 while all workers of a service were silent for longer than a second or so: each call was given up after three times its usual time and 0.4 s, counted as failed, and the third one failed the request.

Now the timer says only that the worker is silent: it is avoided, may get other calls later, its pieces are queued for others as before, and a response that comes after all is used. The call ends when its pieces have expired. A roll-out counts the silence as a failure at the same moment as before.

--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -29,13 +29,14 @@
     tokio::{task::spawn_local, time::timeout},
 };
 
-/// Timeout of a call as a multiple of its expected time. Upstreams differ in speed, and some turn
-/// slow; beyond three times the expected time, another worker is likely to complete the pieces
-/// earlier.
-const CALL_TIMEOUT_FACTOR: u32 = 3;
-/// Time that is added to the timeout of a call: for connecting, fetching inputs, and waiting behind
-/// the call of another node.
-const CALL_TIMEOUT_EXTRA: Duration = Duration::from_millis(400);
+/// Time after which the worker of a call counts as silent, as a multiple of the call's expected
+/// time. Upstreams differ in speed, and some turn slow.
+const SILENCE_FACTOR: u32 = 3;
+/// Time that is added to it: for connecting, fetching inputs, and waiting behind the call of another
+/// node.
+const SILENCE_EXTRA: Duration = Duration::from_millis(400);
+/// Timeout of a release of results.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest response of a call that is read, in bytes: enough for a handle or a reason for each
 /// piece.
 const RESPONSE_BYTES_MAX: usize = 1 << 20;
@@ -51,6 +52,26 @@
     limit: BatchLimit,
 }
 
+/// How long a call waits for its worker.
+#[derive(Clone, Copy)]
+struct CallPatience {
+    /// Time after which its pieces are given to other workers as well.
+    overdue_after: Duration,
+    /// Time after which its worker counts as silent.
+    silent_after: Duration,
+    /// Time until all of its pieces have expired.
+    ends_after: Duration,
+}
+
+/// What became of a call while it was awaited.
+#[derive(Clone, Copy, Default)]
+struct CallDelay {
+    /// Whether copies of its pieces were queued.
+    was_overdue: bool,
+    /// Whether its worker counted as silent, and may have got another call since.
+    was_silent: bool,
+}
+
 impl Owner {
     pub(super) fn start_call(
         self: &Rc<Self>,
@@ -64,8 +85,7 @@
         let Batch { pieces, limit } = batch;
         let bytes: u64 = pieces.iter().map(|piece| piece.result_bytes).sum();
         let started = self.now();
-        let usual = expected_call_time(&batch_config, pieces.len());
-        let expected = slowdown.lengthen(usual);
+        let expected = slowdown.lengthen(expected_call_time(&batch_config, pieces.len()));
         if let Some(worker) = self.workers.borrow_mut().get_or_create(target.key) {
             worker.record_call_start(started + expected, bytes);
         }
@@ -75,34 +95,28 @@
         let waiting = self.queues.borrow().get(&pool).map_or(0, BatchQueue::len);
         let start = CallStart { started_at: started, expected, waiting, limit };
         spawn_local(async move {
-            let call_timeout = expected * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA;
+            let silent_after = expected * SILENCE_FACTOR + SILENCE_EXTRA;
+            let expires_at = pieces.iter().map(|piece| piece.deadline_at).max().unwrap_or(started);
+            let patience = CallPatience {
+                overdue_after: overdue_after(&batch_config, pieces.len(), slowdown),
+                silent_after,
+                ends_after: expires_at.saturating_sub(started).max(silent_after),
+            };
             let call =
-                owner.call(&pool, &target, connections_max, &batch_config, &pieces, call_timeout);
-            let overdue_time = overdue_after(&batch_config, pieces.len(), slowdown);
-            let (result, was_overdue) =
-                owner.await_call(call, &pool, &target, &pieces, overdue_time).await;
+                owner.call(&pool, &target, connections_max, &batch_config, &pieces, patience);
+            let (result, delay) = owner.await_call(call, &pool, &target, &pieces, patience).await;
             owner.log_call(&pool, &target, &pieces, start);
-            let now = owner.now();
-            if let Some(worker) = owner.workers.borrow_mut().get_mut(target.key) {
-                worker.record_call_end(bytes);
+            if !delay.was_silent {
+                owner.record_call_end(target.key, bytes);
                 if result.is_ok() {
-                    worker.record_call_time(now, now.saturating_sub(started), usual, &batch_config);
+                    owner.record_call_time(&pool, target.key, pieces.len(), &batch_config, start);
                 }
             }
-            if result.is_ok() && matches!(limit, BatchLimit::Slots | BatchLimit::FreeBytes) {
-                let elapsed = now.saturating_sub(started);
-                let mut throughputs = owner.throughputs.borrow_mut();
-                throughputs.entry(pool.clone()).or_default().record_saturated_call(
-                    &batch_config,
-                    pieces.len(),
-                    elapsed,
-                );
-            }
             let has_crashed = match &result {
                 Err(CallFailure::Broken(loss)) => owner.has_crashed(&target, &pieces, loss).await,
                 _ => false,
             };
-            owner.handle_call_end(&pool, &target, pieces, result, was_overdue, has_crashed);
+            owner.handle_call_end(&pool, &target, pieces, result, delay.was_overdue, has_crashed);
             owner.dispatch(&pool);
         });
     }
@@ -128,31 +142,98 @@
             && self.crash_attribution.has_upstream_crashed(target.key).await
     }
 
-    /// Waits until a call ends. Once the call is overdue, copies of its pieces are queued for other
-    /// workers. Returns the call's result and whether it was overdue.
+    fn record_call_end(&self, key: UpstreamKey, bytes: u64) {
+        if let Some(worker) = self.workers.borrow_mut().get_mut(key) {
+            worker.record_call_end(bytes);
+        }
+    }
+
+    /// Records how long a call took whose worker has responded.
+    fn record_call_time(
+        &self,
+        pool: &WorkerPool,
+        key: UpstreamKey,
+        pieces: usize,
+        batch_config: &BatchConfig,
+        start: CallStart,
+    ) {
+        let now = self.now();
+        let elapsed = now.saturating_sub(start.started_at);
+        if let Some(worker) = self.workers.borrow_mut().get_mut(key) {
+            let usual = expected_call_time(batch_config, pieces);
+            worker.record_call_time(now, elapsed, usual, batch_config);
+        }
+        if matches!(start.limit, BatchLimit::Slots | BatchLimit::FreeBytes) {
+            let mut throughputs = self.throughputs.borrow_mut();
+            let throughput = throughputs.entry(pool.clone()).or_default();
+            throughput.record_saturated_call(batch_config, pieces, elapsed);
+        }
+    }
+
+    /// Waits until a call ends. Once it is overdue, copies of its pieces are queued for other workers;
+    /// once its worker counts as silent, the worker may get other calls. Neither ends the call: the
+    /// worker may be the first to respond after all.
     async fn await_call<T>(
         self: &Rc<Self>,
         call: impl Future<Output = T>,
         pool: &WorkerPool,
         target: &Target,
         pieces: &[QueuedPiece],
-        overdue_time: Duration,
-    ) -> (T, bool) {
-        if !self.decide_settings.get().copies {
-            return (call.await, false);
-        }
+        patience: CallPatience,
+    ) -> (T, CallDelay) {
         let mut call = pin!(call);
-        if let Ok(result) = timeout(overdue_time, &mut call).await {
-            return (result, false);
+        let mut delay = CallDelay::default();
+        let mut waited = Duration::ZERO;
+        if self.decide_settings.get().copies {
+            waited = patience.overdue_after.min(patience.silent_after);
+            if let Ok(result) = timeout(waited, &mut call).await {
+                return (result, delay);
+            }
+            delay.was_overdue = true;
+            self.queue_copies(pool, target, pieces, waited);
         }
+        if let Ok(result) = timeout(patience.silent_after - waited, &mut call).await {
+            return (result, delay);
+        }
+        if !delay.was_overdue {
+            delay.was_overdue = true;
+            self.queue_copies(pool, target, pieces, patience.silent_after);
+        }
+        delay.was_silent = true;
+        self.record_silent_worker(pool, target, pieces);
+        (call.await, delay)
+    }
+
+    /// Queues copies of the pieces of an overdue call for other workers.
+    fn queue_copies(
+        self: &Rc<Self>,
+        pool: &WorkerPool,
+        target: &Target,
+        pieces: &[QueuedPiece],
+        waited: Duration,
+    ) {
         let line = LogLine::event("stage_call_overdue").with("service", &pool.service);
         let line = line.with("upstream", &target.instance).with("pieces", pieces.len());
-        log::info(line.with("after_ms", overdue_time.as_millis()));
+        log::info(line.with("after_ms", waited.as_millis()));
         for piece in pieces.iter().filter(|piece| piece.may_be_called_again()) {
             self.requeue(pool, QueuedPiece { calls: piece.calls + 1, ..piece.clone() });
         }
         self.dispatch(pool);
-        (call.await, true)
+    }
+
+    /// Records that the worker of a call is silent: it is avoided for a moment, and may get other calls
+    /// afterwards.
+    fn record_silent_worker(
+        self: &Rc<Self>,
+        pool: &WorkerPool,
+        target: &Target,
+        pieces: &[QueuedPiece],
+    ) {
+        let line = LogLine::event("stage_call_silent").with("service", &pool.service);
+        log::warn(line.with("upstream", &target.instance).with("pieces", pieces.len()));
+        self.record_call_end(target.key, pieces.iter().map(|piece| piece.result_bytes).sum());
+        self.upstreams.record_failure(self.now(), target.key);
+        self.dispatch(pool);
     }
 
     fn log_call(
@@ -189,7 +270,7 @@
         connections_max: u32,
         batch_config: &BatchConfig,
         queued: &[QueuedPiece],
-        call_timeout: Duration,
+        patience: CallPatience,
     ) -> Result<Vec<PieceOutcome>, CallFailure> {
         let now = self.now();
         let piece = |queued: &QueuedPiece| Piece {
@@ -226,9 +307,20 @@
             let outcomes = self.wire.decode_batch(&body.to_bytes());
             outcomes.map_err(|error| undecodable(framing, &error))
         };
-        let outcomes = timeout(call_timeout, exchange).await.unwrap_or_else(|_| {
-            Err(CallFailure::Failed(format!("no response within {} ms", call_timeout.as_millis())))
-        });
+        let mut exchange = pin!(exchange);
+        let outcomes = match timeout(patience.silent_after, &mut exchange).await {
+            Ok(outcomes) => outcomes,
+            Err(_) => {
+                if let Some(tracked) = &tracked {
+                    tracked.record_failure();
+                }
+                let rest = patience.ends_after.saturating_sub(patience.silent_after);
+                timeout(rest, exchange).await.unwrap_or_else(|_| {
+                    let waited_ms = patience.ends_after.as_millis();
+                    Err(CallFailure::Failed(format!("no response within {waited_ms} ms")))
+                })
+            }
+        };
         if let Some(tracked) = tracked {
             match &outcomes {
                 Ok(_) => tracked.record_call_success(self.now().saturating_sub(now), expected),
@@ -277,7 +369,7 @@
             let response = self.upstreams.send_release(&*self.wire, &target, send).await?;
             response.body.collect().await.map_err(|e| SendFailure::Broken((&e).into()))
         };
-        let released = timeout(CALL_TIMEOUT_EXTRA, exchange).await;
+        let released = timeout(RELEASE_TIMEOUT, exchange).await;
         if let Ok(Err(SendFailure::Ineligible(_))) = released {
             // The upstream may get nothing now, so the handles go with the next release.
             self.releases.borrow_mut().entry(key).or_default().extend(handles);
