Connections are given up if the other machine is gone, not if its process reads nothing

Callers that read nothing for 2.5 s lost the rest of their answers, and requests whose upstream didn't read a long body for as long were answered 502. Cause: TCP_USER_TIMEOUT (1.5 s) on both kinds of connections. The kernel counts it for a closed receive window, too, though the other machine answers each probe of the window. The same class as the streams cut after silence: a timer of ours ends accepted work of a counterpart that lives.

Now the option is off. While something sent isn't known to be acknowledged, the node reads TCP_INFO four times a second, and fails the connection once retries have been unanswered for 1.25 s in two checks in a row. A slow reader keeps its connection until its deadline and five seconds, as meant; what is buffered for it is bounded as before. Tunnels are watched at both ends. Where the kernel doesn't tell, the option stays. No library in use reads TCP_INFO: the call is in a crate of its own, the only one with unsafe code.

Not tested on real machines: a machine that is gone (liveness::* decides it from states).

--- a/crates/fernring-gateway/src/connector/mod.rs
+++ b/crates/fernring-gateway/src/connector/mod.rs
@@ -3,11 +3,13 @@
 //! [`dial`] opens direct connections, [`own_path`] records which upstreams they reach.
 
 pub mod dial;
+pub mod live_stream;
 pub mod own_path;
 
 use {
     self::{
         dial::{CONNECT_TIMEOUT, ConnectFailure, Dial, TcpDialer, dial_in_time},
+        live_stream::LiveStream,
         own_path::{ExchangeGuard, OwnPath},
     },
     crate::{
@@ -23,6 +25,7 @@
         cell::RefCell,
         collections::HashMap,
         fmt::{self, Debug},
+        io,
         net::SocketAddr,
         pin::pin,
         rc::Rc,
@@ -126,8 +129,9 @@
 }
 
 impl Connected {
-    fn direct(stream: TcpStream) -> Self {
-        Self { stream: Box::new(stream), path: Path::Direct, tunnel: None }
+    fn direct(stream: TcpStream) -> io::Result<Self> {
+        let stream = Box::new(LiveStream::new(stream)?);
+        Ok(Self { stream, path: Path::Direct, tunnel: None })
     }
 }
 
@@ -168,7 +172,7 @@
 #[async_trait(?Send)]
 impl Connect for TcpDialer {
     async fn connect(&self, address: SocketAddr) -> Result<Connected, ConnectFailure> {
-        Ok(Connected::direct(dial_in_time(self, address, CONNECT_TIMEOUT).await?))
+        Ok(Connected::direct(dial_in_time(self, address, CONNECT_TIMEOUT).await?)?)
     }
 }
 
@@ -282,7 +286,8 @@
             match opened {
                 Ok(stream) => {
                     let tunnel = Some(TunnelGuard::new(&self.open_tunnels, relay));
-                    let (stream, path) = (Box::new(stream), Path::Tunnel(relay));
+                    let stream = Box::new(LiveStream::new(stream)?);
+                    let path = Path::Tunnel(relay);
                     return Ok(Connected { stream, path, tunnel });
                 }
                 Err(failed @ TunnelFailure::Upstream(_)) => return Err(failed),
@@ -318,7 +323,8 @@
                 Ok(stream) => {
                     self.failed_lenders.borrow_mut().remove(&(lender, address));
                     let tunnel = Some(TunnelGuard::new(&self.open_tunnels, lender));
-                    let (stream, path) = (Box::new(stream), Path::Borrowed(lender));
+                    let stream = Box::new(LiveStream::new(stream)?);
+                    let path = Path::Borrowed(lender);
                     return Ok(Connected { stream, path, tunnel });
                 }
                 Err(TunnelFailure::Upstream(failure)) => return Err(failure),
@@ -374,7 +380,7 @@
         let mut direct =
             spawn_local(async move { own_path.connect(address, CONNECT_TIMEOUT).await });
         let failure = match timeout(tunnel_delay, &mut direct).await {
-            Ok(Ok(Ok(stream))) => return Ok(Connected::direct(stream)),
+            Ok(Ok(Ok(stream))) => return Ok(Connected::direct(stream)?),
             // The upstream was reached; it would reset a connection of a peer, too.
             Ok(Ok(Err(ConnectFailure::Reset))) => return Err(ConnectFailure::Reset),
             Ok(dialed) => Some(dial_failure(dialed)),
@@ -386,7 +392,7 @@
         }
         tokio::select! {
         dialed = &mut direct => match dialed {
-            Ok(Ok(stream)) => Ok(Connected::direct(stream)),
+            Ok(Ok(stream)) => Ok(Connected::direct(stream)?),
             dialed => {
                 let failure = dial_failure(dialed);
                 tunnel.await.map_err(|error| self.combine(failure, &error))
@@ -395,7 +401,7 @@
         opened = &mut tunnel => match opened {
             Ok(opened) => Ok(opened),
             Err(error) => match direct.await {
-                Ok(Ok(stream)) => Ok(Connected::direct(stream)),
+                Ok(Ok(stream)) => Ok(Connected::direct(stream)?),
                 dialed => Err(self.combine(dial_failure(dialed), &error)),
             },
         },
--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -33,6 +33,7 @@
 pub mod handover;
 pub mod leaving;
 pub mod limits;
+pub mod liveness;
 pub mod origin_table;
 pub mod part_quarantine;
 pub mod permit_issuer;
--- a/crates/fernring-gateway/src/tunnels.rs
+++ b/crates/fernring-gateway/src/tunnels.rs
@@ -11,6 +11,7 @@
         connections::LentConnection,
         connector::{
             dial::{ConnectFailure, connect},
+            live_stream::LiveStream,
             own_path::OwnPath,
         },
         log,
@@ -37,7 +38,7 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Join, copy, join},
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Join, copy, join, split},
         net::{
             TcpStream,
             tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -246,11 +247,12 @@
 
 /// Forwards bytes in both directions until either side closes its connection. Both connections are
 /// closed then: a caller that has left must not keep the upstream at work.
-async fn forward(framed: FramedLink, mut upstream: TcpStream, in_frames: bool) -> io::Result<()> {
+async fn forward(framed: FramedLink, upstream: TcpStream, in_frames: bool) -> io::Result<()> {
     let mut parts = framed.into_parts();
+    let mut upstream = LiveStream::new(upstream)?;
     upstream.write_all(&parts.read_buf).await?;
     let (mut peer_read, mut peer_write) = parts.io.split();
-    let (mut upstream_read, mut upstream_write) = upstream.split();
+    let (mut upstream_read, mut upstream_write) = split(&mut upstream);
     let to_peer = async {
         match in_frames {
             true => send_frames(upstream_read, peer_write).await,
@@ -262,7 +264,7 @@
     forwarded = to_peer => forwarded,
     };
     if forwarded.is_err() {
-        upstream.set_zero_linger()?;
+        upstream.get_ref().set_zero_linger()?;
         if !in_frames {
             // Nothing else tells the peer that the bytes aren't whole.
             parts.io.set_zero_linger()?;
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod large_requests;
 mod leaving;
 mod limits;
+mod liveness;
 mod members;
 mod origins;
 mod part_quarantine;
--- /dev/null
+++ b/crates/fernring-tcp/tests/testsuite/main.rs
@@ -0,0 +1,46 @@
+//! Tests of the state of connections on the loopback interface.
+
+use {
+    fernring_tcp::ack_state,
+    std::{
+        fs::File,
+        io::{Read, Write},
+        net::{TcpListener, TcpStream},
+        thread::sleep,
+        time::Duration,
+    },
+};
+
+fn connected() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (near, listener.accept().unwrap().0)
+}
+
+/// Probes of a closed window are answered by a machine whose process reads nothing.
+#[test]
+fn reader_that_stands_still_answers() {
+    let (mut near, mut far) = connected();
+    near.set_nonblocking(true).unwrap();
+    let block = vec![0; 1 << 20];
+    while near.write(&block).is_ok() {}
+    while !ack_state(&near).unwrap().is_retrying {
+        sleep(Duration::from_millis(5));
+    }
+    for _ in 0..20 {
+        // A probe that was just sent may await its answer at one moment, not for long.
+        while ack_state(&near).unwrap().unanswered > 0 {
+            sleep(Duration::from_millis(1));
+        }
+        sleep(Duration::from_millis(20));
+    }
+    let mut bytes = vec![0; 1 << 20];
+    while ack_state(&near).unwrap().is_retrying {
+        let _ = far.read(&mut bytes).unwrap();
+    }
+}
+
+#[test]
+fn other_descriptors_have_no_state() {
+    assert!(ack_state(&File::open("/dev/null").unwrap()).is_err());
+}
