Pieces that their owner has dropped are submitted again, and no request outlives its deadline

Requests with stages were never answered if the node that batches their pieces had taken theirs for lost (it stood still for 0.64 s), or if the pieces or their outcome were lost with a link. Cause: only the owner ended the wait, and the two sides had no way to agree that a work is gone.

A node now asks owners four times a second whether they still have what was submitted more than 0.25 s ago; what an owner doesn't have is submitted again, as if the owner had been lost. Besides that, the wait for a stage ends 80 ms after the stage's deadline, and the preparation of a stream 80 ms after the request's, whatever it waits for.

--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -235,6 +235,7 @@
             has_unconfirmed_orders: Cell::default(),
             registered_era: Cell::default(),
         });
+        spawn_local(stages.clone().run_queries());
         spawn_local(stream_origins.run());
         spawn_local(owner.clone().run());
         spawn_local(owner.run_releases());
--- a/crates/fernring-gateway/src/node/peer_messages.rs
+++ b/crates/fernring-gateway/src/node/peer_messages.rs
@@ -40,6 +40,8 @@
             GatewayBody::Work(work) => self.stages.handle_work(sender, work),
             GatewayBody::WorkDone(done) => self.stages.handle_done(sender, done),
             GatewayBody::WorkCancel(ticket) => self.stages.handle_cancel(sender, ticket.ticket),
+            GatewayBody::WorkQuery(query) => self.stages.handle_query(sender, &query),
+            GatewayBody::WorkUnknown(unknown) => self.stages.handle_unknown(sender, &unknown),
             GatewayBody::Release(release) => self.stages.handle_release(release),
             GatewayBody::Crashes(reports) => {
                 self.serving.crash_attribution.handle_reports(sender, reports);
--- a/crates/fernring-gateway/src/serving/exchange/handing_over.rs
+++ b/crates/fernring-gateway/src/serving/exchange/handing_over.rs
@@ -181,8 +181,8 @@
         }
     }
 
-    /// Counts a send of an offer that was withdrawn before its response.
-    fn withdraw_offer(&mut self) {
+    /// Counts a send that is cancelled before its response.
+    pub(super) fn withdraw_offer(&mut self) {
         if std::mem::take(&mut self.is_sending) {
             self.attempts.record_failure(SendOutcome::Unknown);
         }
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -24,6 +24,9 @@
 /// refused connection costs a millisecond, and a third of a pool may be gone at once.
 const OFFERS_MAX: u32 = 12;
 
+/// Time after the deadline within which each wait has noticed it.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(80);
+
 /// What ends the wait for the head of a response.
 enum Head {
     /// The send has ended.
@@ -41,6 +44,26 @@
 }
 
 impl Exchange {
+    /// Prepares the request of a stream and sends it, until the head of an acceptable response is
+    /// received.
+    ///
+    /// # Errors
+    /// If there is none at the deadline, or the request may not be sent again.
+    pub async fn open_stream(&mut self) -> Result<OpenedResponse, Refusal> {
+        let timer = self.serving.deadline_timer.clone();
+        let give_up_at = self.end_at + DEADLINE_MARGIN;
+        let opening = async {
+            self.find_origin().await?;
+            self.admit_and_run_stages().await?;
+            self.open().await
+        };
+        let opened = timer.complete_by(give_up_at, opening).await;
+        opened.unwrap_or_else(|| {
+            self.withdraw_offer();
+            Err(self.refusal_for(ResultCode::WindowEnded, "no answer in time"))
+        })
+    }
+
     /// Sends the request, to several upstreams if need be, until the head of an acceptable response
     /// is received.
     ///
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -21,6 +21,8 @@
 /// transfer of less data between domains costs less than the wait for a worker in a particular
 /// domain.
 const PLACED_BYTES_MIN: u64 = 200_000;
+/// Time after the deadline of a stage within which its owner reports that it has expired.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(80);
 /// Most runs of the stages of a request; they are run again when results were lost.
 const STAGE_RUNS_MAX: u32 = 2;
 
@@ -140,8 +142,12 @@
                     return WorkOutcome::NoWorkers;
                 };
                 self.reservations.remove(&stage);
-                let stages = &serving.stages;
-                running.push(async move { (stage, stages.run_stage(work).await) });
+                let (stages, timer) = (&serving.stages, &serving.deadline_timer);
+                let expires_at = work.deadline_at + EXPIRY_MARGIN;
+                running.push(async move {
+                    let outcome = timer.complete_by(expires_at, stages.run_stage(work)).await;
+                    (stage, outcome.unwrap_or(WorkOutcome::Late))
+                });
             }
             let Some((stage, outcome)) = running.next().await else {
                 debug_assert!(self.plan.is_done());
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -185,13 +185,7 @@
     }
 
     async fn serve_stream(&self, mut exchange: Exchange) -> Response<CallerBody> {
-        let opened = async {
-            exchange.find_origin().await?;
-            exchange.admit_and_run_stages().await?;
-            exchange.open().await
-        };
-        let opened = opened.await;
-        let opened = match opened {
+        let opened = match exchange.open_stream().await {
             Ok(opened) => opened,
             Err(refusal) => return self.refuse(&mut exchange, &refusal),
         };
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -19,6 +19,7 @@
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{
         GatewayBody, LoadScope, ReleaseResults, StageDone, StageLoad, StageWork, WorkTicket,
+        WorkTickets,
     },
     std::{
         cell::{Cell, RefCell},
@@ -28,15 +29,19 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::{sync::oneshot, task::spawn_local},
+    tokio::{sync::oneshot, task::spawn_local, time::sleep},
 };
 
 /// Number of owners that a stage is submitted to, one after the other, if each is lost.
 const OWNER_ATTEMPTS_MAX: u32 = 3;
+/// Interval at which owners are asked whether they still have the stages submitted to them. A stage
+/// may be lost with a link, and an owner that took this node for lost has cancelled its stages.
+const QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
 #[derive(Debug)]
 struct PendingStage {
     owner: SocketAddr,
+    submitted_at: Duration,
     reply: oneshot::Sender<WorkOutcome>,
 }
 
@@ -404,6 +409,51 @@
         drop(pending.reply.send(decode_outcome(&done)));
     }
 
+    /// Asks owners at intervals whether they still have the stages submitted to them, for as long as
+    /// the process runs.
+    pub async fn run_queries(self: Rc<Self>) {
+        loop {
+            sleep(QUERY_INTERVAL).await;
+            let submitted_before = self.clock.now().monotonic.saturating_sub(QUERY_INTERVAL);
+            let mut by_owner: HashMap<SocketAddr, WorkTickets> = HashMap::new();
+            for (ticket, pending) in self.pending.borrow().iter() {
+                if pending.submitted_at <= submitted_before {
+                    by_owner.entry(pending.owner).or_default().tickets.push(*ticket);
+                }
+            }
+            for (owner, tickets) in by_owner {
+                self.peers.send(owner, GatewayBody::WorkQuery(tickets));
+            }
+        }
+    }
+
+    /// Handles a peer's question whether this node still has its stages. The reply follows the
+    /// outcomes of those that have ended.
+    pub fn handle_query(&self, sender: SocketAddr, query: &WorkTickets) {
+        let peer_work = self.peer_work.borrow();
+        let is_unknown = |ticket: &u64| !peer_work.contains_key(&(sender, *ticket));
+        let tickets: Vec<_> = query.tickets.iter().copied().filter(is_unknown).collect();
+        drop(peer_work);
+        if !tickets.is_empty() {
+            self.peers.send(sender, GatewayBody::WorkUnknown(WorkTickets { tickets }));
+        }
+    }
+
+    /// Handles that an owner doesn't have stages that were submitted to it.
+    pub fn handle_unknown(&self, sender: SocketAddr, unknown: &WorkTickets) {
+        for ticket in &unknown.tickets {
+            let mut pending = self.pending.borrow_mut();
+            if pending.get(ticket).is_none_or(|pending| pending.owner != sender) {
+                continue;
+            }
+            let lost = pending.remove(ticket);
+            drop(pending);
+            if let Some(lost) = lost {
+                drop(lost.reply.send(WorkOutcome::OwnerLost));
+            }
+        }
+    }
+
     /// Handles a peer's release of results.
     pub fn handle_release(&self, release: ReleaseResults) {
         let handles = release.handles.iter().map(|handle| Arc::from(handle.as_str()));
@@ -421,7 +471,9 @@
         }
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
-        self.pending.borrow_mut().insert(ticket, PendingStage { owner, reply });
+        let submitted_at = self.clock.now().monotonic;
+        let pending = PendingStage { owner, submitted_at, reply };
+        self.pending.borrow_mut().insert(ticket, pending);
         let message = encode_work(self.clock.now().monotonic, ticket, work);
         self.peers.send(owner, GatewayBody::Work(message));
         CancelTarget::Remote { owner, ticket }
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -12,7 +12,7 @@
     /// The message itself.
     #[prost(
         oneof = "GatewayBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub body: Option<GatewayBody>,
 }
@@ -83,6 +83,12 @@
     /// Reply to [`OriginQuery`].
     #[prost(message, tag = "22")]
     OriginReply(OriginReply),
+    /// Asks the owner of pieces whether it still has them.
+    #[prost(message, tag = "23")]
+    WorkQuery(WorkTickets),
+    /// Reply to [`GatewayBody::WorkQuery`]: the pieces that the owner doesn't have, or not any more.
+    #[prost(message, tag = "24")]
+    WorkUnknown(WorkTickets),
 }
 
 /// Streams and the versions that began them.
@@ -786,6 +792,14 @@
     pub ticket: u64,
 }
 
+/// Names the pieces of several stages by their tickets.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkTickets {
+    /// Ticket numbers of the [`StageWork`] messages.
+    #[prost(uint64, repeated, tag = "1")]
+    pub tickets: Vec<u64>,
+}
+
 /// Upstreams that crashed, and requests that were answered in full after upstreams had crashed
 /// under them.
 #[derive(Clone, PartialEq, Message)]
