Requests with more than 4,096 pieces of a stage are rejected at arrival

One request with `Pieces:` ended node after node for lack of memory: the owner of its pieces allocated a place for each, and its peers submitted the work to the next owner. Cause: a number in a header sized an allocation.

A caller's number over 4,096 is answered 400 before anything else is done for it; the same in a peer's message is refused and logged. 4,096 places are 0.2 MB at most. The sum of a prompt's tokens no longer overflows 32 bits.

--- a/crates/fernring-gateway/src/model.rs
+++ b/crates/fernring-gateway/src/model.rs
@@ -17,6 +17,9 @@
     pub struct UpstreamKey;
 }
 
+/// Largest number of pieces of one stage of a request. Places are allocated for all of them at once.
+pub const PIECES_MAX: u32 = 4_096;
+
 /// Which requests of a route may be sent again after a failure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryPolicy {
--- a/crates/fernring-gateway/src/serving/exchange/choosing.rs
+++ b/crates/fernring-gateway/src/serving/exchange/choosing.rs
@@ -220,7 +220,7 @@
     }
 
     pub(super) fn prompt_tokens(&self) -> f64 {
-        f64::from(self.request.fields.prompt.iter().map(|part| part.tokens).sum::<u32>())
+        self.request.fields.prompt.iter().map(|part| f64::from(part.tokens)).sum()
     }
 
     /// Returns the load of the request until its first event: for a model engine the tokens to
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -10,7 +10,7 @@
         exchange::{CallerRequest, Exchange, ExchangeEnd, InFlight, OpenedResponse},
         fingerprint::Fingerprint,
         log,
-        model::{Route, Workspace, api_key_hash},
+        model::{PIECES_MAX, Route, Workspace, api_key_hash},
         refusal::{RETRY_AFTER_NOT_READY, Refusal},
         relay::Relay,
         telemetry,
@@ -100,6 +100,7 @@
         let Some(request_id) = id.clone() else {
             return Err(refuse(Refusal::invalid_request(ResultCode::BadRequest, "no request id")));
         };
+        check_piece_counts(&fields.piece_counts).map_err(refuse)?;
         let end_at = arrived_at + route.wait_limit(fields.remaining);
         let body_read = read_body(body, current.config.limits.body_bytes_max);
         let body = self.deadline_timer.complete_by(end_at, body_read).await;
@@ -220,6 +221,16 @@
     Ok(())
 }
 
+fn check_piece_counts(counts: &[u32]) -> Result<(), Refusal> {
+    match counts.iter().find(|count| **count > PIECES_MAX) {
+        None => Ok(()),
+        Some(count) => {
+            let detail = format!("{count} pieces of a stage, of at most {PIECES_MAX}");
+            Err(Refusal::invalid_request(ResultCode::BadRequest, detail))
+        }
+    }
+}
+
 fn find_route(current: &ActiveConfig, head: &request::Parts) -> Result<Arc<Route>, Refusal> {
     let host_header = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = head.uri.host().or(host_header).unwrap_or_default();
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -6,6 +6,7 @@
         backlog::Backlog,
         backlogs::Backlogs,
         log,
+        model::PIECES_MAX,
         owner::{Owner, Work, WorkOutcome},
         peers::Peers,
         residency::Residency,
@@ -376,6 +377,13 @@
     /// Handles pieces that a peer submits to this node as their owner.
     pub fn handle_work(self: &Rc<Self>, sender: SocketAddr, message: StageWork) {
         let ticket = message.ticket;
+        if message.pieces > PIECES_MAX {
+            let line = LogLine::event("peer_work_refused").with("peer", sender);
+            log::warn(line.with("pieces", message.pieces));
+            let done = encode_done(ticket, WorkOutcome::Failed);
+            self.peers.send(sender, GatewayBody::WorkDone(done));
+            return;
+        }
         let work = decode_work(self.clock.now().monotonic, sender, message);
         let (reply, receiver) = oneshot::channel();
         let id = self.owner.submit(work, reply);
