A worker's repeated response isn't taken for that of the next call

Calls for pieces carry no identifier that workers repeat, and only the number of outcomes was compared.

What tells responses apart are the handles: a response with one that this worker has given before, in this response or within 30 s, fails its call.

Open: a repeated response that holds only reasons can't be told apart; it fails or repeats pieces, and carries no results.

--- a/crates/fernring-gateway/src/decide/workers.rs
+++ b/crates/fernring-gateway/src/decide/workers.rs
@@ -30,6 +30,10 @@
 /// How long a slow worker is left out before it is tried again.
 const SLOW_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long a handle is remembered, by which a late repetition of a response is recognised: longer
+/// than connections are kept open while they are idle.
+const GIVEN_HANDLE_LIFETIME: Duration = Duration::from_secs(30);
+
 /// A result that is stored at its worker.
 #[derive(Debug)]
 pub struct StoredResult {
@@ -48,6 +52,8 @@
     busy_until: Option<Duration>,
     /// The results stored there, by handle.
     results: HashMap<Arc<str>, StoredResult>,
+    /// The handles that it has given lately, and when.
+    given_handles: HashMap<Arc<str>, Duration>,
     /// Bytes of results that are being produced.
     bytes_in_progress: u64,
     /// Bytes taken by unknown results, as shown by a refusal for lack of space, and the time until
@@ -122,6 +128,16 @@
         self.results.insert(handle, result);
     }
 
+    /// Records the handles in a response to a call; returns whether all of them are new. A response
+    /// with a known handle belongs to an earlier call.
+    pub fn record_handles(&mut self, now: Duration, handles: &[&Arc<str>]) -> bool {
+        let mut are_new = true;
+        for handle in handles {
+            are_new &= self.given_handles.insert((*handle).clone(), now).is_none();
+        }
+        are_new
+    }
+
     /// Removes a result that was released.
     pub fn remove_result(&mut self, handle: &str) {
         self.results.remove(handle);
@@ -138,6 +154,7 @@
 
     fn expire(&mut self, now: Duration, batch_config: &BatchConfig) {
         self.results.retain(|_, result| now < result.produced_at + batch_config.result_lifetime);
+        self.given_handles.retain(|_, at| now < *at + GIVEN_HANDLE_LIFETIME);
         self.unknown_bytes = match self.unknown_bytes {
             Some((bytes, until)) if now >= until => {
                 let is_significant = bytes > batch_config.result_capacity_bytes / UNKNOWN_DIVISOR;
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -334,9 +334,25 @@
                 "the response has the wrong number of outcomes".to_owned(),
             ));
         }
+        if !self.record_handles(target.key, &outcomes) {
+            return Err(CallFailure::Failed("the response is for an earlier call".to_owned()));
+        }
         Ok(outcomes)
     }
 
+    /// Records the handles of a response; returns whether it may be the response to its call. Calls
+    /// carry no identifier that workers repeat, so a handle is all that tells responses apart.
+    fn record_handles(&self, key: UpstreamKey, outcomes: &[PieceOutcome]) -> bool {
+        let handles = outcomes.iter().filter_map(|outcome| match outcome {
+            PieceOutcome::Completed(handle) => Some(handle),
+            _ => None,
+        });
+        let handles: Vec<_> = handles.collect();
+        let now = self.now();
+        let mut workers = self.workers.borrow_mut();
+        workers.get_mut(key).is_none_or(|worker| worker.record_handles(now, &handles))
+    }
+
     fn request(&self, target: &Target, path: &'static str, body: Bytes) -> Request<Full<Bytes>> {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
