Soak: workers that repeat a response late; requests held past their deadline

3 in 100 responses to calls with pieces come a second time when the next request arrives on their connection. A request that a sound node neither answers nor closes within half a second of its deadline is a violation, whatever its kind.

--- a/crates/fernring-standins/examples/soak/callers.rs
+++ b/crates/fernring-standins/examples/soak/callers.rs
@@ -21,6 +21,8 @@
 
 /// Deadline that callers give their requests, in milliseconds.
 pub(crate) const DEADLINE_MS: u64 = 4_000;
+/// How long callers wait for the end of an answer: the deadline and 0.5 s.
+const PATIENCE: Duration = Duration::from_millis(DEADLINE_MS + 500);
 
 /// Sends requests at a constant rate until `end`. Each request runs in a task of its own.
 pub(crate) async fn generate_load(
@@ -64,15 +66,21 @@
         let Ok(Ok(mut stream)) = connected else {
             return self.ledger.record_outcome(&id, Outcome::NotConnected);
         };
+        let mut is_held = false;
         let outcome = match stream.write_all(self.request(&id).as_bytes()).await {
             Ok(()) => {
-                let patience = Duration::from_millis(DEADLINE_MS + 500);
-                let answer =
-                    timeout(patience, read_partial_message(&mut stream)).await.ok().flatten();
-                self.classify(&id, answer)
+                let answer = timeout(PATIENCE, read_partial_message(&mut stream)).await;
+                is_held = answer.is_err();
+                self.classify(&id, answer.ok().flatten())
             }
             Err(_) => Outcome::Broken,
         };
+        if is_held && !self.nodes.was_disturbed(self.node, sent_at) {
+            let (kind, node) = (self.kind.name(), self.node);
+            self.ledger.record_violation(format!(
+                "{id} ({kind}) was held past its deadline by sound node {node}"
+            ));
+        }
         // Nodes buffer a plain answer until it is complete, so only the end of the node itself
         // breaks it off. A request that meets the planned stop of its node may be dropped, but
         // only if no upstream has run it.
--- a/crates/fernring-standins/examples/soak/upstreams.rs
+++ b/crates/fernring-standins/examples/soak/upstreams.rs
@@ -39,6 +39,9 @@
 const LOST_SHARE: f64 = 0.01;
 const TRUNCATED_SHARE: f64 = 0.02;
 const FAILED_SHARE: f64 = 0.01;
+/// Share of the responses to calls with pieces that are sent a second time, when the next request
+/// arrives on their connection.
+const REPEATED_SHARE: f64 = 0.03;
 
 /// Pauses that an overloaded upstream requests, drawn for each rejection.
 const PAUSE: Range<Duration> = Duration::from_millis(700)..Duration::from_millis(2_000);
@@ -99,6 +102,8 @@
 /// them before it sends the next request on the connection.
 #[derive(Debug, Default)]
 struct Announced {
+    /// A response that is repeated when the next request arrives.
+    repeated: Option<Vec<u8>>,
     is_leaving: bool,
     paused_until: Option<Instant>,
 }
@@ -307,6 +312,11 @@
             let mut announced = Announced::default();
             while let Some(request) = read_message(&mut stream).await {
                 self.wait_while_silent().await;
+                if let Some(repeated) = announced.repeated.take()
+                    && stream.write_all(&repeated).await.is_err()
+                {
+                    return;
+                }
                 if !self.respond(&request, &mut announced, &mut stream).await {
                     return;
                 }
@@ -359,7 +369,7 @@
         }
         let fate = fate - REFUSED_SHARE;
         if request.path() == "/fernring/stage-run" {
-            return self.respond_to_pieces(request, fate, &limit, stream).await;
+            return self.respond_to_pieces(request, fate, &limit, announced, stream).await;
         }
         let count = |stage: usize| {
             let counts = request.header("pieces").unwrap_or_default().split(',').nth(stage);
@@ -420,6 +430,7 @@
         request: &Message,
         fate: f64,
         headers: &str,
+        announced: &mut Announced,
         stream: &mut TcpStream,
     ) -> bool {
         let batch: Value = serde_json::from_slice(&request.body).unwrap_or_default();
@@ -430,7 +441,11 @@
         if fate < LOST_SHARE + FAILED_SHARE + TRUNCATED_SHARE {
             return false;
         }
-        write_response(stream, "200 OK", headers, &json!({"items": results}).to_string()).await
+        let response = response("200 OK", headers, &json!({"items": results}).to_string());
+        if rand::rng().random_bool(REPEATED_SHARE) {
+            announced.repeated = Some(response.clone().into_bytes());
+        }
+        stream.write_all(response.as_bytes()).await.is_ok()
     }
 
     async fn stream_events(
@@ -492,8 +507,10 @@
     }
 }
 
+fn response(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
 async fn write_response(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
-    let response =
-        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
-    stream.write_all(response.as_bytes()).await.is_ok()
+    stream.write_all(response(status, headers, body).as_bytes()).await.is_ok()
 }
