--- a/crates/fernring-standins/examples/soak/upstreams.rs
+++ b/crates/fernring-standins/examples/soak/upstreams.rs
@@ -47,7 +47,7 @@
 const PAUSE: Range<Duration> = Duration::from_millis(700)..Duration::from_millis(2_000);
 
 /// Every upstream whose number is a multiple of this works on after its connection was closed.
-const HEEDLESS_EVERY: u64 = 2;
+const CLOSE_IGNORED_EVERY: u64 = 2;
 
 /// The service whose versions are rolled out.
 pub(crate) const ROLLOUT_SERVICE: &str = "app";
@@ -198,7 +198,7 @@
             is_leaving: AtomicBool::default(),
             is_overloaded: AtomicBool::default(),
             is_silent: watch::Sender::new(false),
-            notices_close: !number.is_multiple_of(HEEDLESS_EVERY),
+            notices_close: !number.is_multiple_of(CLOSE_IGNORED_EVERY),
             ledger: self.ledger.clone(),
             results: AtomicU64::new(0),
         });
--- a/crates/fernring-tcp/tests/testsuite/main.rs
+++ b/crates/fernring-tcp/tests/testsuite/main.rs
@@ -17,9 +17,9 @@
     (near, listener.accept().unwrap().0)
 }
 
-/// Probes of a closed window are answered by a machine whose process reads nothing.
+/// Probes of a closed window are answered while the reading process is paused.
 #[test]
-fn reader_that_stands_still_answers() {
+fn paused_reader_answers_probes() {
     let (mut near, mut far) = connected();
     near.set_nonblocking(true).unwrap();
     let block = vec![0; 1 << 20];
