connection_broken names all causes of its error

An error of the node's own check of a caller's connection read error="connection error", and request_ended says caller_left in the same millisecond: the line can't tell a caller that has closed its connection from a node that has given it up. With the causes, the cut of a caller that acknowledges nothing reads "connection error: no acknowledgement".

--- a/crates/fernring-gateway/src/serving/ingress.rs
+++ b/crates/fernring-gateway/src/serving/ingress.rs
@@ -222,7 +222,8 @@
 
     async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
         if let Err(error) = self.serve_requests(stream).await {
-            log::info(LogLine::event("connection_broken").with("error", error));
+            // All causes: only the last one tells an error of the connection from the caller's end.
+            log::info(LogLine::event("connection_broken").with("error", format!("{error:#}")));
         }
         self.open.set(self.open.get() - 1);
     }
