Callers keep their connections when nothing is acknowledged for a while

Cause: the node inferred from TCP_INFO that the machine at the other end is gone after 1.25 s without an acknowledgement, and ended an answer that was under way. Evidence: connection_broken error="connection error: no acknowledgement" in the millisecond of the cut. A link that is lost for a moment and a receiver that drops what exceeds its buffer look the same.

Why this holds: no check of acknowledgements is left on callers' connections. They end by what the interface names: the end of the answer, the idle and head limits, the deadline and five seconds for one that doesn't read. Cost: a caller that is gone without closing keeps its connection and its upstream's slot until then, instead of 1.5 s.

Test: slow_readers::caller_that_acknowledges_nothing_for_a_while_loses_its_stream; failed on, passes here.

--- a/crates/fernring-gateway/src/serving/ingress.rs
+++ b/crates/fernring-gateway/src/serving/ingress.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        caller_body::CallerBody, config::ConfigState, connector::live_stream::LiveStream,
-        context::ServingContext, log, model::CallerLimits,
+        caller_body::CallerBody, config::ConfigState, context::ServingContext, log,
+        model::CallerLimits,
     },
     fernring_core::{clock::Clock, text::LogLine},
     http::{HeaderValue, Request, Response, Version, header::CONNECTION},
@@ -104,7 +104,7 @@
 
 /// A TCP stream that records when the first bytes of a request's head arrive.
 struct WatchedStream {
-    stream: LiveStream<TcpStream>,
+    stream: TcpStream,
     state: Rc<ConnectionState>,
     /// Whether the socket is set to end the connection with a reset.
     is_set_to_reset: bool,
@@ -115,7 +115,7 @@
         let ends_by_reset = self.state.ends_by_reset.get();
         if ends_by_reset != self.is_set_to_reset {
             let linger = ends_by_reset.then_some(Duration::ZERO);
-            socket2::SockRef::from(self.stream.get_ref()).set_linger(linger)?;
+            socket2::SockRef::from(&self.stream).set_linger(linger)?;
             self.is_set_to_reset = ends_by_reset;
         }
         Ok(())
@@ -235,7 +235,6 @@
         let state = Rc::new(ConnectionState { activity, ends_by_reset: Cell::new(false), clock });
         let limits = self.limits();
         let buffer_bytes = limits.head_bytes_max.max(BUFFER_BYTES_MIN);
-        let stream = LiveStream::new(stream)?;
         let stream = WatchedStream { stream, state: state.clone(), is_set_to_reset: false };
         let stream = TokioIo::new(stream);
         let service = service_fn(|request| self.answer(request, state.clone()));
