The idle limit doesn't cut an answer that its caller is receiving

What callers saw: a caller that read nothing for 1.2 s received 3,919,751 of 8,000,000 bytes of a whole answer, then the end of the connection (idle limit 600 ms, test).

Cause: a connection counted as idle as soon as the answer was handed to the HTTP library, which still held what the socket's buffers didn't take. At the idle limit the connection was dropped with it.

Why this holds: at the idle limit the connection is shut down in order, which sends what is left first.

--- a/crates/fernring-gateway/src/serving/ingress.rs
+++ b/crates/fernring-gateway/src/serving/ingress.rs
@@ -16,7 +16,7 @@
         io,
         pin::{Pin, pin},
         rc::Rc,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
@@ -24,6 +24,7 @@
         net::{TcpListener, TcpStream},
         sync::watch,
         task::spawn_local,
+        time::sleep,
     },
 };
 
@@ -59,12 +60,16 @@
     ServingRequest,
     /// Sending an answer, which is abandoned at this time.
     SendingAnswer(Duration),
+    /// Closing in order; the rest of an answer is abandoned at this time.
+    Ending(Duration),
 }
 
 /// The state shared by the tasks of one connection.
 #[derive(Debug)]
 pub struct ConnectionState {
     activity: Cell<Activity>,
+    /// Until when the caller may receive its last answer.
+    answer_until: Cell<Duration>,
     /// Whether an answer is being sent whose end is marked by the end of the connection. Until all
     /// of it is sent, the connection may only end with a reset, even if the process is killed.
     ends_by_reset: Cell<bool>,
@@ -87,9 +92,24 @@
             Activity::Idle(since) => Some(since + limits.idle_timeout),
             Activity::ReadingHead(since) => Some(since + limits.head_timeout),
             Activity::ServingRequest => None,
-            Activity::SendingAnswer(until) => Some(until),
+            Activity::SendingAnswer(until) | Activity::Ending(until) => Some(until),
         }
     }
+
+    fn record_answer(&self, until: Duration) {
+        self.activity.set(Activity::SendingAnswer(until));
+        self.answer_until.set(until);
+    }
+
+    /// Begins the end of the connection if it is idle, and returns whether it is. It may still hold the
+    /// rest of an answer that the caller hasn't received.
+    fn end_if_idle(&self) -> bool {
+        let is_idle = matches!(self.activity.get(), Activity::Idle(_));
+        if is_idle {
+            self.activity.set(Activity::Ending(self.answer_until.get().max(self.now())));
+        }
+        is_idle
+    }
 }
 
 /// A guard for a request in flight on a connection; the connection becomes idle when it is dropped.
@@ -214,7 +234,7 @@
                 }
                 Err(error) => {
                     log::warn(LogLine::event("accept_failed").with("error", error));
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
@@ -232,7 +252,12 @@
         stream.set_nodelay(true)?;
         let activity = Cell::new(Activity::Idle(self.serving.now()));
         let clock = self.serving.clock.clone();
-        let state = Rc::new(ConnectionState { activity, ends_by_reset: Cell::new(false), clock });
+        let state = Rc::new(ConnectionState {
+            activity,
+            answer_until: Cell::default(),
+            ends_by_reset: Cell::new(false),
+            clock,
+        });
         let limits = self.limits();
         let buffer_bytes = limits.head_bytes_max.max(BUFFER_BYTES_MIN);
         let stream = WatchedStream { stream, state: state.clone(), is_set_to_reset: false };
@@ -249,26 +274,33 @@
         let mut is_closing = false;
         // Set to the deadline of the connection's activity at each poll.
         let deadline_timer = &self.serving.deadline_timer;
-        let mut timer_at = self.serving.now() + limits.idle_timeout;
-        let mut timer = Box::pin(deadline_timer.sleep_until(timer_at));
+        let mut timer_at = None;
+        let mut timer = Box::pin(deadline_timer.sleep_until(self.serving.now()));
         poll_fn(|context| {
             if !is_closing && closing.as_mut().poll(context).is_ready() {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            if let Poll::Ready(end) = connection.as_mut().poll(context) {
-                return Poll::Ready(end.map_err(anyhow::Error::from));
-            }
-            let Some(deadline) = state.deadline(&self.limits()) else {
-                return Poll::Pending;
-            };
-            if timer_at != deadline {
-                timer_at = deadline;
-                timer.set(deadline_timer.sleep_until(deadline));
-            }
-            match timer.as_mut().poll(context) {
-                Poll::Ready(()) => Poll::Ready(Ok(())),
-                Poll::Pending => Poll::Pending,
+            loop {
+                if let Poll::Ready(end) = connection.as_mut().poll(context) {
+                    return Poll::Ready(end.map_err(anyhow::Error::from));
+                }
+                if is_closing {
+                    state.end_if_idle();
+                }
+                let Some(deadline) = state.deadline(&self.limits()) else {
+                    return Poll::Pending;
+                };
+                if timer_at != Some(deadline) {
+                    timer_at = Some(deadline);
+                    timer.set(deadline_timer.sleep_until(deadline));
+                }
+                ready!(timer.as_mut().poll(context));
+                timer_at = None;
+                if !state.end_if_idle() {
+                    return Poll::Ready(Ok(()));
+                }
+                connection.as_mut().graceful_shutdown();
             }
         })
         .await
@@ -289,7 +321,7 @@
         let has_chunks = request.version() >= Version::HTTP_11;
         let mut response = self.serving.clone().serve(request).await;
         if let Some(deadline) = response.body().deadline() {
-            state.activity.set(Activity::SendingAnswer(deadline + OVERTIME_MAX));
+            state.record_answer(deadline + OVERTIME_MAX);
         }
         if self.phase() >= Phase::Leaving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
