A stopped node ends once its callers have received their answers

Cause: a connection counted as closed once the process had written all bytes and shut the socket down, whatever its caller had acknowledged.

Why this holds: the end of a connection waits until the kernel reports no unacknowledged byte (SIOCOUTQ), so the shutdown waits for it like for an open connection, within the grace period. Where the kernel doesn't report, nothing changes.

--- a/crates/fernring-gateway/src/serving/ingress.rs
+++ b/crates/fernring-gateway/src/serving/ingress.rs
@@ -6,6 +6,7 @@
         model::CallerLimits,
     },
     fernring_core::{clock::Clock, text::LogLine},
+    fernring_tcp::unacknowledged_bytes,
     http::{HeaderValue, Request, Response, Version, header::CONNECTION},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -24,7 +25,7 @@
         net::{TcpListener, TcpStream},
         sync::watch,
         task::spawn_local,
-        time::sleep,
+        time::{Sleep, sleep},
     },
 };
 
@@ -34,6 +35,8 @@
 /// limit, a caller that stops reading would occupy its connection, and one to an upstream,
 /// indefinitely.
 const OVERTIME_MAX: Duration = Duration::from_secs(5);
+/// Interval at which it is checked whether a caller has received the rest of its answer.
+const RECEIPT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -122,10 +125,13 @@
     }
 }
 
-/// A TCP stream that records when the first bytes of a request's head arrive.
+/// A TCP stream that records when the first bytes of a request's head arrive, and that ends once the
+/// caller has received everything.
 struct WatchedStream {
     stream: TcpStream,
     state: Rc<ConnectionState>,
+    /// When the next check for unacknowledged bytes is due; set while the stream is being shut down.
+    next_receipt_check: Option<Pin<Box<Sleep>>>,
     /// Whether the socket is set to end the connection with a reset.
     is_set_to_reset: bool,
 }
@@ -140,6 +146,21 @@
         }
         Ok(())
     }
+
+    /// Waits until the caller has acknowledged all bytes. A process that ends before leaves them to
+    /// the kernel, and they are lost if the VM is removed.
+    fn poll_receipt(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        loop {
+            if let Some(next_check) = &mut self.next_receipt_check {
+                ready!(next_check.as_mut().poll(context));
+            }
+            // A kernel that can't tell delivers the bytes without the process.
+            if unacknowledged_bytes(&self.stream).unwrap_or(0) == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            self.next_receipt_check = Some(Box::pin(sleep(RECEIPT_POLL_INTERVAL)));
+        }
+    }
 }
 
 impl AsyncRead for WatchedStream {
@@ -177,7 +198,10 @@
             // Dropping the stream resets the connection; a shutdown would end it in order.
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.next_receipt_check.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        }
+        self.poll_receipt(context)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -260,7 +284,12 @@
         });
         let limits = self.limits();
         let buffer_bytes = limits.head_bytes_max.max(BUFFER_BYTES_MIN);
-        let stream = WatchedStream { stream, state: state.clone(), is_set_to_reset: false };
+        let stream = WatchedStream {
+            stream,
+            state: state.clone(),
+            next_receipt_check: None,
+            is_set_to_reset: false,
+        };
         let stream = TokioIo::new(stream);
         let service = service_fn(|request| self.answer(request, state.clone()));
         let mut connection = pin!(
--- a/crates/fernring-tcp/src/lib.rs
+++ b/crates/fernring-tcp/src/lib.rs
@@ -17,6 +17,23 @@
     time::Duration,
 };
 
+/// Returns the number of bytes written to a connection that its other end hasn't acknowledged, whether
+/// they were sent or not (`SIOCOUTQ`, tcp(7)). The end of the connection counts as one byte.
+///
+/// # Errors
+/// Returns the system's error, for example if the socket is no TCP connection.
+#[allow(unsafe_code)]
+pub fn unacknowledged_bytes(socket: &impl AsFd) -> io::Result<usize> {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open while `socket` is borrowed, and the kernel writes one integer to
+    // `bytes`. `SIOCOUTQ` has the value of `TIOCOUTQ`.
+    let result = unsafe { libc::ioctl(socket.as_fd().as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if result != 0 {
+        return Err(io::Error::last_os_error());
+    }
+    usize::try_from(bytes).map_err(io::Error::other)
+}
+
 /// Whether the other end of a connection acknowledges what it is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AckState {
--- a/crates/fernring-tcp/tests/testsuite/main.rs
+++ b/crates/fernring-tcp/tests/testsuite/main.rs
@@ -1,11 +1,11 @@
 //! Tests of the state of connections on the loopback interface.
 
 use {
-    fernring_tcp::ack_state,
+    fernring_tcp::{ack_state, unacknowledged_bytes},
     std::{
         fs::File,
         io::{Read, Write},
-        net::{TcpListener, TcpStream},
+        net::{Shutdown, TcpListener, TcpStream},
         thread::sleep,
         time::Duration,
     },
@@ -40,7 +40,28 @@
     }
 }
 
+#[test]
+fn bytes_count_until_they_are_acknowledged() {
+    let (mut near, mut far) = connected();
+    near.set_nonblocking(true).unwrap();
+    assert_eq!(unacknowledged_bytes(&near).unwrap(), 0);
+    let block = vec![0; 1 << 20];
+    let mut written = 0;
+    while let Ok(count) = near.write(&block) {
+        written += count;
+    }
+    let unread = unacknowledged_bytes(&near).unwrap();
+    assert!(unread > 0 && unread < written, "{unread} of {written}");
+    near.shutdown(Shutdown::Write).unwrap();
+    far.read_to_end(&mut Vec::new()).unwrap();
+    while unacknowledged_bytes(&near).unwrap() > 0 {
+        sleep(Duration::from_millis(1));
+    }
+}
+
 #[test]
 fn other_descriptors_have_no_state() {
-    assert!(ack_state(&File::open("/dev/null").unwrap()).is_err());
+    let file = File::open("/dev/null").unwrap();
+    assert!(ack_state(&file).is_err());
+    assert!(unacknowledged_bytes(&file).is_err());
 }
