Pieces of a lost owner don't count as demand at the next one

What callers saw: requests that had been accepted were answered 503 with 3.8 s left, when the node that batches their pieces stood still.

Cause: the next owner gets all pieces of the lost one at once and recorded them as arrivals. 64 pieces are a rate of 32 a second over the window of two seconds, more than the 28.8 that one worker completes, so nothing seemed to be left for late pieces, and the owner gave them up 0.48 s later.

Why this holds: pieces count as arrivals once, at the first owner that they are submitted to. A message says that they were submitted before; nodes of a former version don't send it and count as they did.

--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -83,6 +83,8 @@
     pub residency: Residency,
     /// The node that requests the results.
     pub requester: SocketAddr,
+    /// Whether the pieces were submitted to another owner before, which was lost.
+    pub is_resubmitted: bool,
 }
 
 /// Outcome of the pieces of a stage.
@@ -217,7 +219,9 @@
         let mut queues = self.queues.borrow_mut();
         let queue = queues.entry(work.pool.clone()).or_default();
         let now = self.now();
-        if work.due_at > now {
+        // Pieces of a lost owner come all at once. Counted as arrivals, they look like a demand that
+        // goes on and leaves nothing for late pieces.
+        if work.due_at > now && !work.is_resubmitted {
             let mut throughputs = self.throughputs.borrow_mut();
             let throughput = throughputs.entry(work.pool.clone()).or_default();
             throughput.record_arrivals(now, rank_index(work.priority), work.pieces);
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -208,6 +208,7 @@
             result_bytes: spec.result_bytes,
             residency: self.residency.clone(),
             requester: self.serving.peers.address(),
+            is_resubmitted: false,
         })
     }
 
--- a/crates/fernring-gateway/src/stage_messages.rs
+++ b/crates/fernring-gateway/src/stage_messages.rs
@@ -38,6 +38,7 @@
         consumer_domain: work.consumer_domain.as_deref().unwrap_or_default().to_owned(),
         fingerprint: Bytes::copy_from_slice(work.fingerprint.bytes()),
         allowed_regions: work.residency.regions().map(|region| region.to_string()).collect(),
+        is_resubmitted: work.is_resubmitted,
     }
 }
 
@@ -64,6 +65,7 @@
         result_bytes: message.result_bytes,
         residency: decode_residency(message.allowed_regions),
         requester: sender,
+        is_resubmitted: message.is_resubmitted,
         // Nodes of a former version send no fingerprint. The request then gets one that no
         // other request shares.
         fingerprint: Fingerprint::from_bytes(&message.fingerprint)
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -291,6 +291,7 @@
             }
             let line = LogLine::event("stage_owner_lost").with("request", &work.request_id);
             log::warn(line.with("stage", work.stage).with("owner", owner));
+            work.is_resubmitted = true;
         }
         WorkOutcome::Failed
     }
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -767,6 +767,9 @@
     /// Regions in which the request may be served; empty if it may be served in any.
     #[prost(string, repeated, tag = "15")]
     pub allowed_regions: Vec<String>,
+    /// Whether the pieces were submitted to another owner before, which was lost.
+    #[prost(bool, tag = "16")]
+    pub is_resubmitted: bool,
 }
 
 /// Outcome of the pieces of one stage.
