A node's own pause isn't the silence of its peers

What callers saw: the pieces of all other nodes were dropped whenever the node that batches them woke after 0.55 to 0.8 s.

Cause: the first thing that a woken process did was to compare the time with its peers' last heartbeats, while those sent meanwhile waited in its sockets. It took all peers for lost and cancelled their works. Evidence: peer_lost silent_ms=835 round_ms=833 at the owner for each peer, stage_owner_lost at the peers in the same second, then outcome=NoUpstream code=3004 left_ms=1824 after the third.

Why this holds: if the check for silent peers itself is late by two heartbeats or more, each peer that was live at the check before has another heartbeat's time to be heard, once until it is. A peer that is really gone is found 0.2 s later than before after such a pause.

--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -24,6 +24,9 @@
 pub const SILENCE_MAX: Duration = Duration::from_millis(700);
 /// Heartbeats of a longer interval that may be missing before a peer counts as silent.
 const MISSED_HEARTBEATS_MAX: f64 = 3.5;
+/// Gap between two checks for silent peers from which on this node itself counts as paused: two
+/// heartbeats.
+const OWN_PAUSE_MIN: Duration = Duration::from_millis(400);
 /// Silence after which a peer is forgotten and no longer connected to, unless another peer names it
 /// again.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
@@ -123,6 +126,9 @@
     last_seen_at: Duration,
     /// Whether a connection to it has failed since its last heartbeat.
     is_unreachable: bool,
+    /// Until when its silence is due to a pause of this node, if there was one since its last
+    /// heartbeat.
+    excused_until: Option<Duration>,
 }
 
 impl Peer {
@@ -130,8 +136,15 @@
         !self.is_unreachable && now < self.live_until()
     }
 
+    /// Records that this node was paused while the peer was live: what the peer has sent meanwhile is
+    /// still in a socket. A second pause before it is read excuses nothing more.
+    fn excuse_silence(&mut self, now: Duration) {
+        self.excused_until.get_or_insert(now + HEARTBEAT_INTERVAL);
+    }
+
     fn live_until(&self) -> Duration {
-        self.last_seen_at + SILENCE_MAX.max(self.member.interval.mul_f64(MISSED_HEARTBEATS_MAX))
+        let silence_max = SILENCE_MAX.max(self.member.interval.mul_f64(MISSED_HEARTBEATS_MAX));
+        (self.last_seen_at + silence_max).max(self.excused_until.unwrap_or_default())
     }
 }
 
@@ -149,7 +162,8 @@
     pub fn record_heartbeat(&mut self, now: Duration, member: Member) -> bool {
         let address = member.address;
         let hash = self.peers.get(&address).map_or_else(|| member.hash(), |peer| peer.hash);
-        let peer = Peer { member, hash, last_seen_at: now, is_unreachable: false };
+        let peer =
+            Peer { member, hash, last_seen_at: now, is_unreachable: false, excused_until: None };
         let before = self.peers.insert(address, peer);
         self.suggested.remove(&address);
         before.is_none_or(|peer| !peer.is_live(now))
@@ -165,10 +179,15 @@
     }
 
     /// Forgets peers that have been silent for [`FORGET_AFTER`], and returns those that became
-    /// silent since `before`.
+    /// silent since `before`, the time of the last such check. If that is long ago, this node was
+    /// paused, and the peers have another heartbeat's time to be heard.
     pub fn expire(&mut self, before: Duration, now: Duration) -> Vec<SilentPeer> {
         self.peers.retain(|_, peer| now < peer.last_seen_at + FORGET_AFTER);
         self.suggested.retain(|_, until| now < *until);
+        if now.saturating_sub(before) >= OWN_PAUSE_MIN {
+            let live = self.peers.values_mut().filter(|peer| peer.is_live(before));
+            live.for_each(|peer| peer.excuse_silence(now));
+        }
         let lost = |peer: &Peer| peer.is_live(before) && !peer.is_live(now);
         let silent_peer = |peer: &Peer| SilentPeer {
             address: peer.member.address,
--- a/crates/fernring-gateway/tests/testsuite/members.rs
+++ b/crates/fernring-gateway/tests/testsuite/members.rs
@@ -79,6 +79,30 @@
     assert!(members.record_heartbeat(step * 3, member(2, "a")), "the peer is live again");
 }
 
+/// A node that had been paused took its peers for lost before it read what they had sent, and cancelled their work.
+#[test]
+fn own_pause_counts_as_silence_of_peers() {
+    let tick = Duration::from_millis(200);
+    for pause in [SILENCE_MAX, SILENCE_MAX * 2, SILENCE_MAX * 20] {
+        let mut members = members_with(&[2, 3]);
+        assert!(members.expire(tick, tick + pause).is_empty(), "{pause:?}");
+        let resumed_at = tick + pause;
+        assert!(members.is_live(resumed_at, address(3)));
+        members.record_heartbeat(resumed_at, member(2, "a"));
+        let lost = members.expire(resumed_at, resumed_at + tick);
+        assert_eq!(lost.iter().map(|peer| peer.address).collect::<Vec<_>>(), [address(3)]);
+    }
+}
+
+/// A node that is paused again and again notices nevertheless that a peer is gone.
+#[test]
+fn repeated_own_pauses_hide_a_lost_peer() {
+    let mut members = members_with(&[2]);
+    let pause = SILENCE_MAX;
+    assert!(members.expire(Duration::ZERO, pause).is_empty());
+    assert_eq!(members.expire(pause, pause * 2).len(), 1);
+}
+
 #[test]
 fn domain_is_unreachable_when_all_its_nodes_are() {
     let mut members = members_with(&[2]);
