Pieces are cancelled at the owner that was taken for lost

What callers saw: nothing by itself.

Cause: the two sides didn't agree on the end of a work: a node that submits it elsewhere kept that to itself.

Why this holds: the cancellation goes out when the owner is taken for lost. A process that only stood still finds it in its socket as it wakes; after a link was reset it goes over a new one; a machine that is gone costs one failed connection.

--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -348,8 +348,8 @@
         self.shares.remove_peer(peer);
     }
 
-    /// Handles the loss of a peer: stages that it owned are submitted to another owner, and the
-    /// work that it submitted here is cancelled.
+    /// Handles the loss of a peer: stages that it owned are cancelled there and submitted to another
+    /// owner, and the work that it submitted here is cancelled.
     pub fn handle_peer_lost(&self, peer: SocketAddr) {
         self.backlogs.remove_peer(peer);
         self.shares.remove_peer(peer);
@@ -357,9 +357,12 @@
             let mut pending = self.pending.borrow_mut();
             let tickets: Vec<_> =
                 pending.iter().filter(|(_, p)| p.owner == peer).map(|(t, _)| *t).collect();
-            tickets.into_iter().filter_map(|ticket| pending.remove(&ticket)).collect()
+            let remove = |ticket| Some((ticket, pending.remove(&ticket)?));
+            tickets.into_iter().filter_map(remove).collect()
         };
-        for pending in lost {
+        for (ticket, pending) in lost {
+            // The peer may be alive and go on with what is submitted elsewhere.
+            self.peers.send(peer, GatewayBody::WorkCancel(WorkTicket { ticket }));
             drop(pending.reply.send(WorkOutcome::OwnerLost));
         }
         let tickets: Vec<_> = self
