--- a/crates/fernring-standins/src/store.rs
+++ b/crates/fernring-standins/src/store.rs
@@ -41,8 +41,12 @@
     Slow,
     /// It sends the first half of each response and then nothing more.
     Stalled,
+    /// It sends each response after [`LATE_TIME`].
+    Late,
 }
 
+/// Time after which a late response is sent.
+pub const LATE_TIME: Duration = Duration::from_millis(1_200);
 /// Number of chunks of a slow response.
 pub const SLOW_CHUNKS: usize = 12;
 /// Pause before each chunk of a slow response.
@@ -268,8 +272,11 @@
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
         while let Some(call) = read_message(&mut stream).await {
             let mode = *self.mode.borrow();
+            if mode == Mode::Late {
+                tokio::time::sleep(LATE_TIME).await;
+            }
             let response = match mode {
-                Mode::Up | Mode::Slow | Mode::Stalled => self.handle_call(&call).await,
+                Mode::Up | Mode::Slow | Mode::Stalled | Mode::Late => self.handle_call(&call).await,
                 Mode::Busy => (503, Vec::new()),
                 Mode::Silent => return self.hold_during(Mode::Silent).await,
             };
