Platform clients: bodies without end fill the memory

Seen: a response of the log service or the VM list whose body doesn't end was kept whole until the request's time had passed, and a page of a stream for as long as any byte came: at the size at which the test's server stops, and in drops of a byte for ever. Cause: `.json()` has no bound in bytes; a page's timeout was renewed by each chunk. Fix: each body has a largest size.

--- a/crates/fernring-platform/src/http.rs
+++ b/crates/fernring-platform/src/http.rs
@@ -1,7 +1,10 @@
 //! HTTP clients of the platform's services.
 
 use {
-    crate::{AppendResponse, LogService, PlatformError, VmEntry, VmList},
+    crate::{
+        AppendResponse, LogService, PlatformError, VmEntry, VmList,
+        body::{read_body, read_large_body},
+    },
     async_trait::async_trait,
     fernring_core::log::LogPage,
     reqwest::{Client, Response, StatusCode, redirect::Policy},
@@ -12,6 +15,14 @@
     tokio::time::{error::Elapsed, timeout},
 };
 
+/// Largest response to an append, in bytes.
+const APPEND_RESPONSE_MAX_BYTES: usize = 64 << 10;
+/// Largest page of a stream, in bytes of JSON. A snapshot of the configuration has up to 16 MiB, and
+/// a third more in Base64.
+const PAGE_MAX_BYTES: usize = 64 << 20;
+/// Largest VM list, in bytes of JSON.
+const VM_LIST_MAX_BYTES: usize = 16 << 20;
+
 /// HTTP client of the log service.
 #[derive(Debug, Clone)]
 pub struct HttpLog {
@@ -40,24 +51,12 @@
     /// Creates a client of the log service.
     ///
     /// `timeout` limits each append, and in a read the wait for the response head (in addition to
-    /// `wait` of the read) and for each chunk of the body. Connections are made from the local
-    /// address `source` if it is given.
+    /// `wait` of the read) and for each [`PROGRESS_MIN_BYTES`](crate::PROGRESS_MIN_BYTES) of the
+    /// body: a page that holds a snapshot of the configuration may take longer than that over a slow
+    /// link. Connections are made from the local address `source` if it is given.
     pub fn new(address: SocketAddr, timeout: Duration, source: Option<IpAddr>) -> Self {
         Self { client: build_client(source), base_url: format!("http://{address}"), timeout }
     }
-
-    /// Reads the body of a response, with the timeout applied to each chunk. A timeout for the
-    /// whole body would fail pages that hold a snapshot of the configuration, which can take longer
-    /// than that over a slow link.
-    async fn read_body(&self, mut response: Response) -> Result<Vec<u8>, PlatformError> {
-        let mut body = Vec::new();
-        while let Some(chunk) =
-            timeout(self.timeout, response.chunk()).await.map_err(timeout_error)??
-        {
-            body.extend_from_slice(&chunk);
-        }
-        Ok(body)
-    }
 }
 
 fn timeout_error(_: Elapsed) -> PlatformError {
@@ -85,7 +84,8 @@
     async fn append(&self, stream: &str, data: &[u8]) -> Result<AppendResponse, PlatformError> {
         let url = format!("{}/streams/{stream}/records", self.base_url);
         let request = self.client.post(url).timeout(self.timeout).body(data.to_vec());
-        Ok(check_status(request.send().await?)?.json().await?)
+        let response = check_status(request.send().await?)?;
+        Ok(serde_json::from_slice(&read_body(response, APPEND_RESPONSE_MAX_BYTES).await?)?)
     }
 
     async fn read(
@@ -99,7 +99,8 @@
             format!("{}/streams/{stream}/records?from={from}&wait_ms={wait_ms}", self.base_url);
         let response = timeout(self.timeout + wait, self.client.get(url).send());
         let response = check_status(response.await.map_err(timeout_error)??)?;
-        Ok(serde_json::from_slice(&self.read_body(response).await?)?)
+        let body = read_large_body(response, PAGE_MAX_BYTES, self.timeout).await?;
+        Ok(serde_json::from_slice(&body)?)
     }
 }
 
@@ -107,6 +108,7 @@
 impl VmList for HttpVmList {
     async fn list(&self) -> Result<Vec<VmEntry>, PlatformError> {
         let request = self.client.get(format!("{}/vms", self.base_url)).timeout(self.timeout);
-        Ok(check_status(request.send().await?)?.json().await?)
+        let response = check_status(request.send().await?)?;
+        Ok(serde_json::from_slice(&read_body(response, VM_LIST_MAX_BYTES).await?)?)
     }
 }
--- a/crates/fernring-platform/src/lib.rs
+++ b/crates/fernring-platform/src/lib.rs
@@ -5,10 +5,12 @@
 //! over the platform's HTTP interface. After an error of [`LogService::append`] other than
 //! [`PlatformError::RateLimited`], the record may have been appended.
 
+mod body;
 mod http;
 mod wire;
 
 pub use {
+    body::{BodyError, PROGRESS_MIN_BYTES, read_body, read_large_body},
     http::{HttpLog, HttpVmList},
     wire::{AppendResponse, VmEntry, VmRole, VmState},
 };
@@ -24,9 +26,13 @@
     /// effect.
     #[error("no answer from the platform: {0}")]
     NoResponse(#[from] reqwest::Error),
-    /// The response to a read, or the next part of its body, did not arrive in time.
+    /// The response to a read did not arrive in time.
     #[error("no answer from the platform in time")]
     Timeout,
+    /// The body of the response is too large, or arrived too slowly. The request may have taken
+    /// effect.
+    #[error("no whole answer from the platform: {0}")]
+    Body(#[from] BodyError),
     /// The body of the response could not be parsed.
     #[error("malformed answer from the platform: {0}")]
     Malformed(#[from] serde_json::Error),
