Own interface: responses of upstreams without end

Seen: a report without end was kept whole for its second; empty lines without end were read until the request's time had passed; and an answer whose parts had all arrived was thrown away when its response didn't end, since only the end of the body counted. Cause: no bound in bytes on reports, on empty lines and on a response as a whole; the reader didn't know when an answer is whole. Failures, refusals, orders, heads, lines, extensions and trailers without end were abandoned before as well: the tests endless_body_after_an_order, endless_body_of_a_failure and endless_heads_and_framing passed there. Fix: PartReader bounds lines, empty lines and the response, and knows when all parts have arrived; the end of the response may follow 200 ms later, after which the whole answer counts. What is abandoned is logged once (`response_abandoned`, `report_abandoned`).

--- a/crates/fernring/src/lib.rs
+++ b/crates/fernring/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod log_queue;
 pub mod logs;
 pub mod node;
+mod part_reader;
 pub mod peer;
 pub mod settings;
 pub mod upstream;
--- a/crates/fernring/src/upstream.rs
+++ b/crates/fernring/src/upstream.rs
@@ -8,19 +8,20 @@
 //! - `POST /v1/orders` accepts an order; the status is 409 if the order has an outdated fencing number.
 
 use {
+    crate::part_reader::{AbandonReason, PartReader},
     async_trait::async_trait,
-    fernring_core::orders::Order,
-    fernring_policy::{
-        assembly::ResponsePart,
-        event::{AttemptEnd, Dispatch, EchoedPart},
-    },
+    fernring_core::{orders::Order, text::LogLine},
+    fernring_platform::{BodyError, read_body},
+    fernring_policy::event::{AttemptEnd, Dispatch, EchoedPart},
     reqwest::{Client, Response, StatusCode, redirect::Policy},
     serde::{Deserialize, Serialize},
+    spdlog::warn,
     std::{
         net::{IpAddr, SocketAddr},
         sync::Arc,
         time::Duration,
     },
+    tokio::time::{Instant, timeout_at},
     uuid::Uuid,
 };
 
@@ -28,8 +29,10 @@
 pub const NOT_RUN_HEADER: &str = "x-not-run";
 /// Value of [`NOT_RUN_HEADER`] that an upstream sends when it is leaving.
 pub const NOT_RUN_LEAVING: &str = "leaving";
-/// Longest line of an upstream's response, in bytes.
-const LINE_MAX_BYTES: usize = 4 << 20;
+/// Largest report, in bytes of JSON.
+const REPORT_MAX_BYTES: usize = 1 << 20;
+/// How long the end of a response may follow its last part.
+const END_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout for a report and for the response to an order.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -158,7 +161,7 @@
             Err(_) => return AttemptEnd::Failed,
         };
         match response.status() {
-            StatusCode::OK => read_parts(response, parts).await,
+            StatusCode::OK => read_response(response, dispatch, parts).await,
             StatusCode::SERVICE_UNAVAILABLE => classify_refusal(&response),
             _ => AttemptEnd::Failed,
         }
@@ -167,7 +170,16 @@
     async fn fetch_report(&self, address: SocketAddr) -> Option<Report> {
         let request = self.pooled.get(format!("http://{address}/v1/report"));
         let response = request.timeout(CONTROL_TIMEOUT).send().await.ok()?;
-        response.error_for_status().ok()?.json().await.ok()
+        let response = response.error_for_status().ok()?;
+        match read_body(response, REPORT_MAX_BYTES).await {
+            Ok(body) => serde_json::from_slice(&body).ok(),
+            Err(error @ BodyError::TooLarge(_)) => {
+                let line = LogLine::event("report_abandoned").with("address", address);
+                warn!("{}", line.with("reason", error));
+                None
+            }
+            Err(BodyError::Connection(_) | BodyError::TooSlow(_)) => None,
+        }
     }
 
     async fn send_order(&self, address: SocketAddr, order: &Order) -> OrderOutcome {
@@ -190,43 +202,48 @@
     }
 }
 
-async fn read_parts(mut response: Response, parts: PartSink<'_>) -> AttemptEnd {
-    let mut buffer = Vec::new();
+async fn read_response(response: Response, dispatch: &Dispatch, parts: PartSink<'_>) -> AttemptEnd {
+    let mut reader = PartReader::new(dispatch);
+    let abandoned = match read_parts(response, &mut reader, parts).await {
+        Ok(end) => return end,
+        Err(reason) => reason,
+    };
+    let line = LogLine::event("response_abandoned").with("address", dispatch.address);
+    let line = line.with("request", dispatch.uid).with("is_whole", reader.is_whole());
+    warn!("{}", line.with("reason", abandoned));
+    match reader.is_whole() && abandoned != AbandonReason::Malformed {
+        true => AttemptEnd::Completed,
+        false => AttemptEnd::Failed,
+    }
+}
+
+async fn read_parts(
+    mut response: Response,
+    reader: &mut PartReader,
+    parts: PartSink<'_>,
+) -> Result<AttemptEnd, AbandonReason> {
+    let mut whole_at = None;
     loop {
-        match response.chunk().await {
-            Err(_) => return AttemptEnd::Failed,
+        let chunk = match whole_at {
+            None => response.chunk().await,
+            Some(at) => {
+                let chunk = timeout_at(at + END_TIMEOUT, response.chunk()).await;
+                chunk.map_err(|_| AbandonReason::NoEnd)?
+            }
+        };
+        match chunk {
+            Err(_) => return Ok(AttemptEnd::Failed),
             Ok(None) => break,
-            Ok(Some(chunk)) => buffer.extend_from_slice(&chunk),
+            Ok(Some(chunk)) => {
+                let received = reader.add(&chunk)?;
+                if !received.is_empty() {
+                    parts(received);
+                }
+            }
         }
-        if buffer.len() > LINE_MAX_BYTES {
-            return AttemptEnd::Failed;
+        if reader.is_whole() {
+            whole_at.get_or_insert_with(Instant::now);
         }
-        match take_complete_lines(&mut buffer) {
-            Some(received) if received.is_empty() => {}
-            Some(received) => parts(received),
-            None => return AttemptEnd::Failed,
-        }
-    }
-    if buffer.is_empty() { AttemptEnd::Completed } else { AttemptEnd::Failed }
-}
-
-/// Removes the complete lines from a buffer and parses them as parts; `None` if a line isn't a valid part.
-fn take_complete_lines(buffer: &mut Vec<u8>) -> Option<Vec<EchoedPart>> {
-    let end = match buffer.iter().rposition(|byte| *byte == b'\n') {
-        Some(end) => end + 1,
-        None => return Some(Vec::new()),
-    };
-    let rest = buffer.split_off(end);
-    let lines = std::mem::replace(buffer, rest);
-    let lines = lines.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
-    lines.map(|line| serde_json::from_slice(line).ok().map(echoed_part)).collect()
-}
-
-fn echoed_part(part: RunPart) -> EchoedPart {
-    EchoedPart {
-        uid: part.request,
-        stage: part.stage_index,
-        attempt: part.attempt,
-        part: ResponsePart { sequence: part.sequence, text: part.text, last: part.last },
     }
+    Ok(if reader.is_at_line_end() { AttemptEnd::Completed } else { AttemptEnd::Failed })
 }
--- a/crates/fernring/tests/testsuite/endless_responses.rs
+++ b/crates/fernring/tests/testsuite/endless_responses.rs
@@ -1,7 +1,13 @@
 //! Responses that never end, as fast as they are read and in drops.
 
 use {
+    fernring::upstream::{HttpUpstream, OrderOutcome, Upstream},
+    fernring_core::{
+        ids::{AttemptRef, RequestId},
+        orders::Order,
+    },
     fernring_platform::{HttpLog, HttpVmList, LogService, VmList},
+    fernring_policy::event::{AttemptEnd, Dispatch},
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
@@ -12,6 +18,7 @@
         task::JoinHandle,
         time::timeout,
     },
+    uuid::Uuid,
 };
 
 /// Timeout of the clients.
@@ -139,3 +146,101 @@
     let list = async |address| HttpVmList::new(address, TIMEOUT, None).list().await;
     assert_abandoned((HEAD, " "), 32 << 20, list).await;
 }
+
+fn upstream() -> HttpUpstream {
+    HttpUpstream::new(TIMEOUT, None).unwrap()
+}
+
+/// The whole flood was kept in memory until the request's time had passed.
+#[tokio::test]
+async fn endless_report_fills_the_memory() {
+    let fetch = async |address| upstream().fetch_report(address).await.ok_or(());
+    assert_abandoned((HEAD, " "), 16 << 20, fetch).await;
+}
+
+/// The outcome of an order stands in the head alone.
+#[tokio::test]
+async fn endless_body_after_an_order_is_not_read() {
+    let order = Order { fence: 1, models: Vec::new() };
+    let send = async |address| upstream().send_order(address, &order).await;
+    let outcomes = call_endless((HEAD, " "), &PACES, 16 << 20, send).await;
+    assert_eq!(outcomes, [OrderOutcome::Taken; 2]);
+}
+
+/// Runs a stage whose response is endless; returns the ends and the number of parts received.
+async fn run_endless(
+    response: &'static str,
+    pattern: &'static str,
+    paces: &[Pace],
+) -> Vec<(AttemptEnd, usize)> {
+    let run = async |address| {
+        let attempt = AttemptRef { request: RequestId::default(), stage: 0, attempt: 1 };
+        let dispatch = Dispatch {
+            attempt,
+            uid: Uuid::nil(),
+            address,
+            stage_name: "sort".to_owned(),
+            effect: false,
+            input: "letter".into(),
+            prefix: 0,
+            remaining_ms: 10_000,
+        };
+        let mut count = 0;
+        let end = upstream().run_stage(&dispatch, &mut |parts| count += parts.len()).await;
+        (end, count)
+    };
+    call_endless((response, pattern), paces, 16 << 20, run).await
+}
+
+/// Empty lines were read for as long as the request's time lasted.
+#[tokio::test]
+async fn endless_empty_lines_are_read_without_end() {
+    let ends = run_endless(HEAD, "\n", &[Pace::Flood]).await;
+    assert_eq!(ends, [(AttemptEnd::Failed, 0)]);
+}
+
+/// An answer whose parts had all arrived was thrown away because its response didn't end.
+#[tokio::test]
+async fn endless_lines_after_a_whole_answer_discard_it() {
+    const WHOLE: &str = concat!(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+        r#"{"request":"00000000-0000-0000-0000-000000000000","stage_index":0,"attempt":1,"#,
+        r#""sequence":0,"text":"done","last":true}"#,
+        "\n",
+    );
+    for pattern in ["\n", " "] {
+        let ends = run_endless(WHOLE, pattern, &PACES).await;
+        assert_eq!(ends, [(AttemptEnd::Completed, 1); 2], "{pattern:?}");
+    }
+}
+
+/// Failures and refusals stand in the head alone.
+#[tokio::test]
+async fn endless_body_of_a_failure_is_not_read() {
+    const FAILURE: &str = "HTTP/1.1 500 Internal Server Error\r\n\r\n";
+    const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nx-not-run: busy\r\n\r\n";
+    for (response, end) in [(FAILURE, AttemptEnd::Failed), (REFUSAL, AttemptEnd::Refused)] {
+        assert_eq!(run_endless(response, "x", &PACES).await, [(end, 0); 2]);
+    }
+}
+
+/// The HTTP library bounds a head, a line of it, the extension of a chunk and trailers.
+#[tokio::test]
+async fn endless_heads_and_framing_are_abandoned() {
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let patterns = [
+        ("", "H"),
+        ("HTTP/1.1 200 OK\r\n", "A: b\r\n"),
+        ("HTTP/1.1 200 OK\r\nA: ", "b"),
+        (HEAD, "x"),
+    ];
+    for pattern in patterns {
+        let ends = run_endless(pattern.0, pattern.1, &[Pace::Flood]).await;
+        assert_eq!(ends, [(AttemptEnd::Failed, 0)], "{pattern:?}");
+    }
+    for (rest, pattern) in [("1;", "a"), ("0\r\n", "a: b\r\n")] {
+        let prefix: &'static str = format!("{chunked}{rest}").leak();
+        let ends = run_endless(prefix, pattern, &[Pace::Flood]).await;
+        assert_eq!(ends, [(AttemptEnd::Failed, 0)], "{rest:?}");
+    }
+}
