Own interface: configuration of a peer in drops is waited for without end

Seen: a node that fetched the configuration of another one waited for as long as any byte came. Cause: each byte renewed the timeout. Fix: a response goes on for as long as 4 KiB or its end arrive within the timeout, the same progress as for pages of the log.

--- a/crates/fernring/src/peer.rs
+++ b/crates/fernring/src/peer.rs
@@ -3,6 +3,7 @@
 use {
     async_trait::async_trait,
     fernring_core::ids::{Incarnation, RequestKey, ScopedKey},
+    fernring_platform::PROGRESS_MIN_BYTES,
     fernring_policy::{
         event::Submission,
         membership::{Heartbeat, ReportDigest},
@@ -60,15 +61,16 @@
         response_timeout: Duration,
     ) -> Result<Body, PeerError>;
 
-    /// Sends a request whose response may be large, and waits for as long as more of the response keeps arriving.
+    /// Sends a request whose response may be large, and waits for as long as [`PROGRESS_MIN_BYTES`] or the end of the
+    /// response arrive within `progress_timeout`.
     ///
     /// # Errors
-    /// If the connection can't be opened, or nothing arrives for `idle_timeout`, before the first byte or between two.
+    /// If the connection can't be opened, or the response makes no progress.
     async fn request_large(
         &self,
         address: SocketAddr,
         request: Body,
-        idle_timeout: Duration,
+        progress_timeout: Duration,
     ) -> Result<Body, PeerError>;
 }
 
@@ -112,21 +114,25 @@
         &self,
         address: SocketAddr,
         request: Body,
-        idle_timeout: Duration,
+        progress_timeout: Duration,
     ) -> Result<Body, PeerError> {
         let send = async {
             let mut connection = connect(self.source, address).await?;
             connection.send(encode(&Frame { body: Some(request) })).await?;
             Ok::<_, PeerError>(connection)
         };
-        let mut connection = timeout(idle_timeout, send).await??;
+        let mut connection = timeout(progress_timeout, send).await??;
         let mut buffered = 0;
         loop {
-            match timeout(idle_timeout, read_response(&mut connection)).await {
+            let late = match timeout(progress_timeout, read_response(&mut connection)).await {
                 Ok(response) => return response,
-                Err(late) if connection.read_buffer().len() == buffered => return Err(late.into()),
-                Err(_) => buffered = connection.read_buffer().len(),
+                Err(late) => late,
+            };
+            let progress = connection.read_buffer().len().saturating_sub(buffered);
+            if progress < PROGRESS_MIN_BYTES {
+                return Err(late.into());
             }
+            buffered += progress;
         }
     }
 }
--- a/crates/fernring/tests/testsuite/endless_responses.rs
+++ b/crates/fernring/tests/testsuite/endless_responses.rs
@@ -1,13 +1,17 @@
 //! Responses that never end, as fast as they are read and in drops.
 
 use {
-    fernring::upstream::{HttpUpstream, OrderOutcome, Upstream},
+    fernring::{
+        peer::{Peer, TcpPeer},
+        upstream::{HttpUpstream, OrderOutcome, Upstream},
+    },
     fernring_core::{
         ids::{AttemptRef, RequestId},
         orders::Order,
     },
     fernring_platform::{HttpLog, HttpVmList, LogService, VmList},
     fernring_policy::event::{AttemptEnd, Dispatch},
+    fernring_protocol::messages::{ConfigRequest, frame::Body},
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         time::Duration,
@@ -147,6 +151,18 @@
     assert_abandoned((HEAD, " "), 32 << 20, list).await;
 }
 
+/// A configuration in drops was waited for as long as they came.
+#[tokio::test]
+async fn endless_peer_configuration_is_read_without_end() {
+    let fetch = async |address| {
+        let request = Body::ConfigRequest(ConfigRequest { known_version: 7 });
+        TcpPeer::new(LOCALHOST).request_large(address, request, TIMEOUT).await
+    };
+    // The length of the largest frame.
+    assert_abandoned(("\x01\0\0\0", " "), 32 << 20, fetch).await;
+    assert_abandoned(("HTTP/1.1", " "), 16 << 20, fetch).await;
+}
+
 fn upstream() -> HttpUpstream {
     HttpUpstream::new(TIMEOUT, None).unwrap()
 }
