Links between nodes: a frame in drops is waited for without end

Seen (by reading; no run on the code before, whose reader has no such function): a frame of which a byte came now and then held its connection and up to 16 MiB for ever, on the gateway's links and, as one of `peers.connections_max`, on the own interface. A link that failed was left without a word. Cause: the codec bounds a frame in bytes; nothing bounded it in time. Fix: next_frame gives each frame 135 s from its first byte, in which the largest one passes over 1 Mbit/s. The time between two frames doesn't count, so no idle link is closed. A link that fails is logged once (`peer_link_broken`). Frames over 16 MiB, and records that inflate to more, were refused before: tests frame_over_the_largest_size_is_not_read and compression::decompressed_size_is_limited.

--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -12,10 +12,10 @@
     bytes::{Buf, Bytes, BytesMut},
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::{
-        codec,
+        FRAME_TIME_MAX, codec,
         gateway::{GatewayBody, GatewayFrame, GatewayHeartbeat, LoadScope, TunnelRequest},
+        next_frame,
     },
-    futures_util::StreamExt,
     prost::Message,
     rand::seq::IteratorRandom,
     std::{
@@ -360,7 +360,14 @@
 
     async fn read_link(self: Rc<Self>, stream: TcpStream) {
         let mut framed = Framed::new(stream, codec());
-        while let Some(Ok(bytes)) = framed.next().await {
+        while let Some(read) = next_frame(&mut framed, FRAME_TIME_MAX).await {
+            let bytes = match read {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    log::warn(LogLine::event("peer_link_broken").with("error", error));
+                    return;
+                }
+            };
             match GatewayFrame::decode(bytes) {
                 Ok(GatewayFrame { body: Some(GatewayBody::TunnelRequest(request)), .. }) => {
                     if let Some(handler) = self.handler() {
--- a/crates/fernring-protocol/src/lib.rs
+++ b/crates/fernring-protocol/src/lib.rs
@@ -12,10 +12,14 @@
 //! ```
 
 pub mod compression;
+mod frame_reader;
 pub mod gateway;
 pub mod messages;
 
-pub use messages::Frame;
+pub use {
+    frame_reader::{FRAME_TIME_MAX, next_frame},
+    messages::Frame,
+};
 
 use {bytes::Bytes, prost::Message, thiserror::Error, tokio_util::codec::LengthDelimitedCodec};
 
--- a/crates/fernring-protocol/tests/testsuite/main.rs
+++ b/crates/fernring-protocol/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the messages between nodes, one file per module.
 
 mod compression;
+mod endless_frames;
 mod frames;
--- a/crates/fernring/src/node/peer_loop.rs
+++ b/crates/fernring/src/node/peer_loop.rs
@@ -18,13 +18,14 @@
         membership::Heartbeat,
     },
     fernring_protocol::{
-        Frame, codec, decode, encode,
+        FRAME_TIME_MAX, Frame, codec, decode, encode,
         messages::{
             ConfigRequest, ConfigState, ForwardMessage, KeyRequest, KeyStatusMessage,
             SubmissionAnswer, frame::Body,
         },
+        next_frame,
     },
-    futures_util::{SinkExt, StreamExt, future::join_all},
+    futures_util::{SinkExt, future::join_all},
     spdlog::{info, warn},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -71,7 +72,7 @@
 async fn serve_connection(node: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut connection = Framed::new(stream, codec());
-    while let Some(Ok(bytes)) = connection.next().await {
+    while let Some(Ok(bytes)) = next_frame(&mut connection, FRAME_TIME_MAX).await {
         let Some(request) = decode(&bytes).ok().and_then(|frame| frame.body) else {
             warn!("{}", LogLine::event("peer_malformed").with("bytes", bytes.len()));
             return;
