Links between nodes: malformed frames are read without end

Seen: a connection that sends zeros was read for as long as they came, and each four bytes, an empty frame, were logged as malformed. Cause: a frame without a sender was logged and skipped. Fix: a frame whose sender is no address ends its link, after one line. A frame of a known sender with a message that this build doesn't know is still skipped, since newer builds send such.

--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -375,7 +375,14 @@
                     }
                     return;
                 }
-                Ok(frame) => self.handle_frame(frame),
+                Ok(frame) => {
+                    let Ok(sender) = frame.sender.parse() else {
+                        let line = LogLine::event("peer_frame_malformed");
+                        log::warn(line.with("sender", frame.sender));
+                        return;
+                    };
+                    self.handle_frame(sender, frame.body);
+                }
                 Err(error) => {
                     log::warn(LogLine::event("peer_frame_malformed").with("error", error));
                     return;
@@ -384,9 +391,9 @@
         }
     }
 
-    fn handle_frame(self: &Rc<Self>, frame: GatewayFrame) {
-        let (Ok(sender), Some(body)) = (frame.sender.parse(), frame.body) else {
-            log::warn(LogLine::event("peer_frame_malformed").with("sender", frame.sender));
+    fn handle_frame(self: &Rc<Self>, sender: SocketAddr, body: Option<GatewayBody>) {
+        let Some(body) = body else {
+            log::warn(LogLine::event("peer_frame_malformed").with("sender", sender));
             return;
         };
         let may_be_stale = self.pause_detector.get().may_receive_stale(self.now());
