Tunnels: a relay keeps an upstream at work for a machine that is gone

Seen: a relay whose peer's machine was gone, so that nothing was acknowledged and nothing closed, kept the tunnel and the upstream's connection until the kernel gave up, with whatever the upstream sent. Cause: the relay watched the upstream's connection for a machine that is gone, but not its peer's, which it had accepted and so had no timeout at all. Fix: both connections of a tunnel are watched the same way. A peer that is paused still acknowledges.

--- a/crates/fernring-gateway/src/tunnels.rs
+++ b/crates/fernring-gateway/src/tunnels.rs
@@ -245,13 +245,14 @@
     }
 }
 
-/// Forwards bytes in both directions until either side closes its connection. Both connections are
-/// closed then: a caller that has left must not keep the upstream at work.
+/// Forwards bytes in both directions until either side closes its connection or its machine is gone.
+/// Both connections are closed then: a caller that has left must not keep the upstream at work.
 async fn forward(framed: FramedLink, upstream: TcpStream, in_frames: bool) -> io::Result<()> {
-    let mut parts = framed.into_parts();
+    let parts = framed.into_parts();
+    let mut peer = LiveStream::new(parts.io)?;
     let mut upstream = LiveStream::new(upstream)?;
     upstream.write_all(&parts.read_buf).await?;
-    let (mut peer_read, mut peer_write) = parts.io.split();
+    let (mut peer_read, mut peer_write) = split(&mut peer);
     let (mut upstream_read, mut upstream_write) = split(&mut upstream);
     let to_peer = async {
         match in_frames {
@@ -267,7 +268,7 @@
         upstream.get_ref().set_zero_linger()?;
         if !in_frames {
             // Nothing else tells the peer that the bytes aren't whole.
-            parts.io.set_zero_linger()?;
+            peer.get_ref().set_zero_linger()?;
         }
     }
     forwarded
