Tunnels: a frame of a relay may fill 16 MiB for each tunnel

Seen: a frame in a tunnel was kept until it was whole, up to 16 MiB each, though a relay sends what fits its buffer. Cause: tunnels used the bound of links, which carry whole records. Fix: a frame of a tunnel has at most 1 MiB; a longer one breaks the tunnel before it is read.

--- a/crates/fernring-gateway/src/tunnels.rs
+++ b/crates/fernring-gateway/src/tunnels.rs
@@ -58,6 +58,8 @@
 
 /// Size of the buffer for an upstream's bytes.
 const BUFFER_BYTES: usize = 16 << 10;
+/// Largest frame of a relay, in bytes: many times its buffer.
+const TUNNEL_FRAME_MAX_BYTES: usize = 1 << 20;
 
 /// A tunnel to an upstream. Reading fails at its end, unless the upstream has ended its connection
 /// in order.
@@ -135,7 +137,9 @@
 
 /// Returns the bytes of a relay that sends them in frames.
 fn read_frames(read: OwnedReadHalf) -> LocalBoxStream<'static, io::Result<Bytes>> {
-    let frames = FramedRead::new(read, codec());
+    let codec =
+        LengthDelimitedCodec::builder().max_frame_length(TUNNEL_FRAME_MAX_BYTES).new_codec();
+    let frames = FramedRead::new(read, codec);
     let next = |frames: Option<FramedRead<OwnedReadHalf, LengthDelimitedCodec>>| async {
         let mut frames = frames?;
         match frames.next().await {
