Own interface: interim responses and chunk sizes are read without end

Seen: interim responses, and the zeros before the size of a chunk, were read as fast as they came for as long as the time of the request or the call lasted. Cause: the HTTP library skips interim responses and reads chunk sizes without a bound, and reqwest gives no access to what is below it. `fernctl explain` encodes the workspace in its path itself, which reqwest did.

--- a/crates/fernctl/src/cmd/explain.rs
+++ b/crates/fernctl/src/cmd/explain.rs
@@ -6,6 +6,7 @@
     anyhow::anyhow,
     clap::Args,
     fernring_core::{code::ResultCode, ids::RequestKey},
+    percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode},
     serde_json::{Value, json},
     std::net::SocketAddr,
 };
@@ -37,6 +38,7 @@
             let error = anyhow!("a key is explained with --workspace and --node");
             return Err(Failure::BadInput(error));
         };
+        let workspace = utf8_percent_encode(workspace, NON_ALPHANUMERIC);
         let path = format!("/v1/requests/{key}?workspace={workspace}");
         let request = node::get_json(address, &path).await?;
         match self.output.output {
--- a/crates/fernring-platform/src/body.rs
+++ b/crates/fernring-platform/src/body.rs
@@ -1,7 +1,7 @@
 //! Reads bodies of responses with bounds in bytes and time.
 
 use {
-    reqwest::Response,
+    crate::http_client::{HttpError, HttpResponse},
     std::time::Duration,
     thiserror::Error,
     tokio::time::{error::Elapsed, timeout},
@@ -13,9 +13,9 @@
 /// The reason why a body wasn't read.
 #[derive(Debug, Error)]
 pub enum BodyError {
-    /// The connection failed, or the time limit of the request has passed.
+    /// The connection failed.
     #[error("{0}")]
-    Connection(#[from] reqwest::Error),
+    Connection(#[from] HttpError),
     /// Too little of the body arrived in time.
     #[error("less than {PROGRESS_MIN_BYTES} bytes of the body in time")]
     TooSlow(#[from] Elapsed),
@@ -26,7 +26,7 @@
 
 /// A body that is being read.
 struct BodyReader {
-    response: Response,
+    response: HttpResponse,
     body: Vec<u8>,
     max_bytes: usize,
 }
@@ -48,11 +48,11 @@
     }
 }
 
-/// Reads a body of at most `max_bytes`. The time limit of the request applies.
+/// Reads a body of at most `max_bytes`, for as long as the caller waits.
 ///
 /// # Errors
 /// Returns an error if the body is larger, or the connection fails.
-pub async fn read_body(response: Response, max_bytes: usize) -> Result<Vec<u8>, BodyError> {
+pub async fn read_body(response: HttpResponse, max_bytes: usize) -> Result<Vec<u8>, BodyError> {
     let mut reader = BodyReader { response, body: Vec::new(), max_bytes };
     while !reader.read(max_bytes).await? {}
     Ok(reader.body)
@@ -64,7 +64,7 @@
 /// # Errors
 /// Returns an error if the body is larger, makes no progress, or the connection fails.
 pub async fn read_large_body(
-    response: Response,
+    response: HttpResponse,
     max_bytes: usize,
     progress_timeout: Duration,
 ) -> Result<Vec<u8>, BodyError> {
--- a/crates/fernring-platform/src/http.rs
+++ b/crates/fernring-platform/src/http.rs
@@ -4,15 +4,17 @@
     crate::{
         AppendResponse, LogService, PlatformError, VmEntry, VmList,
         body::{read_body, read_large_body},
+        http_client::{ConnectionOptions, HttpClient, HttpResponse},
     },
     async_trait::async_trait,
+    bytes::Bytes,
     fernring_core::log::LogPage,
-    reqwest::{Client, Response, StatusCode, redirect::Policy},
+    http::{Request, StatusCode},
     std::{
         net::{IpAddr, SocketAddr},
         time::Duration,
     },
-    tokio::time::{error::Elapsed, timeout},
+    tokio::time::timeout,
 };
 
 /// Largest response to an append, in bytes.
@@ -26,7 +28,7 @@
 /// HTTP client of the log service.
 #[derive(Debug, Clone)]
 pub struct HttpLog {
-    client: Client,
+    client: HttpClient,
     base_url: String,
     timeout: Duration,
 }
@@ -34,19 +36,11 @@
 /// HTTP client of the VM list.
 #[derive(Debug, Clone)]
 pub struct HttpVmList {
-    client: Client,
+    client: HttpClient,
     base_url: String,
     timeout: Duration,
 }
 
-/// Builds an HTTP client that follows no redirects, uses no system proxies and doesn't retry.
-/// Connections are made from the local address `source` if it is given.
-fn build_client(source: Option<IpAddr>) -> Client {
-    let builder = Client::builder().no_proxy().redirect(Policy::none());
-    let builder = builder.retry(reqwest::retry::never()).local_address(source);
-    builder.build().expect("building a client without TLS can't fail")
-}
-
 impl HttpLog {
     /// Creates a client of the log service.
     ///
@@ -55,23 +49,21 @@
     /// body: a page that holds a snapshot of the configuration may take longer than that over a slow
     /// link. Connections are made from the local address `source` if it is given.
     pub fn new(address: SocketAddr, timeout: Duration, source: Option<IpAddr>) -> Self {
-        Self { client: build_client(source), base_url: format!("http://{address}"), timeout }
+        let client = HttpClient::new(ConnectionOptions { source, ..ConnectionOptions::default() });
+        Self { client, base_url: format!("http://{address}"), timeout }
     }
 }
 
-fn timeout_error(_: Elapsed) -> PlatformError {
-    PlatformError::Timeout
-}
-
 impl HttpVmList {
     /// Creates a client of the VM list. `timeout` limits each request. Connections are made from
     /// the local address `source` if it is given.
     pub fn new(address: SocketAddr, timeout: Duration, source: Option<IpAddr>) -> Self {
-        Self { client: build_client(source), base_url: format!("http://{address}"), timeout }
+        let client = HttpClient::new(ConnectionOptions { source, ..ConnectionOptions::default() });
+        Self { client, base_url: format!("http://{address}"), timeout }
     }
 }
 
-fn check_status(response: Response) -> Result<Response, PlatformError> {
+fn check_status(response: HttpResponse) -> Result<HttpResponse, PlatformError> {
     match response.status() {
         status if status.is_success() => Ok(response),
         StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::RateLimited),
@@ -83,9 +75,12 @@
 impl LogService for HttpLog {
     async fn append(&self, stream: &str, data: &[u8]) -> Result<AppendResponse, PlatformError> {
         let url = format!("{}/streams/{stream}/records", self.base_url);
-        let request = self.client.post(url).timeout(self.timeout).body(data.to_vec());
-        let response = check_status(request.send().await?)?;
-        Ok(serde_json::from_slice(&read_body(response, APPEND_RESPONSE_MAX_BYTES).await?)?)
+        let request = Request::post(url).body(Bytes::copy_from_slice(data))?;
+        let append = async {
+            let response = check_status(self.client.send(request).await?)?;
+            Ok(serde_json::from_slice(&read_body(response, APPEND_RESPONSE_MAX_BYTES).await?)?)
+        };
+        timeout(self.timeout, append).await.unwrap_or(Err(PlatformError::Timeout))
     }
 
     async fn read(
@@ -97,8 +92,9 @@
         let wait_ms = wait.as_millis();
         let url =
             format!("{}/streams/{stream}/records?from={from}&wait_ms={wait_ms}", self.base_url);
-        let response = timeout(self.timeout + wait, self.client.get(url).send());
-        let response = check_status(response.await.map_err(timeout_error)??)?;
+        let request = Request::get(url).body(Bytes::new())?;
+        let response = timeout(self.timeout + wait, self.client.send(request));
+        let response = check_status(response.await.map_err(|_| PlatformError::Timeout)??)?;
         let body = read_large_body(response, PAGE_MAX_BYTES, self.timeout).await?;
         Ok(serde_json::from_slice(&body)?)
     }
@@ -107,8 +103,11 @@
 #[async_trait]
 impl VmList for HttpVmList {
     async fn list(&self) -> Result<Vec<VmEntry>, PlatformError> {
-        let request = self.client.get(format!("{}/vms", self.base_url)).timeout(self.timeout);
-        let response = check_status(request.send().await?)?;
-        Ok(serde_json::from_slice(&read_body(response, VM_LIST_MAX_BYTES).await?)?)
+        let request = Request::get(format!("{}/vms", self.base_url)).body(Bytes::new())?;
+        let list = async {
+            let response = check_status(self.client.send(request).await?)?;
+            Ok(serde_json::from_slice(&read_body(response, VM_LIST_MAX_BYTES).await?)?)
+        };
+        timeout(self.timeout, list).await.unwrap_or(Err(PlatformError::Timeout))
     }
 }
--- a/crates/fernring-platform/src/lib.rs
+++ b/crates/fernring-platform/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod http;
+pub mod http_client;
 mod wire;
 
 pub use {
@@ -16,17 +17,21 @@
 };
 
 use {
-    async_trait::async_trait, fernring_core::log::LogPage, std::time::Duration, thiserror::Error,
+    async_trait::async_trait, fernring_core::log::LogPage, http_client::HttpError,
+    std::time::Duration, thiserror::Error,
 };
 
 /// The reason why a call to the platform failed.
 #[derive(Debug, Error)]
 pub enum PlatformError {
+    /// The request can't be built, so it wasn't sent.
+    #[error("invalid request: {0}")]
+    InvalidRequest(#[from] ::http::Error),
     /// The request failed, or its response was incomplete or invalid. The request may have taken
     /// effect.
     #[error("no answer from the platform: {0}")]
-    NoResponse(#[from] reqwest::Error),
-    /// The response to a read did not arrive in time.
+    NoResponse(#[from] HttpError),
+    /// The response did not arrive in time. The request may have taken effect.
     #[error("no answer from the platform in time")]
     Timeout,
     /// The body of the response is too large, or arrived too slowly. The request may have taken
--- a/crates/fernring/src/node/state.rs
+++ b/crates/fernring/src/node/state.rs
@@ -173,8 +173,7 @@
         let identity = Identity { incarnation, address, failure_domain: failure_domain.clone() };
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
         let connect_timeout = Duration::from_millis(settings.limits.connect_timeout_ms);
-        let upstream = HttpUpstream::new(connect_timeout, source)
-            .context("could not set up HTTP to upstreams")?;
+        let upstream = HttpUpstream::new(connect_timeout, source);
         let seed = incarnation.0.as_u128() as u64;
         let dispatcher = Dispatcher::new(identity.clone(), settings.policy.clone(), seed);
         let heartbeat = Duration::from_millis(settings.peers.heartbeat_ms);
--- a/crates/fernring/src/upstream.rs
+++ b/crates/fernring/src/upstream.rs
@@ -10,10 +10,15 @@
 use {
     crate::part_reader::{AbandonReason, PartReader},
     async_trait::async_trait,
+    bytes::Bytes,
     fernring_core::{orders::Order, text::LogLine},
-    fernring_platform::{BodyError, read_body},
+    fernring_platform::{
+        BodyError,
+        http_client::{ConnectionOptions, HttpClient, HttpResponse},
+        read_body,
+    },
     fernring_policy::event::{AttemptEnd, Dispatch, EchoedPart},
-    reqwest::{Client, Response, StatusCode, redirect::Policy},
+    http::{Request, StatusCode, header::CONTENT_TYPE},
     serde::{Deserialize, Serialize},
     spdlog::warn,
     std::{
@@ -21,7 +26,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::{Instant, timeout_at},
+    tokio::time::{Instant, timeout, timeout_at},
     uuid::Uuid,
 };
 
@@ -116,27 +121,21 @@
 #[derive(Debug)]
 pub struct HttpUpstream {
     /// Keeps connections open; used for calls that may safely be sent twice.
-    pooled: Client,
+    pooled: HttpClient,
     /// Opens a new connection for each call, so that no call is sent on a connection that is closing and the HTTP
     /// library has no reason to send it again. Used for stages with side effects and for orders.
-    unpooled: Client,
+    unpooled: HttpClient,
 }
 
 impl HttpUpstream {
     /// Creates the HTTP clients; opening a connection may take up to `connect_timeout`. Connections use the local IP
     /// address `source` if one is given.
-    ///
-    /// # Errors
-    /// If the HTTP library can't be set up.
-    pub fn new(connect_timeout: Duration, source: Option<IpAddr>) -> reqwest::Result<Self> {
-        let client_builder = || {
-            let builder = Client::builder().no_proxy().redirect(Policy::none());
-            let builder = builder.retry(reqwest::retry::never()).tcp_nodelay(true);
-            builder.connect_timeout(connect_timeout).local_address(source)
+    pub fn new(connect_timeout: Duration, source: Option<IpAddr>) -> Self {
+        let connect_timeout = Some(connect_timeout);
+        let client = |is_unpooled| {
+            HttpClient::new(ConnectionOptions { source, connect_timeout, is_unpooled })
         };
-        let pooled = client_builder().build()?;
-        let unpooled = client_builder().pool_max_idle_per_host(0).build()?;
-        Ok(Self { pooled, unpooled })
+        Self { pooled: client(false), unpooled: client(true) }
     }
 }
 
@@ -153,8 +152,10 @@
             remaining_ms: dispatch.remaining_ms,
             input: dispatch.input.clone(),
         };
-        let url = format!("http://{}/v1/run", dispatch.address);
-        let response = match client.post(url).json(&body).send().await {
+        let Some(request) = post_json(dispatch.address, "/v1/run", &body) else {
+            return AttemptEnd::NotSent;
+        };
+        let response = match client.send(request).await {
             Ok(response) => response,
             // No connection was opened, so nothing of the call was sent.
             Err(error) if error.is_connect() => return AttemptEnd::NotSent,
@@ -168,33 +169,53 @@
     }
 
     async fn fetch_report(&self, address: SocketAddr) -> Option<Report> {
-        let request = self.pooled.get(format!("http://{address}/v1/report"));
-        let response = request.timeout(CONTROL_TIMEOUT).send().await.ok()?;
-        let response = response.error_for_status().ok()?;
-        match read_body(response, REPORT_MAX_BYTES).await {
-            Ok(body) => serde_json::from_slice(&body).ok(),
+        let request =
+            Request::get(format!("http://{address}/v1/report")).body(Bytes::new()).ok()?;
+        let report = timeout(CONTROL_TIMEOUT, fetch_body(&self.pooled, request)).await.ok()?;
+        match report {
+            Ok(Some(body)) => serde_json::from_slice(&body).ok(),
+            Ok(None) | Err(BodyError::Connection(_) | BodyError::TooSlow(_)) => None,
             Err(error @ BodyError::TooLarge(_)) => {
                 let line = LogLine::event("report_abandoned").with("address", address);
                 warn!("{}", line.with("reason", error));
                 None
             }
-            Err(BodyError::Connection(_) | BodyError::TooSlow(_)) => None,
         }
     }
 
     async fn send_order(&self, address: SocketAddr, order: &Order) -> OrderOutcome {
-        let request = self.unpooled.post(format!("http://{address}/v1/orders")).json(order);
-        let status =
-            request.timeout(CONTROL_TIMEOUT).send().await.map(|response| response.status());
-        match status {
-            Ok(status) if status.is_success() => OrderOutcome::Taken,
-            Ok(StatusCode::CONFLICT) => OrderOutcome::Fenced,
+        let Some(request) = post_json(address, "/v1/orders", order) else {
+            return OrderOutcome::Unknown;
+        };
+        let response = timeout(CONTROL_TIMEOUT, self.unpooled.send(request)).await;
+        match response.map(|response| response.map(|response| response.status())) {
+            Ok(Ok(status)) if status.is_success() => OrderOutcome::Taken,
+            Ok(Ok(StatusCode::CONFLICT)) => OrderOutcome::Fenced,
             _ => OrderOutcome::Unknown,
         }
     }
 }
 
-fn classify_refusal(response: &Response) -> AttemptEnd {
+/// Builds a request with a JSON body.
+fn post_json(address: SocketAddr, path: &str, body: &impl Serialize) -> Option<Request<Bytes>> {
+    let body = serde_json::to_vec(body).ok()?.into();
+    let request = Request::post(format!("http://{address}{path}"));
+    request.header(CONTENT_TYPE, "application/json").body(body).ok()
+}
+
+/// Reads the body of a successful response to a request for a report.
+async fn fetch_body(
+    client: &HttpClient,
+    request: Request<Bytes>,
+) -> Result<Option<Vec<u8>>, BodyError> {
+    let response = client.send(request).await?;
+    match response.status().is_success() {
+        true => read_body(response, REPORT_MAX_BYTES).await.map(Some),
+        false => Ok(None),
+    }
+}
+
+fn classify_refusal(response: &HttpResponse) -> AttemptEnd {
     match response.headers().get(NOT_RUN_HEADER).map(|value| value.as_bytes()) {
         Some(value) if value == NOT_RUN_LEAVING.as_bytes() => AttemptEnd::Leaving,
         Some(_) => AttemptEnd::Refused,
@@ -202,7 +223,11 @@
     }
 }
 
-async fn read_response(response: Response, dispatch: &Dispatch, parts: PartSink<'_>) -> AttemptEnd {
+async fn read_response(
+    response: HttpResponse,
+    dispatch: &Dispatch,
+    parts: PartSink<'_>,
+) -> AttemptEnd {
     let mut reader = PartReader::new(dispatch);
     let abandoned = match read_parts(response, &mut reader, parts).await {
         Ok(end) => return end,
@@ -218,7 +243,7 @@
 }
 
 async fn read_parts(
-    mut response: Response,
+    mut response: HttpResponse,
     reader: &mut PartReader,
     parts: PartSink<'_>,
 ) -> Result<AttemptEnd, AbandonReason> {
--- a/crates/fernring/tests/testsuite/endless_responses.rs
+++ b/crates/fernring/tests/testsuite/endless_responses.rs
@@ -164,7 +164,7 @@
 }
 
 fn upstream() -> HttpUpstream {
-    HttpUpstream::new(TIMEOUT, None).unwrap()
+    HttpUpstream::new(TIMEOUT, None)
 }
 
 /// The whole flood was kept in memory until the request's time had passed.
@@ -260,3 +260,19 @@
         assert_eq!(ends, [(AttemptEnd::Failed, 0)], "{rest:?}");
     }
 }
+
+/// Interim responses and the zeros of a chunk's size were read for as long as the request's time lasted.
+#[tokio::test]
+async fn endless_interim_responses_and_chunk_sizes_are_read_without_end() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for response in [("", "HTTP/1.1 103 Early Hints\r\n\r\n"), (CHUNKED, "0")] {
+        let ends = run_endless(response.0, response.1, &[Pace::Flood]).await;
+        assert_eq!(ends, [(AttemptEnd::Failed, 0)], "{response:?}");
+        let fetch = async |address| upstream().fetch_report(address).await.ok_or(());
+        assert_abandoned(response, 16 << 20, fetch).await;
+        let read = async |address| log(address).read("config", 0, Duration::ZERO).await;
+        assert_abandoned(response, 16 << 20, read).await;
+        let append = async |address| log(address).append("config", b"record").await;
+        assert_abandoned(response, 16 << 20, append).await;
+    }
+}
