Streams that may be resumed are sent again after a failure

Callers of a route with `resumable` got the 500 of the first upstream, though the route allows a second send and another upstream was idle. Safe requests in the same place were served.

Cause: only the plain path asked others after a failure response; a stream's head was forwarded whatever its status. A stream that may be resumed is idempotent, so the failure is now collected and kept as the answer while others are asked, within the route's attempts and the retry budget.

--- a/crates/fernring-gateway/src/serving/exchange/handing_over.rs
+++ b/crates/fernring-gateway/src/serving/exchange/handing_over.rs
@@ -112,6 +112,11 @@
         Received::TimedOut
     }
 
+    /// Returns whether the route allows a further send after a response that isn't used.
+    pub fn may_be_repeated(&self, opened: &OpenedResponse) -> bool {
+        self.route.retry_policy != RetryPolicy::Never && self.may_be_offered(&opened.holder())
+    }
+
     fn handover_rule(&self) -> HandoverRule {
         HandoverRule {
             patience: self.route.event_gap_max,
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -186,9 +186,9 @@
     }
 
     async fn serve_stream(&self, mut exchange: Exchange) -> Response<CallerBody> {
-        let opened = match exchange.open_stream().await {
+        let opened = match self.open_stream(&mut exchange).await {
             Ok(opened) => opened,
-            Err(refusal) => return self.refuse(&mut exchange, &refusal),
+            Err(answer) => return answer,
         };
         let head = caller_response(&opened, CallerBody::full(Full::default()));
         if opened.status() == StatusCode::OK {
@@ -203,6 +203,36 @@
         head.map(|_| CallerBody::stream(events).with_deadline(end_at))
     }
 
+    /// Opens a stream. If it may be resumed, an upstream's failure is kept as the answer while others
+    /// are asked.
+    async fn open_stream(
+        &self,
+        exchange: &mut Exchange,
+    ) -> Result<OpenedResponse, Response<CallerBody>> {
+        let mut opened = exchange.open_stream().await;
+        let mut failure = None;
+        loop {
+            let response = match (opened, failure) {
+                (Ok(response), _) => response,
+                (Err(_), Some((status, answer))) => {
+                    exchange.record_end(ExchangeEnd::Answered { status });
+                    return Err(answer);
+                }
+                (Err(refusal), None) => return Err(self.refuse(exchange, &refusal)),
+            };
+            if !response.is_failure() || !exchange.may_be_repeated(&response) {
+                return Ok(response);
+            }
+            let status = response.status();
+            let collected = self.collect_response(exchange, response).await;
+            failure = collected.ok().map(|answer| {
+                exchange.record_failure_response();
+                (status, answer)
+            });
+            opened = exchange.reopen(exchange.resume_after()).await;
+        }
+    }
+
     fn refuse(&self, exchange: &mut Exchange, refusal: &Refusal) -> Response<CallerBody> {
         exchange.record_end(ExchangeEnd::Refused(refusal));
         refusal.response(&*self.wire).map(CallerBody::full)
