Responses are limited in bytes without progress

An upstream that sends bytes which are no answer without end held its request up to the deadline: 504 for safe requests though another upstream was idle, and the bytes were read as fast as they came.

Cause: bytes counted as life. The HTTP library skips interim responses and reads the framing of chunks without a limit, and waits for a head or trailers as long as bytes come. Nothing below it counted them.

`ResponseProgress` (pure) defines progress: the end of a head, then data of the body. The stream of each connection of `ConnectionPool` counts what is read without progress, in bytes and, for drops, in time; a pause counts as one drop, since a silent upstream may go on later. Beyond the limits the read fails as a response that can't be parsed, so all that follows is as after any other broken response: the upstream is avoided, a safe or resumable request goes elsewhere, one that runs once is answered 502. Requests, workers' calls, releases and the store use the same pool, directly and through tunnels. Line `response_without_end`, metric `fernring_gateway_discarded_response_bytes_total`.

The tests allow 16 MB, twice the largest answer. Sound answers of unusual form (interim responses, chunks of one byte, trailers, pauses inside a head) are served as before.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -3,7 +3,11 @@
 
 use {
     crate::{
-        connector::{Connect, Connected, Path, TunnelGuard, dial::ConnectFailure},
+        connector::{
+            Connect, Connected, Path, TunnelGuard,
+            dial::ConnectFailure,
+            metered_stream::{MeteredStream, SharedProgress},
+        },
         crash_detection::Disconnect,
         eligibility::Ineligible,
     },
@@ -116,6 +120,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     path: Path,
+    progress: SharedProgress,
     _tunnel: Option<TunnelGuard>,
     _task: TaskGuard,
 }
@@ -334,6 +339,8 @@
             false => self.connector.connect(self.address).await?,
         };
         let Connected { stream, path, tunnel } = connected;
+        let stream = MeteredStream::new(stream, self.address, self.clock.clone());
+        let progress = stream.progress().clone();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES_MAX)
             .handshake(TokioIo::new(stream))
@@ -348,6 +355,7 @@
         active.connection = Some(Connection {
             sender,
             path,
+            progress,
             _tunnel: tunnel,
             _task: TaskGuard(task.abort_handle()),
         });
@@ -361,6 +369,7 @@
     ) -> Result<UpstreamResponse, ExchangeError> {
         let path = active.path();
         let _exchange = self.connector.track_exchange(path);
+        active.progress().borrow_mut().start();
         match active.sender().try_send_request(request).await {
             Ok(response) => {
                 self.connector.record_received(self.address, path);
@@ -427,6 +436,10 @@
         &mut self.connection.as_mut().expect("present until dropped").sender
     }
 
+    fn progress(&self) -> &SharedProgress {
+        &self.connection.as_ref().expect("present until dropped").progress
+    }
+
     fn record_received(&self) {
         self.pool.connector.record_received(self.pool.address, self.path());
     }
@@ -507,9 +520,11 @@
                 }
             }
             Poll::Ready(Some(Err(_))) => this.connection = None,
-            Poll::Ready(Some(Ok(_))) => {
+            Poll::Ready(Some(Ok(frame))) => {
                 if let Some(active) = &this.connection {
                     active.record_received();
+                    let length = frame.data_ref().map_or(0, Bytes::len);
+                    active.progress().borrow_mut().record_delivered(length);
                 }
             }
             Poll::Pending => {}
--- a/crates/fernring-gateway/src/connector/mod.rs
+++ b/crates/fernring-gateway/src/connector/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod dial;
 pub mod live_stream;
+pub mod metered_stream;
 pub mod own_path;
 
 use {
--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -47,6 +47,7 @@
 pub mod relays;
 pub mod request_size;
 pub mod residency;
+pub mod response_progress;
 pub mod retry_after;
 pub mod retry_schedule;
 pub mod selection;
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -55,8 +55,9 @@
         eligibility, engine_speeds, handover, leaving, limits, liveness, origin_table,
         part_quarantine, permit_issuer, prefill_budget, prefill_pauses, prefill_speed,
         prefix_demand, quarantine, reachability, rejection_guard, relays, request_size, residency,
-        retry_after, retry_schedule, selection, slack, stage_plan, throughput, worker_pools,
-        worker_speeds, workers, workspace_demands, workspace_reports, workspace_shares,
+        response_progress, retry_after, retry_schedule, selection, slack, stage_plan, throughput,
+        worker_pools, worker_speeds, workers, workspace_demands, workspace_reports,
+        workspace_shares,
     },
     members::{delegates, pause_detector, peers},
     serving::{
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -249,6 +249,11 @@
     counter!("fernring_gateway_response_ends_total", &labels).increment(1);
 }
 
+/// Counts bytes of a response that were read and discarded, since they were no progress.
+pub(crate) fn record_discarded_bytes(part: &'static str, bytes: u64) {
+    counter!("fernring_gateway_discarded_response_bytes_total", "part" => part).increment(bytes);
+}
+
 /// Counts a stream that goes on at another upstream within one answer, by whether that one has the
 /// version of the upstream before.
 pub(crate) fn record_resumption(service: &Arc<str>, is_same_version: bool) {
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -43,6 +43,7 @@
 mod relays;
 mod request_size;
 mod residency;
+mod response_progress;
 mod retry_after;
 mod retry_schedule;
 mod rollouts;
