Events without end are no progress of a stream

A stream that may be resumed was ended as broken if an event grew beyond 1 MB, and one whose event came in drops was kept at its upstream up to the deadline with nothing. Streams that run once, and bodies of failures on streaming routes, were forwarded without a limit.

Cause: any bytes of a body counted as progress, also for the wait for a silent upstream, and the only limit was treated as an end. Now the wait lasts until an event ends, so an upstream whose bytes end no event counts as silent and the request is offered to others in time; an event that is too long is a broken send, after which the stream goes on elsewhere. Comments and empty lines are no event. On streams that run once the bytes between events are limited, other bodies of streaming routes by the same limit as plain ones unless they have a length; the caller's answer then looks incomplete.

--- a/crates/fernring-gateway/src/serving/events.rs
+++ b/crates/fernring-gateway/src/serving/events.rs
@@ -1,10 +1,10 @@
 //! Splits a stream into complete events, so that an interrupted stream can resume after the last of
 //! them.
 
-use bytes::{Bytes, BytesMut};
-
-/// Longest incomplete event that is buffered, in bytes. Events of generations are far smaller.
-const EVENT_BYTES_MAX: usize = 1 << 20;
+use {
+    crate::response_progress::EVENT_BYTES_MAX,
+    bytes::{Bytes, BytesMut},
+};
 
 /// A position in a stream of events. Lines end with CR, LF, or both, and a blank line ends an event.
 #[derive(Debug, Clone, Copy)]
@@ -13,11 +13,14 @@
     is_line_start: bool,
     /// Whether the last byte was a CR, with which a LF that follows forms one line ending.
     is_after_cr: bool,
+    /// Whether the event under way, or the one that has just ended, has a field: comments and blank
+    /// lines alone are no event.
+    has_field: bool,
 }
 
 impl Default for EventPosition {
     fn default() -> Self {
-        Self { is_inside_event: false, is_line_start: true, is_after_cr: false }
+        Self { is_inside_event: false, is_line_start: true, is_after_cr: false, has_field: false }
     }
 }
 
@@ -28,7 +31,7 @@
         let mut end = None;
         for (index, byte) in bytes.iter().enumerate() {
             self.advance_by(*byte);
-            if !self.is_inside_event {
+            if self.has_field && !self.is_inside_event {
                 end = Some(index + 1);
             }
         }
@@ -42,6 +45,8 @@
             return;
         }
         let is_line_ending = matches!(byte, b'\r' | b'\n');
+        let has_field = self.is_inside_event && self.has_field;
+        self.has_field = has_field || self.is_line_start && !is_line_ending && byte != b':';
         self.is_inside_event = !(is_line_ending && self.is_line_start);
         self.is_line_start = is_line_ending;
     }
@@ -62,19 +67,22 @@
 pub struct EventSplitter {
     /// The bytes after the last complete event.
     pending: BytesMut,
+    /// Bytes after the last complete event that were forwarded.
+    skipped_bytes: usize,
     position: EventPosition,
 }
 
-/// The error for an event that exceeds the buffer.
+/// The error for a stream that goes on for too long without the end of an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("an event is longer than {EVENT_BYTES_MAX} bytes")]
+#[error("{EVENT_BYTES_MAX} bytes without the end of an event")]
 pub struct EventTooLong;
 
 impl EventSplitter {
-    /// Adds bytes and returns the events that are complete now.
+    /// Adds bytes and returns the events that are complete now. Comments are returned together with
+    /// the next event.
     ///
     /// # Errors
-    /// If an event is too long.
+    /// If no event has ended for too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
         let held = self.pending.len();
         self.pending.extend_from_slice(bytes);
@@ -97,8 +105,18 @@
     }
 
     /// Moves over bytes that are forwarded as they arrive.
-    pub fn skip(&mut self, bytes: &[u8]) {
-        self.position.advance(bytes);
+    ///
+    /// # Errors
+    /// If no event has ended for too long.
+    pub fn skip(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
+        self.skipped_bytes = match self.position.advance(bytes) {
+            Some(end) => bytes.len() - end,
+            None => self.skipped_bytes + bytes.len(),
+        };
+        match self.skipped_bytes > EVENT_BYTES_MAX {
+            true => Err(EventTooLong),
+            false => Ok(()),
+        }
     }
 
     /// Returns the position after all bytes, those of the incomplete event included.
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -10,11 +10,13 @@
         handover::Silence,
         log,
         model::RetryPolicy,
+        response_progress::BODY_BYTES_MAX,
         telemetry,
     },
     bytes::Bytes,
     fernring_core::text::LogLine,
     http_body_util::BodyExt,
+    hyper::body::Body,
     std::time::Duration,
 };
 
@@ -32,6 +34,8 @@
     /// Whether the stream may be resumed at another upstream. A failure response may not, since its
     /// head has been forwarded.
     is_resumable: bool,
+    /// Bytes that were forwarded.
+    body_bytes: usize,
     /// When the caller was last sent something, or sent the request.
     forwarded_at: Duration,
     is_done: bool,
@@ -53,6 +57,7 @@
             has_origin: false,
             last_event,
             is_resumable,
+            body_bytes: 0,
             forwarded_at,
             is_done: false,
         }
@@ -74,9 +79,12 @@
                 Ok(None) => {
                     self.is_done = true;
                     self.record_position();
+                    let rest = self.splitter.finish();
+                    if !rest.is_empty() {
+                        self.exchange.record_bytes(&mut self.opened);
+                    }
                     self.exchange
                         .record_end(ExchangeEnd::Answered { status: self.opened.status() });
-                    let rest = self.splitter.finish();
                     return (!rest.is_empty()).then_some(Ok(rest));
                 }
                 Err(error) => {
@@ -96,7 +104,8 @@
         let silence =
             Silence { since: self.opened.received_at(), caller_waits_since: self.forwarded_at };
         let (last_event, is_resumable) = (self.last_event, self.is_resumable);
-        let next = next_bytes(&mut self.opened.body);
+        let mode = self.mode();
+        let next = next_part(&mut self.opened.body, &mut self.splitter, mode);
         let received =
             self.exchange.receive(&mut holder, next, silence, last_event, is_resumable).await;
         self.opened.set_counted(holder.is_counted());
@@ -104,7 +113,8 @@
             Received::Next(Some(Ok(bytes))) => {
                 self.exchange.record_bytes(&mut self.opened);
                 self.is_empty = false;
-                Ok(Some(self.complete_events(bytes)?))
+                self.record_forwarded(&bytes)?;
+                Ok(Some(bytes))
             }
             Received::Next(None) => match self.early_end() {
                 None => Ok(None),
@@ -140,20 +150,28 @@
         }
     }
 
-    fn complete_events(&mut self, bytes: Bytes) -> Result<Bytes, StreamFailure> {
+    fn mode(&self) -> ForwardingMode {
+        if self.is_resumable {
+            ForwardingMode::CompleteEvents
+        } else if self.opened.is_event_stream() {
+            ForwardingMode::Events
+        } else {
+            ForwardingMode::Body { forwarded: self.body_bytes }
+        }
+    }
+
+    fn record_forwarded(&mut self, bytes: &Bytes) -> Result<(), StreamFailure> {
+        self.body_bytes += bytes.len();
         if !self.is_resumable {
-            self.splitter.skip(&bytes);
-            return Ok(bytes);
+            return Ok(());
         }
-        let complete = self.splitter.push(&bytes);
-        let complete = complete.map_err(|error| StreamFailure::Broken(error.to_string()))?;
-        let number = last_event_number(&complete, |line| self.exchange.event_number(line));
+        let number = last_event_number(bytes, |line| self.exchange.event_number(line));
         self.last_event = number.or(self.last_event);
-        if !complete.is_empty() && !self.has_origin {
+        if !self.has_origin {
             self.exchange.record_origin(&self.opened)?;
             self.has_origin = true;
         }
-        Ok(complete)
+        Ok(())
     }
 
     /// Gives up the response of an upstream.
@@ -200,6 +218,50 @@
     }
 }
 
+/// What of a body is forwarded at a time, which is the progress that is waited for.
+#[derive(Debug, Clone, Copy)]
+enum ForwardingMode {
+    /// Complete events, so that the stream may go on at another upstream after each of them.
+    CompleteEvents,
+    /// The bytes of events as they arrive.
+    Events,
+    /// The bytes of a body that isn't a stream of events, after those that were forwarded already.
+    Body { forwarded: usize },
+}
+
+/// Waits for the next part of a body to forward; `None` at the end.
+async fn next_part(
+    body: &mut ResponseBody,
+    splitter: &mut EventSplitter,
+    mode: ForwardingMode,
+) -> Option<Result<Bytes, ConnectionLoss>> {
+    loop {
+        let bytes = match next_bytes(body).await? {
+            Ok(bytes) => bytes,
+            Err(loss) => return Some(Err(loss)),
+        };
+        let part = match mode {
+            ForwardingMode::CompleteEvents => splitter.push(&bytes),
+            ForwardingMode::Events => splitter.skip(&bytes).map(|()| bytes),
+            ForwardingMode::Body { forwarded } => {
+                let is_limited = body.size_hint().exact().is_none();
+                if is_limited && forwarded + bytes.len() > BODY_BYTES_MAX {
+                    let reason = format!("the body is longer than {BODY_BYTES_MAX} bytes");
+                    return Some(Err(ConnectionLoss { reason, kind: None }));
+                }
+                Ok(bytes)
+            }
+        };
+        match part {
+            Ok(part) if part.is_empty() => {}
+            Ok(part) => return Some(Ok(part)),
+            Err(error) => {
+                return Some(Err(ConnectionLoss { reason: error.to_string(), kind: None }));
+            }
+        }
+    }
+}
+
 async fn next_bytes(body: &mut ResponseBody) -> Option<Result<Bytes, ConnectionLoss>> {
     loop {
         match body.frame().await? {
--- a/crates/fernring-gateway/tests/testsuite/events.rs
+++ b/crates/fernring-gateway/tests/testsuite/events.rs
@@ -1,7 +1,10 @@
 //! Tests of splitting a stream into complete events.
 
 use {
-    fernring_gateway::events::{EventPosition, EventSplitter, last_event_number},
+    fernring_gateway::{
+        events::{EventPosition, EventSplitter, last_event_number},
+        response_progress::EVENT_BYTES_MAX,
+    },
     proptest::prelude::*,
 };
 
@@ -91,3 +94,32 @@
         }
     }
 }
+
+#[test]
+fn comments_and_empty_lines_are_no_event() {
+    let mut position = EventPosition::default();
+    assert_eq!(position.advance(b": c\n\n\n\n"), None);
+    assert_eq!(position.advance(b": c\nid: 1\n\n: c\n\n"), Some(11));
+    let mut splitter = EventSplitter::default();
+    assert!(splitter.push(b": c\n\n\n").unwrap().is_empty());
+    assert_eq!(&splitter.push(b"id: 1\n\n\n").unwrap()[..], b": c\n\n\nid: 1\n\n");
+    assert_eq!(&splitter.finish()[..], b"\n", "the rest is returned at the end");
+}
+
+#[test]
+fn stream_without_the_end_of_an_event_is_limited() {
+    for repeated in [&b"a"[..], b"\n", b": c\n\n"] {
+        let bytes = repeated.repeat(EVENT_BYTES_MAX / repeated.len());
+        let mut splitter = EventSplitter::default();
+        splitter.push(&bytes).unwrap();
+        splitter.push(&bytes).unwrap_err();
+        let mut splitter = EventSplitter::default();
+        splitter.skip(&bytes).unwrap();
+        splitter.skip(&bytes).unwrap_err();
+    }
+    let mut splitter = EventSplitter::default();
+    for _ in 0..3 {
+        splitter.skip(&b"a".repeat(EVENT_BYTES_MAX / 2)).unwrap();
+        splitter.skip(b"\n\n").unwrap();
+    }
+}
