A plain body without end leaves time for another upstream

A safe request whose upstream sent a body in drops, or the body of a failure without end, was held up to the deadline and answered 502 or 504, with another upstream idle.

Cause: a response was collected up to the deadline, whatever marked its end. A body without a length may not end at all: it is now collected as long as another upstream may still be in time for the caller (the rule of silent upstreams), if the route allows a further send and there is a candidate. A body with a length is waited for as before.

--- a/crates/fernring-gateway/src/serving/exchange/choosing.rs
+++ b/crates/fernring-gateway/src/serving/exchange/choosing.rs
@@ -53,6 +53,11 @@
         Some(chosen.target)
     }
 
+    /// Returns whether there is an upstream for a further send.
+    pub(super) fn has_candidate(&self) -> bool {
+        self.choose_among_candidates().is_some()
+    }
+
     fn choose_among_candidates(&self) -> Option<(Chosen, Vec<Candidate>)> {
         let upstreams = &self.serving.upstreams;
         let is_unreachable = |domain: &str| self.serving.peers.is_domain_unreachable(domain);
--- a/crates/fernring-gateway/src/serving/exchange/handing_over.rs
+++ b/crates/fernring-gateway/src/serving/exchange/handing_over.rs
@@ -13,6 +13,7 @@
         upstreams::Target,
     },
     fernring_core::text::LogLine,
+    hyper::body::Body,
     std::{future::pending, pin::pin, time::Duration},
     tokio::time::sleep,
 };
@@ -112,6 +113,23 @@
         Received::TimedOut
     }
 
+    /// Returns until when a response is collected: up to the deadline, or as long as another upstream
+    /// may still be in time if the response may not end at all.
+    pub fn collect_until(&self, opened: &OpenedResponse) -> Duration {
+        let is_length_known = opened.body.size_hint().exact().is_some();
+        if is_length_known || !self.may_be_repeated(opened) || !self.has_candidate() {
+            return self.end_at;
+        }
+        let silence = Silence { since: opened.received_at, caller_waits_since: self.arrived_at };
+        let patience = match self.route.streaming {
+            true => self.route.event_gap_max,
+            // The caller of a plain response waits up to the deadline.
+            false => self.end_at.saturating_sub(self.arrived_at),
+        };
+        let rule = HandoverRule { patience, ..self.handover_rule() };
+        rule.handover_at(silence).min(self.end_at)
+    }
+
     /// Returns whether the route allows a further send after a response that isn't used.
     pub fn may_be_repeated(&self, opened: &OpenedResponse) -> bool {
         self.route.retry_policy != RetryPolicy::Never && self.may_be_offered(&opened.holder())
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -13,6 +13,7 @@
         model::{PIECES_MAX, Route, Workspace, api_key_hash},
         refusal::{RETRY_AFTER_NOT_READY, Refusal},
         relay::Relay,
+        response_progress::BODY_BYTES_MAX,
         telemetry,
     },
     bytes::Bytes,
@@ -32,9 +33,6 @@
     tokio::time::timeout,
 };
 
-/// Largest response of a non-streaming route, in bytes; it is buffered until it is complete. Larger
-/// responses count as failed: no service has any today.
-const PLAIN_RESPONSE_BYTES_MAX: usize = 8 << 20;
 /// How long the rest of a body that is too long is read, so that the caller receives the answer.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -167,8 +165,9 @@
         exchange: &mut Exchange,
         mut opened: OpenedResponse,
     ) -> Result<Response<CallerBody>, String> {
-        let collecting = Limited::new(&mut opened.body, PLAIN_RESPONSE_BYTES_MAX).collect();
-        let loss = match self.deadline_timer.complete_by(exchange.end_at(), collecting).await {
+        let collect_until = exchange.collect_until(&opened);
+        let collecting = Limited::new(&mut opened.body, BODY_BYTES_MAX).collect();
+        let loss = match self.deadline_timer.complete_by(collect_until, collecting).await {
             Some(Ok(collected)) => {
                 opened.record_intact();
                 let body = CallerBody::full(Full::new(collected.to_bytes()))
@@ -179,7 +178,7 @@
                 Some(error) => error.into(),
                 None => ConnectionLoss { reason: error.to_string(), kind: None },
             },
-            None => ConnectionLoss::silent("the response was incomplete at the deadline"),
+            None => ConnectionLoss::silent("the response wasn't complete in time"),
         };
         exchange.record_broken_send(&opened, &loss);
         Err(loss.reason)
