--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -8,13 +8,14 @@
     crate::{
         backlog::{RANKS, rank_index},
         batching::{Batch, BatchLimit, BatchQueue, QueuedPiece},
-        connections::{ConnectionLoss, SendFailure},
+        connections::ConnectionLoss,
         crash_detection::Disconnect,
         fingerprint::RequestTraits,
         framing::Framing,
         log,
         model::{BatchConfig, Piece, PieceOutcome, Service, UpstreamKey},
         residency::Residency,
+        response_progress::CALL_BYTES_MAX,
         telemetry,
         upstreams::{Target, UpstreamSend},
         worker_pools::WorkerPool,
@@ -24,7 +25,7 @@
     bytes::Bytes,
     fernring_core::text::LogLine,
     http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header::CONTENT_TYPE},
-    http_body_util::{BodyExt, Full},
+    http_body_util::{BodyExt, Full, Limited},
     std::{pin::pin, rc::Rc, sync::Arc, time::Duration},
     tokio::{task::spawn_local, time::timeout},
 };
@@ -37,9 +38,6 @@
 const SILENCE_EXTRA: Duration = Duration::from_millis(400);
 /// Timeout of a release of results.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest response of a call that is read, in bytes: enough for a handle or a reason for each
-/// piece.
-const RESPONSE_BYTES_MAX: usize = 1 << 20;
 
 /// What is known of a call when it starts.
 #[derive(Clone, Copy)]
@@ -302,7 +300,7 @@
                 return Err(CallFailure::Failed(format!("status {}", response.head.status)));
             }
             let framing = Framing::of(&response.head);
-            let body = http_body_util::Limited::new(response.body, RESPONSE_BYTES_MAX);
+            let body = Limited::new(response.body, CALL_BYTES_MAX);
             let body = body.collect().await.map_err(|error| body_failure(&*error))?;
             let outcomes = self.wire.decode_batch(&body.to_bytes());
             outcomes.map_err(|error| undecodable(framing, &error))
@@ -383,10 +381,11 @@
         };
         let exchange = async {
             let response = self.upstreams.send_release(&*self.wire, &target, send).await?;
-            response.body.collect().await.map_err(|e| SendFailure::Broken((&e).into()))
+            let body = Limited::new(response.body, CALL_BYTES_MAX);
+            body.collect().await.map_err(|error| body_failure(&*error))
         };
         let released = timeout(RELEASE_TIMEOUT, exchange).await;
-        if let Ok(Err(SendFailure::Ineligible(_))) = released {
+        if let Ok(Err(CallFailure::Ineligible(_))) = released {
             // The upstream may get nothing now, so the handles go with the next release.
             self.releases.borrow_mut().entry(key).or_default().extend(handles);
             return;
