A busy delegate defers before it builds the records

A delegate walked through all upstreams, encoded the changes and only then deferred the request if too much had been sent; deferred followers ask again within 60 ms, so a delegate with a small link spent its processor time on replies that it didn't send. Now the link is looked at first. tailing::busy_node_defers_before_it_builds_a_record guards the decision (new function; not compilable on the code before). Tried and left out: pauses that double with each deferral, to a quarter of a second: tailing::record_from_peers_is_not_read_from_store fails with them.

--- a/crates/fernring-gateway/src/node/peer_records.rs
+++ b/crates/fernring-gateway/src/node/peer_records.rs
@@ -61,9 +61,14 @@
         self.send_or_defer(peer, TailedTopic::Config, bytes, GatewayBody::Config(config));
     }
 
+    /// Sends the upstreams' records that changed since a position to a peer, or defers them if too
+    /// much has been sent recently.
     pub(super) fn send_directory(&self, peer: SocketAddr, since: Position) {
-        let directory = self.upstreams.directory();
         let now = self.serving.now();
+        if self.loops.tailing(TailedTopic::Upstreams).borrow().defers_requests(now) {
+            return self.defer(peer, TailedTopic::Upstreams);
+        }
+        let directory = self.upstreams.directory();
         let changes = directory.changes_since(now, since);
         let is_full = changes.is_none();
         let is_compressed = is_full && directory.len() > UNCOMPRESSED_RECORDS_MAX;
@@ -113,17 +118,20 @@
     ) {
         let reply =
             self.loops.tailing(topic).borrow_mut().handle_request(self.serving.now(), bytes);
-        match (reply, topic) {
-            (Reply::Record, _) => self.peers.send_record(peer, record),
-            (Reply::Deferred, TailedTopic::Config) => {
-                self.peers.send(peer, GatewayBody::ConfigDeferred(Empty {}));
-            }
-            (Reply::Deferred, TailedTopic::Upstreams) => {
-                self.peers.send(peer, GatewayBody::DirectoryDeferred(Empty {}));
-            }
+        match reply {
+            Reply::Record => self.peers.send_record(peer, record),
+            Reply::Deferred => self.defer(peer, topic),
         }
     }
 
+    fn defer(&self, peer: SocketAddr, topic: TailedTopic) {
+        let deferral = match topic {
+            TailedTopic::Config => GatewayBody::ConfigDeferred(Empty {}),
+            TailedTopic::Upstreams => GatewayBody::DirectoryDeferred(Empty {}),
+        };
+        self.peers.send(peer, deferral);
+    }
+
     pub(super) fn handle_deferral(&self, topic: TailedTopic) {
         let mut tailing = self.loops.tailing(topic).borrow_mut();
         tailing.handle_deferral(self.serving.now(), rand::random());
--- a/crates/fernring-gateway/src/store/tailing.rs
+++ b/crates/fernring-gateway/src/store/tailing.rs
@@ -195,11 +195,17 @@
         self.next_request_at = now + DEFERRED_PAUSE_MAX.mul_f64(draw.clamp(0.0, 1.0));
     }
 
+    /// Returns whether a request for a record would be deferred now. To be asked before a record is
+    /// built that takes long: what a busy node spends on deferred requests makes it busier.
+    pub fn defers_requests(&self, now: Duration) -> bool {
+        self.link_busy_until > now + SEND_QUEUE_TIME_MAX
+    }
+
     /// Handles a peer's request for a record of this size and returns the reply. A deferral is
     /// sent at once, so that the peer asks another node: when requests were dropped silently,
     /// all nodes waited for one holder, and 271 KB took 4.3 s to reach 78 nodes.
     pub fn handle_request(&mut self, now: Duration, bytes: usize) -> Reply {
-        if self.link_busy_until > now + SEND_QUEUE_TIME_MAX {
+        if self.defers_requests(now) {
             return Reply::Deferred;
         }
         self.link_busy_until =
--- a/crates/fernring-gateway/tests/testsuite/tailing.rs
+++ b/crates/fernring-gateway/tests/testsuite/tailing.rs
@@ -2,7 +2,10 @@
 
 use {
     super::fleet::{Fleet, NODES, StoreAccess},
-    fernring_gateway::{freshness::STALE_AFTER, tailing::Tailing},
+    fernring_gateway::{
+        freshness::STALE_AFTER,
+        tailing::{MIN_LINK_BYTES_PER_S, Reply, Tailing},
+    },
     std::time::Duration,
 };
 
@@ -110,3 +113,18 @@
         "the request is repeated if the answer was lost"
     );
 }
+
+/// Guards against a busy delegate that builds records only to defer them, until it is silent for its
+/// peers.
+#[test]
+fn busy_node_defers_before_it_builds_a_record() {
+    let now = SETTLE_TIME;
+    let mut tailing = Tailing::new(0.0);
+    tailing.set_link(MIN_LINK_BYTES_PER_S);
+    assert!(!tailing.defers_requests(now));
+    while tailing.handle_request(now, LARGE_BYTES) == Reply::Record {}
+    assert!(tailing.defers_requests(now));
+    let served = now + Duration::from_secs(2);
+    assert!(!tailing.defers_requests(served));
+    assert_eq!(tailing.handle_request(served, LARGE_BYTES), Reply::Record);
+}
