--- a/crates/fernring-gateway/src/decide/prefill_budget.rs
+++ b/crates/fernring-gateway/src/decide/prefill_budget.rs
@@ -1,18 +1,19 @@
 //! Chooses a model engine by time, and limits the prefill beside streams that run there.
 //!
-//! Load: prompts of thousands of tokens arrive from many nodes at engines of unequal speed that
-//! generate other answers meanwhile. Engines prefill between the tokens of running streams, so each
+//! Load: long prompts arrive from many nodes at engines of unequal speed that generate other answers
+//! meanwhile. Engines prefill between the tokens of running streams, so each
 //! prompt delays the events of all streams there, most on slow engines.
 //!
-//! Inputs: the work in flight at each engine from all nodes, 0.2 to 0.6 s old for that of other
-//! nodes, and the learned speeds. Most prompts are prefilled before the others hear of them, so the
+//! Inputs: the work in flight at each engine from all nodes, that of other nodes as of their last
+//! heartbeats, and the learned speeds. Most prompts are prefilled before the others hear of them, so the
 //! order in which engines are considered has to divide the load by itself: a faster engine is the
 //! first choice for more of the prefixes.
 //!
-//! Limits: streams that run at an engine may pause no longer than their callers accept, by the time of
-//! what is prefilled there or, if that is less, by the pauses that such engines are known for. The first event has to be in time as well. Shared parts
-//! that are read again cost the time of an engine, so a request leaves the engines where they are
-//! cached only if callers lose less time elsewhere.
+//! Limits: streams that run at an engine may pause no longer than their callers accept, by the time
+//! of what is prefilled there or, if that is less, by the pauses that such engines are known for. The
+//! first event has to be in time as well. Shared parts that are read again cost the time of an
+//! engine, so a request leaves the engines where they are cached only if callers lose less time
+//! elsewhere.
 
 use {
     super::{
--- a/crates/fernring-gateway/src/decide/worker_pools.rs
+++ b/crates/fernring-gateway/src/decide/worker_pools.rs
@@ -2,17 +2,15 @@
 //! traffic. No I/O.
 //!
 //! Handles services whose calls exceed the link of their owner. One owner sends the pieces of all
-//! nodes for a service to its workers, and a piece carries the handles of all its inputs: 330 bytes
-//! for one with eight inputs, 9 Mbit/s at 3,500 pieces per second. On a site whose VMs all have
-//! links of 10 Mbit/s no owner can bear that: calls wait at its link, and only 0.17 of the value of
-//! a normal day was earned. An owner that sends more than a part of its link can carry therefore
+//! nodes for a service to its workers, and a piece carries the handles of all its inputs, so calls
+//! may wait at the owner's link. An owner that sends more than a part of its link can carry therefore
 //! announces it, and the workers of each failure domain get an owner of their own, until these
 //! owners together send little again. Calls of a sharded service are filled less well, so a service
 //! isn't sharded without need.
 //!
-//! Inputs: the bytes of the calls of the last second, and the owners' heartbeats, which are a fifth
-//! of a second old. Nodes that receive a heartbeat at different moments briefly use different
-//! owners, and a worker then gets calls from two owners.
+//! Inputs: the bytes of the calls of the last second, and the owners' last heartbeats. Nodes that
+//! receive a heartbeat at different moments briefly use different owners, and a worker then gets
+//! calls from two owners.
 
 use {
     crate::model::short_hash,
--- a/crates/fernring-gateway/src/settings.rs
+++ b/crates/fernring-gateway/src/settings.rs
@@ -10,8 +10,8 @@
 /// Bytes per second in one Mbit/s.
 const BYTES_PER_S_OF_MBPS: f64 = 1e6 / 8.0;
 
-/// Smallest allowed evacuation time, in milliseconds: a node that has lost its reader asks the
-/// store after 1.7 s, and the store may take a quarter of a second to respond.
+/// Smallest allowed evacuation time, in milliseconds: longer than a node that has lost its reader
+/// takes to ask the store itself and read the response.
 const EVACUATION_MS_MIN: f64 = 2_000.0;
 
 /// The settings of a gateway.
@@ -287,7 +287,7 @@
 }
 
 impl Default for LogSettings {
-    /// All lines, up to 256 KB per second. 32 KB per second is twice what a node writes in a burst.
+    /// All lines, up to 256 KB per second.
     fn default() -> Self {
         Self { decisions: true, bytes_per_s: 256 << 10 }
     }
