Reads of nodes that stand in are bounded by bytes

Cause: when nothing had confirmed the upstreams' records for 1.45 to 1.7 s, all 986 nodes read the records of the last seconds within a quarter of a second, up to a megabyte each, of a store that sends 80 MB a second. Each gave up after 0.8 s and asked again while the store still sent the answers. The longest pause, 10 ms for each node, bounds the calls but not the bytes: a hundred reads a second are about what the store sends, so the state kept itself up. The readers, which could have confirmed all nodes, waited in the same queue.

Now the delegates stand in first, since all nodes receive their heartbeats. Followers wait 0.6 s longer and spread their reads: of the configuration over 0.5 ms for each node, of the upstreams by what all of them request, 10 MB a second. The pauses between repeated reads are bounded likewise, also those of nodes without any state and of the nodes' records. A follower doesn't go on reading after it stood in, since its reads confirm nobody. A node that becomes a reader ends its pause at once (found by reading; the simulation doesn't cover that).

--- a/crates/fernring-gateway/src/store/freshness.rs
+++ b/crates/fernring-gateway/src/store/freshness.rs
@@ -8,6 +8,11 @@
 //! confirmed for a while reads too, so a reader that is lost or has no connection to the store
 //! causes a short delay and never exceeds the bound on the age of the configuration.
 //!
+//! In a large fleet that holds for the delegates ([`crate::delegates`]), whose heartbeats reach all
+//! nodes. The followers leave them time to read and to confirm the state of all, and spread their
+//! own reads by the size of the fleet. If all nodes read at once, their responses alone occupy the
+//! store's link for longer than they wait, and repeated reads keep it occupied.
+//!
 //! ```
 //! use {
 //!     fernring_gateway::{freshness::{Freshness, STALE_AFTER}, members::ReaderRole},
@@ -42,7 +47,12 @@
 /// Period over which nodes that become stale together spread their reads; the first one that gets
 /// a response confirms the state of the others.
 const STALE_SPREAD: Duration = Duration::from_millis(250);
-/// How long a node keeps reading after it had to stand in for its reader.
+/// Time in which a delegate that stands in confirms the state of its followers: the spread of the
+/// delegates' reads, a read, and a heartbeat.
+const DELEGATE_STAND_IN_TIME: Duration = Duration::from_millis(600);
+/// Step from one draw of a follower to the next, which spreads them evenly.
+const FOLLOWER_DRAW_STEP: f64 = 0.618;
+/// How long a delegate keeps reading after it had to stand in for its reader.
 const STAND_IN_TIME: Duration = Duration::from_secs(3);
 
 /// When one topic was last confirmed and read.
@@ -53,14 +63,31 @@
     read_at: Option<Duration>,
     stand_in_until: Duration,
     stale_after: Duration,
+    /// From 0 to 1; spreads the reads of many nodes.
+    draw: f64,
+    /// Period over which followers spread their reads; `None` on a delegate.
+    follower_spread: Option<Duration>,
 }
 
 impl Freshness {
     /// Creates the state of a topic that was never read. `draw` is a random number from 0 to 1 that
     /// spreads the reads of many nodes over time.
     pub fn new(draw: f64) -> Self {
-        let stale_after = STALE_AFTER + STALE_SPREAD.mul_f64(draw.clamp(0.0, 1.0));
-        Self { confirmed_at: None, read_at: None, stand_in_until: Duration::ZERO, stale_after }
+        let draw = draw.clamp(0.0, 1.0);
+        Self {
+            confirmed_at: None,
+            read_at: None,
+            stand_in_until: Duration::ZERO,
+            stale_after: STALE_AFTER + STALE_SPREAD.mul_f64(draw),
+            draw,
+            follower_spread: None,
+        }
+    }
+
+    /// Sets the period over which the followers of the fleet spread their reads if the delegates
+    /// don't confirm their state; `None` on a delegate, which reads first.
+    pub fn set_follower_spread(&mut self, spread: Option<Duration>) {
+        self.follower_spread = spread;
     }
 
     /// Records that this node's state of the topic was the newest at `at`.
@@ -71,7 +98,11 @@
     /// Records that the store responded to a read of this node.
     pub fn record_read(&mut self, now: Duration, role: ReaderRole) {
         if role == ReaderRole::None && self.confirmed_at.is_some() && self.is_stale(now) {
-            self.stand_in_until = now + STAND_IN_TIME;
+            match self.follower_spread {
+                None => self.stand_in_until = now + STAND_IN_TIME,
+                // Its reads confirm the state of no other node. The next time others read first.
+                Some(_) => self.draw = (self.draw + FOLLOWER_DRAW_STEP).fract(),
+            }
         }
         self.read_at = Some(now);
         self.record_confirmation(now);
@@ -96,6 +127,14 @@
         self.age(now).is_none_or(|age| age >= self.stale_after)
     }
 
+    /// Returns whether this node has to read the store in place of its readers.
+    fn has_to_stand_in(&self, now: Duration) -> bool {
+        let follower_delay = self
+            .follower_spread
+            .map_or(Duration::ZERO, |spread| DELEGATE_STAND_IN_TIME + spread.mul_f64(self.draw));
+        self.age(now).is_none_or(|age| age >= self.stale_after + follower_delay)
+    }
+
     /// Returns the time until [`Freshness::needs_confirmation`] holds.
     pub fn time_until_doubt(&self, now: Duration) -> Duration {
         self.age(now).map_or(Duration::ZERO, |age| DOUBT_AFTER.saturating_sub(age))
@@ -119,7 +158,7 @@
 
     /// Returns whether this node should read the store now.
     pub fn should_read(&self, now: Duration, role: ReaderRole) -> bool {
-        role != ReaderRole::None || now < self.stand_in_until || self.is_stale(now)
+        role != ReaderRole::None || now < self.stand_in_until || self.has_to_stand_in(now)
     }
 }
 
--- a/crates/fernring-gateway/src/store/store_loops/mod.rs
+++ b/crates/fernring-gateway/src/store/store_loops/mod.rs
@@ -45,10 +45,28 @@
 /// Longest pause of a reader after a failed call: the end of a store outage is noticed within a
 /// second.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(700);
-/// Longest pause of any other node, which reads only because its state isn't confirmed.
+/// Longest pause of any other node, which reads only because its state isn't confirmed; more in a
+/// large fleet ([`TailedTopic::stand_in_pause`]).
 const STAND_IN_RETRY_PAUSE_MAX: Duration = Duration::from_secs(2);
-/// Pause between two reads of all such nodes together.
-const STAND_IN_RETRY_PAUSE_PER_NODE: Duration = Duration::from_millis(10);
+/// Pause between two reads of the configuration by all such nodes together: a small part of the
+/// calls that the store answers in a second.
+const CONFIG_STAND_IN_PAUSE: Duration = Duration::from_micros(500);
+/// What the nodes that don't read for others together request of the store in a second by repeated
+/// reads of one topic: an eighth of what the users' store sends. If they request more than it sends,
+/// each response comes too late and is requested again.
+const REPEATED_READ_BYTES_PER_S: f64 = 10e6;
+/// Assumed size of the configuration as the store sends it, in bytes.
+const CONFIG_BYTES: usize = 100 << 10;
+/// Assumed size of the first page of the upstreams' records, in bytes.
+const FIRST_PAGE_BYTES: usize = 150 << 10;
+/// Assumed size of the first page of the nodes' records, in bytes for each node.
+const NODE_RECORD_BYTES: usize = 55;
+/// Most records of a page.
+const PAGE_RECORDS_MAX: usize = 500;
+/// Assumed size of an upstream's record in the store, in bytes.
+const UPSTREAM_RECORD_BYTES: usize = 300;
+/// Largest response to a read, in bytes.
+const READ_BYTES_MAX: usize = 1 << 20;
 /// How often a starting node checks whether it has to read the remaining pages itself.
 const BOOTSTRAP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How often a node that doesn't read the store checks whether it has to.
@@ -118,6 +136,34 @@
             Self::Upstreams => Topic::Upstreams,
         }
     }
+
+    /// Returns the pause between the first reads of any two of the nodes that stand in for their
+    /// readers, given the number of known upstreams.
+    pub fn stand_in_pause(self, upstreams: usize) -> Duration {
+        match self {
+            // Most responses are empty, and all nodes have to read within the time in which a
+            // configuration has to be in force.
+            Self::Config => CONFIG_STAND_IN_PAUSE,
+            Self::Upstreams => self.retry_pause(upstreams).max(CONFIG_STAND_IN_PAUSE),
+        }
+    }
+
+    /// Returns the pause between the repeated reads of any two of the nodes that don't read for
+    /// others, given the number of known upstreams.
+    pub fn retry_pause(self, upstreams: usize) -> Duration {
+        match (self, upstreams) {
+            (Self::Config, _) => read_time(CONFIG_BYTES),
+            (Self::Upstreams, 0) => read_time(FIRST_PAGE_BYTES),
+            (Self::Upstreams, _) => {
+                read_time((upstreams * UPSTREAM_RECORD_BYTES).min(READ_BYTES_MAX))
+            }
+        }
+    }
+}
+
+/// Returns the time that responses of this size take at [`REPEATED_READ_BYTES_PER_S`].
+fn read_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / REPEATED_READ_BYTES_PER_S)
 }
 
 impl StoreLoops {
@@ -153,6 +199,7 @@
         let mut has_read = false;
         loop {
             let role = self.reader_role();
+            self.tailing(tailed).borrow_mut().set_follower_spread(self.follower_spread(tailed));
             if !self.tailing(tailed).borrow().should_read(self.now(), role) {
                 (pause, has_failed) = (RETRY_PAUSE_MIN, false);
                 full_read = FullRead::default();
@@ -219,16 +266,31 @@
                 }
                 Err(error) => {
                     self.record_failure(topic, &error);
-                    sleep(jitter(pause)).await;
-                    let is_reader = role != ReaderRole::None;
-                    let pause_max =
-                        if is_reader { RETRY_PAUSE_MAX } else { self.stand_in_retry_pause_max() };
+                    let pause_max = match role {
+                        ReaderRole::None => self.stand_in_retry_pause_max(tailed),
+                        _ => RETRY_PAUSE_MAX,
+                    };
+                    let pause_min = match self.repeats_large_reads(tailed, role) {
+                        true => pause_max,
+                        false => RETRY_PAUSE_MIN,
+                    };
+                    pause = pause.clamp(pause_min, pause_max);
+                    self.pause_before_retry(role, jitter(pause)).await;
                     pause = (pause * 2).min(pause_max);
                 }
             }
         }
     }
 
+    /// Pauses after a failed call. The pause of a node that becomes a reader meanwhile ends at once,
+    /// since others depend on its reads.
+    async fn pause_before_retry(&self, role: ReaderRole, pause: Duration) {
+        let end = self.now() + pause;
+        while self.now() < end && (role != ReaderRole::None || self.reader_role() == role) {
+            sleep(READER_CHECK_INTERVAL.min(end.saturating_sub(self.now()))).await;
+        }
+    }
+
     /// Reads the next page of a full read; returns all records if it was the last one.
     async fn read_page(
         &self,
@@ -267,10 +329,31 @@
         (tailed == TailedTopic::Upstreams && end > Position::default()).then_some(end)
     }
 
-    /// Returns the longest pause of a node that reads the store only because its state isn't
-    /// confirmed. Together, such nodes read as often in a large fleet as in a small one.
-    fn stand_in_retry_pause_max(&self) -> Duration {
-        STAND_IN_RETRY_PAUSE_MAX.max(STAND_IN_RETRY_PAUSE_PER_NODE * self.peers.node_count() as u32)
+    /// Returns the longest pause of a node that doesn't read for others.
+    fn stand_in_retry_pause_max(&self, tailed: TailedTopic) -> Duration {
+        let pause = tailed.retry_pause(self.upstreams.directory().len());
+        STAND_IN_RETRY_PAUSE_MAX.max(pause * self.peers.node_count() as u32)
+    }
+
+    /// Returns whether this node is one of many that read all records of the last seconds: a short
+    /// first pause of each would multiply what they request together.
+    fn repeats_large_reads(&self, tailed: TailedTopic, role: ReaderRole) -> bool {
+        let is_follower = role == ReaderRole::None && !self.peers.is_delegate();
+        is_follower && tailed == TailedTopic::Upstreams && self.age(tailed).is_some()
+    }
+
+    /// Returns the period over which the followers spread the reads that they make because their
+    /// state isn't confirmed; `None` on a delegate.
+    fn follower_spread(&self, tailed: TailedTopic) -> Option<Duration> {
+        let pause = tailed.stand_in_pause(self.upstreams.directory().len());
+        (!self.peers.is_delegate()).then(|| pause * self.peers.node_count() as u32)
+    }
+
+    /// Returns the longest pause between two reads of the first page of the nodes' records.
+    fn nodes_retry_pause_max(&self) -> Duration {
+        let nodes = self.peers.node_count();
+        let page = read_time(nodes.min(PAGE_RECORDS_MAX) * NODE_RECORD_BYTES);
+        RETRY_PAUSE_MAX.max(page * nodes as u32)
     }
 
     /// Returns the position to read on from: peers may have sent more than this node has read.
--- a/crates/fernring-gateway/src/store/store_loops/node_records.rs
+++ b/crates/fernring-gateway/src/store/store_loops/node_records.rs
@@ -51,7 +51,7 @@
                 Err(error) => self.record_failure(Topic::Nodes, &error),
             }
             sleep(jitter(pause)).await;
-            pause = (pause * 2).min(RETRY_PAUSE_MAX);
+            pause = (pause * 2).min(self.nodes_retry_pause_max());
         }
     }
 
--- a/crates/fernring-gateway/src/store/tailing.rs
+++ b/crates/fernring-gateway/src/store/tailing.rs
@@ -113,6 +113,11 @@
         self.record_bytes = bytes;
     }
 
+    /// Sets the period over which followers spread their reads; `None` on a delegate.
+    pub fn set_follower_spread(&mut self, spread: Option<Duration>) {
+        self.freshness.set_follower_spread(spread);
+    }
+
     /// Returns the speed of the node's own link, in bytes per second.
     pub fn link_bytes_per_s(&self) -> f64 {
         self.link_bytes_per_s
--- a/crates/fernring-gateway/tests/testsuite/freshness.rs
+++ b/crates/fernring-gateway/tests/testsuite/freshness.rs
@@ -48,6 +48,28 @@
     assert!(!freshness.should_read(stale_at + Duration::from_secs(60), ReaderRole::None));
 }
 
+/// In a large fleet the delegates stand in first; the followers spread their reads over a time that is
+/// longer than many of them need to be confirmed.
+#[test]
+fn followers_stand_in_after_delegates() {
+    let spread = Duration::from_secs(10);
+    for draw in [0.0, 0.5, 1.0] {
+        let mut delegate = Freshness::new(1.0);
+        delegate.record_read(NOW, ReaderRole::None);
+        let delegates_read_at = NOW + STALE_AFTER + MS * 250;
+        assert!(delegate.should_read(delegates_read_at, ReaderRole::None));
+        let mut follower = Freshness::new(draw);
+        follower.set_follower_spread(Some(spread));
+        assert!(follower.should_read(NOW, ReaderRole::None), "a node without state reads at once");
+        follower.record_read(NOW, ReaderRole::None);
+        let answered_at = delegates_read_at + HEARTBEAT_INTERVAL;
+        assert!(!follower.should_read(answered_at, ReaderRole::None), "{draw}");
+        let last_at = answered_at + MS * 400 + spread.mul_f64(draw);
+        assert!(follower.should_read(last_at, ReaderRole::None), "{draw}");
+        assert!(follower.should_read(NOW, ReaderRole::Domain), "it has become a reader");
+    }
+}
+
 #[test]
 fn older_confirmation_changes_nothing() {
     let mut freshness = just_read();
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod prefill_pauses;
 mod prefill_speed;
 mod prefix_demand;
+mod propagation;
 mod quarantine;
 mod reachability;
 mod refusal;
