A node whose configuration may be outdated refuses nothing for good

A refusal by the configuration (401, 404, 413) is final, so it needs one that is known to be recent. If nothing has confirmed it for longer than the bound on its propagation (new setting configuration.within_ms), or a peer has reported a newer version, the node answers 503: the request has not run, and another node decides. The time after which to return is random and grows with the age of the configuration. A newer version that the store no longer has, such as after it was restored from a backup, is forgotten by the next read.

request_refused has config_age_ms, and its counter the status.

--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -196,11 +196,14 @@
         let stream_origins =
             Rc::new(StreamOrigins::new(clock.clone(), peers.clone(), upstreams.clone()));
         let deadline_timer = Rc::new(DeadlineTimer::new(clock.clone()));
+        let tailing = [(); 2].map(|()| Rc::new(RefCell::new(Tailing::new(rand::random()))));
         let serving = Rc::new(ServingContext {
             clock: clock.clone(),
             deadline_timer: deadline_timer.clone(),
             wire: wire.clone(),
             config: config.clone(),
+            config_tailing: tailing[TailedTopic::Config as usize].clone(),
+            propagation_bound: Cell::new(settings.configuration.within()),
             upstreams: upstreams.clone(),
             peers: peers.clone(),
             stages: stages.clone(),
@@ -228,7 +231,7 @@
             crash_attribution: crash_attribution.clone(),
             rollouts: rollouts.clone(),
             peers: peers.clone(),
-            tailing: [(); 2].map(|()| RefCell::new(Tailing::new(rand::random()))),
+            tailing,
             started_at,
             store_answers: Cell::new(true),
             evacuation_bound: Cell::new(settings.evacuation.within()),
@@ -396,6 +399,7 @@
         self.serving.decide_settings.set(settings.decide);
         self.upstreams.set_cold_settings(settings.cold);
         self.serving.rollouts.set_settings(settings.rollout);
+        self.serving.propagation_bound.set(settings.configuration.within());
         self.loops.evacuation_bound.set(settings.evacuation.within());
         self.peers.suggest(settings.node.seeds.iter().copied());
         *self.settings.borrow_mut() = settings;
--- a/crates/fernring-gateway/src/serving/context.rs
+++ b/crates/fernring-gateway/src/serving/context.rs
@@ -6,7 +6,7 @@
         peers::Peers, prefill_pauses::PrefillPauses, prefill_speed::PrefillSpeeds,
         prefix_demand::PrefixDemands, retries::Retries, rollout::coordinator::Rollouts,
         settings::DecideSettings, slack::MeanSlacks, stages::Stages, stream_origins::StreamOrigins,
-        upstreams::Upstreams, wire::Wire,
+        tailing::Tailing, upstreams::Upstreams, wire::Wire,
     },
     fernring_core::clock::Clock,
     std::{
@@ -26,6 +26,10 @@
     pub wire: Rc<dyn Wire>,
     /// The configuration in force.
     pub config: Rc<RefCell<ConfigState>>,
+    /// How this node keeps up with the configuration.
+    pub config_tailing: Rc<RefCell<Tailing>>,
+    /// Longest time from an operator's change of the configuration until it is in force.
+    pub propagation_bound: Cell<Duration>,
     /// The upstreams.
     pub upstreams: Rc<Upstreams>,
     /// The other nodes.
--- a/crates/fernring-gateway/src/serving/refusal.rs
+++ b/crates/fernring-gateway/src/serving/refusal.rs
@@ -35,6 +35,18 @@
         Self { code, detail: detail.into(), status, retry_after: None, closes_connection }
     }
 
+    /// Refuses a request in place of `refusal`, which depends on a configuration that may be
+    /// outdated: another node decides, or this one after the time `after`.
+    pub fn outdated(_: NotRun, after: Duration, refusal: Self) -> Self {
+        Self {
+            code: ResultCode::NotReady,
+            detail: format!("{}, but the configuration may be outdated", refusal.detail),
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            retry_after: Some(after),
+            closes_connection: refusal.closes_connection,
+        }
+    }
+
     /// Refuses a request whose body was not received in time. It has not run, since it was
     /// incomplete.
     pub fn slow_body() -> Self {
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -29,6 +29,7 @@
     },
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::body::{Body, Incoming},
+    rand::RngExt,
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
@@ -36,6 +37,9 @@
 /// How long the rest of a body that is too long is read, so that the caller receives the answer.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest mean retry-after of a node whose configuration may be outdated.
+const RETRY_AFTER_OUTDATED_MAX: Duration = Duration::from_secs(2);
+
 /// A request that passed all checks.
 struct Accepted {
     route: Arc<Route>,
@@ -69,16 +73,33 @@
     }
 
     fn log_refusal(&self, id: Option<&str>, refusal: &Refusal) {
-        telemetry::record_request_refused(refusal.code.number());
+        let status = refusal.status().as_u16();
+        telemetry::record_request_refused(refusal.code.number(), status);
+        let config_age = self.config_tailing.borrow().freshness().age(self.now());
         let line = LogLine::event("request_refused")
             .with("request", id.unwrap_or("-"))
             .with("code", refusal.code.number())
-            .with("status", refusal.status().as_u16())
+            .with("status", status)
             .with("config", self.config.borrow().version())
+            .with_some("config_age_ms", config_age.map(|age| age.as_millis()))
             .with("detail", &refusal.detail);
         log::info(line);
     }
 
+    /// Returns the refusal of a request that the configuration in force doesn't allow. If a newer
+    /// one may be in force elsewhere, it could allow the request.
+    fn refusal_by_config(&self, refusal: Refusal) -> Refusal {
+        let (now, bound) = (self.now(), self.propagation_bound.get());
+        let tailing = self.config_tailing.borrow();
+        if !tailing.may_be_outdated(now, bound) {
+            return refusal;
+        }
+        let age = tailing.freshness().age(now).unwrap_or_default();
+        let after = (age / 2).clamp(RETRY_AFTER_NOT_READY, RETRY_AFTER_OUTDATED_MAX);
+        let after = after.mul_f64(rand::rng().random_range(0.5..1.5));
+        Refusal::outdated(NotRun::never_sent(), after, refusal)
+    }
+
     async fn accept(
         &self,
         head: request::Parts,
@@ -90,11 +111,12 @@
         })?;
         let id = fields.id.clone();
         let refuse = |refusal| (id.clone(), refusal);
+        let refuse_by_config = |refusal| refuse(self.refusal_by_config(refusal));
         let current = self.config.borrow().current().ok_or_else(|| refuse(not_ready()))?;
         check_host(&head).map_err(refuse)?;
-        let route = find_route(&current, &head).map_err(refuse)?;
-        let workspace =
-            find_workspace(&current, &route, fields.api_key.as_deref()).map_err(refuse)?;
+        let route = find_route(&current, &head).map_err(refuse_by_config)?;
+        let workspace = find_workspace(&current, &route, fields.api_key.as_deref())
+            .map_err(refuse_by_config)?;
         let Some(request_id) = id.clone() else {
             return Err(refuse(Refusal::invalid_request(ResultCode::BadRequest, "no request id")));
         };
@@ -103,7 +125,10 @@
         let body_read = read_body(body, current.config.limits.body_bytes_max);
         let body = self.deadline_timer.complete_by(end_at, body_read).await;
         let body = body.unwrap_or_else(|| Err(Refusal::slow_body()));
-        let body = body.map_err(refuse)?;
+        let body = body.map_err(|refusal| match refusal.code {
+            ResultCode::BodyTooLarge => refuse_by_config(refusal),
+            _ => refuse(refusal),
+        })?;
         let path = head.uri.path_and_query().map(|path| path.as_str()).unwrap_or("/");
         let uri = path.parse().map_err(|_| {
             refuse(Refusal::invalid_request(ResultCode::BadRequest, "malformed path"))
--- a/crates/fernring-gateway/src/settings.rs
+++ b/crates/fernring-gateway/src/settings.rs
@@ -10,9 +10,10 @@
 /// Bytes per second in one Mbit/s.
 const BYTES_PER_S_OF_MBPS: f64 = 1e6 / 8.0;
 
-/// Smallest allowed evacuation time, in milliseconds: longer than a node that has lost its reader
-/// takes to ask the store itself and read the response.
-const EVACUATION_MS_MIN: f64 = 2_000.0;
+/// Smallest allowed time for an operator's record to reach all nodes, in milliseconds: longer than a
+/// node of a small fleet that has lost its reader takes to ask the store itself and read the
+/// response.
+const PROPAGATION_MS_MIN: f64 = 2_000.0;
 
 /// The settings of a gateway.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -31,6 +32,9 @@
     /// Limits on the requests that a bad version may get during its roll-out.
     #[serde(default)]
     pub rollout: RolloutSettings,
+    /// Propagation of the configuration.
+    #[serde(default)]
+    pub configuration: ConfigurationSettings,
     /// Evacuation of failure domains.
     #[serde(default)]
     pub evacuation: EvacuationSettings,
@@ -236,6 +240,28 @@
     }
 }
 
+/// Propagation of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ConfigurationSettings {
+    /// Longest time from an operator's change until it is in force on all nodes, in milliseconds.
+    pub within_ms: f64,
+}
+
+impl ConfigurationSettings {
+    /// Returns the longest time from an operator's change until it is in force on all nodes.
+    pub fn within(&self) -> Duration {
+        Duration::from_secs_f64(self.within_ms / 1_000.0)
+    }
+}
+
+impl Default for ConfigurationSettings {
+    /// Five seconds.
+    fn default() -> Self {
+        Self { within_ms: 5_000.0 }
+    }
+}
+
 /// Evacuation of failure domains.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -376,7 +402,10 @@
     if !(0.0..=1e6).contains(&rollout.slack) {
         return invalid("rollout.slack", "must lie between 0 and 1000000");
     }
-    if !(EVACUATION_MS_MIN..=3_600_000.0).contains(&settings.evacuation.within_ms) {
+    if !(PROPAGATION_MS_MIN..=3_600_000.0).contains(&settings.configuration.within_ms) {
+        return invalid("configuration.within_ms", "must lie between 2000 and 3600000");
+    }
+    if !(PROPAGATION_MS_MIN..=3_600_000.0).contains(&settings.evacuation.within_ms) {
         return invalid("evacuation.within_ms", "must lie between 2000 and 3600000");
     }
     let shutdown = settings.shutdown;
--- a/crates/fernring-gateway/src/store/store_loops/mod.rs
+++ b/crates/fernring-gateway/src/store/store_loops/mod.rs
@@ -106,7 +106,7 @@
     pub peers: Rc<Peers>,
     /// The state of the configuration's topic and of the upstreams' topic, in the order of
     /// [`TailedTopic`].
-    pub tailing: [RefCell<Tailing>; 2],
+    pub tailing: [Rc<RefCell<Tailing>>; 2],
     /// When the node started.
     pub started_at: Duration,
     /// Whether the store responded to the last read of the upstreams' records.
--- a/crates/fernring-gateway/src/store/tailing.rs
+++ b/crates/fernring-gateway/src/store/tailing.rs
@@ -140,9 +140,16 @@
         self.lag
     }
 
+    /// Returns whether a newer record than this node's may have existed for longer than `bound`, or
+    /// is known to exist.
+    pub fn may_be_outdated(&self, now: Duration, bound: Duration) -> bool {
+        self.lag.since.is_some() || self.freshness.age(now).is_none_or(|age| age > bound)
+    }
+
     /// Records that the store responded to a read of this node.
     pub fn record_read(&mut self, now: Duration, role: ReaderRole) {
         self.freshness.record_read(now, role);
+        self.lag = Lag::default();
     }
 
     /// Records that, according to a peer, this node's state of the topic was the newest at `at`.
@@ -174,7 +181,12 @@
         if mark == own
             && let Some(age) = age
         {
-            self.record_confirmation(now.saturating_sub(age));
+            let at = now.saturating_sub(age);
+            self.record_confirmation(at);
+            // A newer mark that the store doesn't hold any more was lost with the peer that knew it.
+            if self.lag.since.is_some_and(|since| at > since + REPLY_TIMEOUT) {
+                self.lag = Lag::default();
+            }
         }
         if mark <= own {
             return false;
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -58,8 +58,9 @@
 }
 
 /// Counts a request that was rejected because it was invalid or matched no pipeline.
-pub(crate) fn record_request_refused(code: u16) {
-    counter!("fernring_gateway_refused_total", "code" => code.to_string()).increment(1);
+pub(crate) fn record_request_refused(code: u16, status: u16) {
+    let labels = [("code", code.to_string()), ("status", status.to_string())];
+    counter!("fernring_gateway_refused_total", &labels).increment(1);
 }
 
 /// Counts a send to an upstream, by its outcome.
--- a/crates/fernring-gateway/tests/testsuite/settings.rs
+++ b/crates/fernring-gateway/tests/testsuite/settings.rs
@@ -30,6 +30,7 @@
         ("[retries]\nwindow_s = 0", "retries.window_s"),
         ("[cold]\noverage = 0.5", "cold.overage"),
         ("[cold]\nslack = -1", "cold.slack"),
+        ("[configuration]\nwithin_ms = 500", "configuration.within_ms"),
         ("[evacuation]\nwithin_ms = 500", "evacuation.within_ms"),
         ("[evacuation]\nwithin_ms = nan", "evacuation.within_ms"),
         ("[shutdown]\ngrace_s = -1", "shutdown.grace_s"),
--- a/crates/fernring-gateway/tests/testsuite/tailing.rs
+++ b/crates/fernring-gateway/tests/testsuite/tailing.rs
@@ -4,6 +4,7 @@
     super::fleet::{Fleet, NODES, StoreAccess},
     fernring_gateway::{
         freshness::STALE_AFTER,
+        members::ReaderRole,
         tailing::{MIN_LINK_BYTES_PER_S, Reply, Tailing},
     },
     std::time::Duration,
@@ -95,6 +96,34 @@
     }
 }
 
+#[test]
+fn node_is_outdated_if_a_peer_is_ahead_or_nothing_confirms_it() {
+    let (now, bound) = (SETTLE_TIME, Duration::from_secs(2));
+    let mut tailing = Tailing::new(0.0);
+    assert!(tailing.may_be_outdated(now, bound), "a record without a confirmation");
+    tailing.record_confirmation(now);
+    assert!(!tailing.may_be_outdated(now + bound, bound));
+    assert!(tailing.may_be_outdated(now + bound + Duration::from_millis(1), bound));
+    tailing.handle_peer_mark(now, 1, 2, None);
+    assert!(tailing.may_be_outdated(now, bound), "a peer has a newer record");
+    tailing.record_caught_up(LARGE_BYTES);
+    assert!(!tailing.may_be_outdated(now, bound));
+    // A store that was restored from a backup has lost the newer record, and the peer that knew it is
+    // gone.
+    for is_own_read in [true, false] {
+        tailing.handle_peer_mark(now, 1, 2, None);
+        assert!(tailing.may_be_outdated(now, bound));
+        match is_own_read {
+            true => tailing.record_read(now, ReaderRole::None),
+            false => {
+                let later = now + Duration::from_secs(1);
+                tailing.handle_peer_mark(later, 1, 1, Some(Duration::ZERO));
+            }
+        }
+        assert!(!tailing.may_be_outdated(now, bound), "own read: {is_own_read}");
+    }
+}
+
 #[test]
 fn one_request_at_a_time_next_after_answer() {
     let now = SETTLE_TIME;
