Lost delegates are replaced by nodes with large links

All nodes of a domain wait for a random part of a second, and nineteen of twenty have small links. Each of them then sends 4,925 heartbeats a second.

A node with a smaller link than other live delegates now waits for the second half of that second, so those with large links come first. Alone, a domain of small links still has a delegate within a second.

--- a/crates/fernring-gateway/src/members/delegates.rs
+++ b/crates/fernring-gateway/src/members/delegates.rs
@@ -136,13 +136,23 @@
             return false;
         }
         let since = *self.needed_since.get_or_insert(now);
-        let is_due = now >= since + ELECTION_SPREAD.mul_f64(self.jitter);
+        let is_due = now >= since + self.election_delay(now, me, members);
         if is_due {
             self.needed_since = None;
         }
         is_due
     }
 
+    /// Returns how long the domain has to lack a delegate before this node becomes one. A node with a
+    /// smaller link than other delegates waits for those with larger ones: with a small link and
+    /// little processor time it can't serve a large fleet, and is soon taken for lost in turn.
+    fn election_delay(&self, now: Duration, me: &Member, members: &Members) -> Duration {
+        let delegates = members.live(now).filter(|member| member.is_delegate);
+        let has_small_link = delegates.map(|member| member.link_mbps).max() > Some(me.link_mbps);
+        let half = ELECTION_SPREAD / 2;
+        half.mul_f64(self.jitter) + if has_small_link { half } else { Duration::ZERO }
+    }
+
     /// Lists the nodes to which this node forwards reports: if it is a delegate in a large fleet,
     /// the followers of its domain, which exchange messages with delegates only. A report that a
     /// node sends to all its live peers thus reaches every node in two hops.
--- a/crates/fernring-gateway/tests/testsuite/delegates.rs
+++ b/crates/fernring-gateway/tests/testsuite/delegates.rs
@@ -366,6 +366,30 @@
     }
 }
 
+/// Guards against delegates with small links while larger ones are there. A domain of 174 nodes, ten of
+/// them with large links, took its delegates for lost; ten nodes with small links were the first to
+/// take their place, and were taken for lost in turn.
+#[test]
+fn lost_delegates_are_replaced_by_nodes_with_large_links() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::start(70 + seed, 300);
+        for node in 0..LARGE_LINKS_PER_DOMAIN * DOMAINS.len() * 3 {
+            fleet.nodes[node].me.link_mbps = 200;
+        }
+        fleet.run_for(SECOND * 5);
+        for node in fleet.delegates("b") {
+            fleet.nodes[node].is_running = false;
+        }
+        for _ in 0..60 {
+            fleet.run_for(Duration::from_millis(50));
+            let delegates = fleet.delegates("b");
+            let has_small_link = |node: &&usize| fleet.nodes[**node].me.link_mbps < 200;
+            assert_eq!(delegates.iter().filter(has_small_link).count(), 0, "seed {seed}");
+        }
+        assert_eq!(fleet.delegates("b").len(), DELEGATES_PER_DOMAIN);
+    }
+}
+
 #[test]
 fn fleet_recovers_from_loss_of_most_nodes() {
     for seed in 0..4 {
