A page that doesn't reach the log's end confirms nothing

Found by reading; nobody has seen it fail. A response of the store holds a megabyte at most, and the log's end in it was dropped. After such a page a node took its state for the newest and told its peers so, though more records waited.

Pages say whether the topic holds more; then the node reads on at once and confirms nothing.

--- a/crates/fernring-gateway/src/store/full_read.rs
+++ b/crates/fernring-gateway/src/store/full_read.rs
@@ -49,6 +49,7 @@
                 // read again later.
                 before.end = before.end.min(page.end);
                 before.took += page.took;
+                before.has_more = true;
                 before
             }
         };
--- a/crates/fernring-gateway/src/store/store_loops/mod.rs
+++ b/crates/fernring-gateway/src/store/store_loops/mod.rs
@@ -243,6 +243,7 @@
                     pause = RETRY_PAUSE_MIN;
                     let is_full = from.is_none();
                     let has_records = !page.records.is_empty();
+                    let has_more = page.has_more;
                     // An end before the position that was read up to means that the store has lost
                     // its history. In a later era other records follow that offset.
                     let end = page.end_position();
@@ -254,9 +255,11 @@
                     self.handle_era(page.era);
                     if !has_regressed {
                         apply(page, is_full);
-                        self.tailing(tailed).borrow_mut().record_read(read_at, role);
+                        if !has_more {
+                            self.tailing(tailed).borrow_mut().record_read(read_at, role);
+                        }
                     }
-                    if has_records && !coalesce.is_zero() {
+                    if has_records && !has_more && !coalesce.is_zero() {
                         sleep(coalesce).await;
                     }
                 }
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -174,6 +174,9 @@
     pub took: Duration,
     /// Number of records left out because their keys can't be decoded.
     pub unreadable: usize,
+    /// Whether the topic may hold more records than the page: then it doesn't show that a node's
+    /// state is the newest.
+    pub has_more: bool,
 }
 
 /// Part of the newest records of all keys of a topic, in key order.
--- a/crates/fernring-gateway/tests/testsuite/bootstrap.rs
+++ b/crates/fernring-gateway/tests/testsuite/bootstrap.rs
@@ -319,7 +319,7 @@
 fn page(keys: &[&str], end: u64, era: u64) -> Page {
     let record = |key: &&str| KeyedRecord { key: (*key).into(), value: None, offset: 0 };
     let records = keys.iter().map(record).collect();
-    Page { records, era, end, took: Duration::from_millis(3), unreadable: 0 }
+    Page { records, era, end, took: Duration::from_millis(3), unreadable: 0, has_more: false }
 }
 
 #[test]
@@ -335,6 +335,7 @@
     let all_records = full_read.add_page(last).unwrap().expect("it was the last page");
     assert_eq!((all_records.records.len(), all_records.end_position()), (3, Position::new(0, 7)));
     assert_eq!(all_records.took, Duration::from_millis(6));
+    assert!(all_records.has_more, "records may have been written after the first page was read");
     // The store was restored from a backup between two pages: the pages read before are invalid.
     let first = NewestPage { page: page(&["a", "b"], 7, 0), next: next("b") };
     full_read.add_page(first).unwrap();
--- a/crates/fernring-standins/src/store.rs
+++ b/crates/fernring-standins/src/store.rs
@@ -325,7 +325,10 @@
                     query.get("after").map(|key| percent_decode_str(key).decode_utf8_lossy());
                 (200, self.newest(topic, after.as_deref()))
             }
-            "/fernring/log-read" => self.read(topic, number("from"), number("waitMs")).await,
+            "/fernring/log-read" => {
+                let bytes_max = number("maxKb") as usize * 1_024;
+                self.read(topic, number("from"), number("waitMs"), bytes_max).await
+            }
             "/fernring/log-append" => {
                 let end = query.get("endOffset").and_then(|end| end.parse::<u64>().ok());
                 self.append_if(topic, &call.body, end)
@@ -348,11 +351,11 @@
         json!({"items": items, "hasMore": has_more, "end": end}).to_string().into_bytes()
     }
 
-    async fn read(&self, topic: &str, from: u64, wait_ms: u64) -> (u16, Vec<u8>) {
+    async fn read(&self, topic: &str, from: u64, wait_ms: u64, bytes_max: usize) -> (u16, Vec<u8>) {
         let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
         let mut appended = self.appended.subscribe();
         loop {
-            let Some(page) = self.page(topic, from) else {
+            let Some(page) = self.page(topic, from, bytes_max) else {
                 return (410, Vec::new());
             };
             let has_records = page.len() > PAGE_HEADER_BYTES;
@@ -362,8 +365,9 @@
         }
     }
 
-    /// Returns the records from an offset on, or `None` if they are not kept any more.
-    fn page(&self, topic: &str, from: u64) -> Option<Vec<u8>> {
+    /// Returns the records from an offset on, as many as fit, or `None` if they are not kept any
+    /// more.
+    fn page(&self, topic: &str, from: u64, bytes_max: usize) -> Option<Vec<u8>> {
         let mut topics = self.lock();
         let topic = topics.entry(topic.to_owned()).or_default();
         let skip = from.checked_sub(topic.first)?;
@@ -372,6 +376,9 @@
         page.extend(topic.first.to_be_bytes());
         for record in topic.records.get(skip as usize..)? {
             let encoded = record.encoded();
+            if page.len() > PAGE_HEADER_BYTES && page.len() + encoded.len() > bytes_max {
+                break;
+            }
             page.extend((encoded.len() as u32).to_be_bytes());
             page.extend(encoded);
         }
