An owner's round doesn't look through all results of the last half minute

Cause: for each submitted stage and each ended call the owner of a service went through all results that its workers hold and all handles that they gave within 30 s, to drop the expired ones. At notify-mail's 5,000 pieces a second that are 150,000 entries some 450 times a second, and the owner has half a core: it used all of it. Calls ended up to half a second late while workers idled, the queue grew, admission refused, and 169 nodes took the owner for lost.

Change: both maps know the order in which their entries expire, and the bytes of stored results are a running sum. What is dropped, and when, is as before (expiring_map::*, against a map that is looked through).

Test: workers::owner_runs_out_of_processor_time_after_many_results, the rounds of one second at 7,000 results a second against the 0.12 s of processor time of the smallest VM.

--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -9,7 +9,7 @@
 //! | which upstreams are eligible now, and which one is chosen? | [`eligibility`], [`leaving`], [`backoff`], [`cold`], [`limits`] (limits that upstreams announce) and [`permit_issuer`], [`rejection_guard`], [`selection`], [`prefill_speed`], [`engine_speeds`], [`prefill_budget`], [`prefill_pauses`], [`prefix_demand`] |
 //! | at which version may a stream go on? | [`origin_table`] |
 //! | in which regions may it be served? | [`residency`] |
-//! | which pieces go into which call, and which node sends it? | [`batching`], [`domain_preference`], [`workers`], [`worker_speeds`], [`worker_pools`], [`dispatch_round`], [`stage_plan`] |
+//! | which pieces go into which call, and which node sends it? | [`batching`], [`domain_preference`], [`workers`], [`worker_speeds`], [`worker_pools`], [`dispatch_round`], [`expiring_map`], [`stage_plan`] |
 //! | has this node lost its direct path to the upstreams, and through which peer does it reach them? | [`reachability`], [`relays`] |
 //! | has an upstream crashed, and under which request? | [`crash_detection`], [`quarantine`] (whole requests), [`part_quarantine`] (parts of prompts) |
 
@@ -30,6 +30,7 @@
 pub mod domain_preference;
 pub mod eligibility;
 pub mod engine_speeds;
+pub mod expiring_map;
 pub mod handover;
 pub mod leaving;
 pub mod limits;
--- a/crates/fernring-gateway/src/decide/workers.rs
+++ b/crates/fernring-gateway/src/decide/workers.rs
@@ -3,11 +3,12 @@
 
 use {
     crate::{
+        expiring_map::ExpiringMap,
         model::{BatchConfig, UpstreamKey},
         worker_speeds::{CallTimes, Slowdown},
     },
     slotmap::SecondaryMap,
-    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Number of calls' time after which half of the bytes taken by unknown results are assumed to be
@@ -51,9 +52,11 @@
     /// Estimated end of the call in flight; `None` without one.
     busy_until: Option<Duration>,
     /// The results stored there, by handle.
-    results: HashMap<Arc<str>, StoredResult>,
-    /// The handles that it has given lately, and when.
-    given_handles: HashMap<Arc<str>, Duration>,
+    results: ExpiringMap<StoredResult>,
+    /// Invariant: the sum of the bytes of `results`.
+    stored_bytes: u64,
+    /// The handles that it has given lately.
+    given_handles: ExpiringMap<()>,
     /// Bytes of results that are being produced.
     bytes_in_progress: u64,
     /// Bytes taken by unknown results, as shown by a refusal for lack of space, and the time until
@@ -76,9 +79,7 @@
     /// Returns the bytes in use for results.
     pub fn used_bytes(&self) -> u64 {
         let unknown_bytes = self.unknown_bytes.map_or(0, |(bytes, _)| bytes);
-        self.results.values().map(|result| result.bytes).sum::<u64>()
-            + self.bytes_in_progress
-            + unknown_bytes
+        self.stored_bytes + self.bytes_in_progress + unknown_bytes
     }
 
     /// Lists the results that a node requested.
@@ -125,7 +126,9 @@
 
     /// Records a result that is stored there.
     pub fn add_result(&mut self, handle: Arc<str>, result: StoredResult) {
-        self.results.insert(handle, result);
+        self.stored_bytes += result.bytes;
+        let replaced = self.results.insert(result.produced_at, handle, result);
+        self.stored_bytes -= replaced.map_or(0, |replaced| replaced.bytes);
     }
 
     /// Records the handles in a response to a call; returns whether all of them are new. A response
@@ -133,14 +136,15 @@
     pub fn record_handles(&mut self, now: Duration, handles: &[&Arc<str>]) -> bool {
         let mut are_new = true;
         for handle in handles {
-            are_new &= self.given_handles.insert((*handle).clone(), now).is_none();
+            are_new &= self.given_handles.insert(now, (*handle).clone(), ()).is_none();
         }
         are_new
     }
 
     /// Removes a result that was released.
     pub fn remove_result(&mut self, handle: &str) {
-        self.results.remove(handle);
+        let removed = self.results.remove(handle);
+        self.stored_bytes -= removed.map_or(0, |removed| removed.bytes);
     }
 
     /// Records that the worker refused a piece for lack of space though some should be free;
@@ -153,8 +157,10 @@
     }
 
     fn expire(&mut self, now: Duration, batch_config: &BatchConfig) {
-        self.results.retain(|_, result| now < result.produced_at + batch_config.result_lifetime);
-        self.given_handles.retain(|_, at| now < *at + GIVEN_HANDLE_LIFETIME);
+        while let Some(expired) = self.results.pop_expired(now, batch_config.result_lifetime) {
+            self.stored_bytes -= expired.bytes;
+        }
+        while self.given_handles.pop_expired(now, GIVEN_HANDLE_LIFETIME).is_some() {}
         self.unknown_bytes = match self.unknown_bytes {
             Some((bytes, until)) if now >= until => {
                 let is_significant = bytes > batch_config.result_capacity_bytes / UNKNOWN_DIVISOR;
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod engine_speeds;
 mod evacuations;
 mod events;
+mod expiring_map;
 mod fingerprint;
 mod fleet;
 mod freshness;
--- a/crates/fernring-gateway/tests/testsuite/workers.rs
+++ b/crates/fernring-gateway/tests/testsuite/workers.rs
@@ -7,7 +7,7 @@
         workers::{StoredResult, WorkerSet, expected_call_time, overdue_after},
     },
     slotmap::SlotMap,
-    std::time::Duration,
+    std::{fs, time::Duration},
 };
 
 const NOW: Duration = Duration::from_secs(100);
@@ -124,3 +124,71 @@
         );
     }
 }
+
+/// Returns the processor time that this thread has used, in steps of a scheduler tick.
+fn processor_time() -> Duration {
+    let stat = fs::read_to_string("/proc/thread-self/schedstat").expect("the kernel counts it");
+    let nanos = stat.split(' ').next().and_then(|nanos| nanos.parse().ok());
+    Duration::from_nanos(nanos.expect("the first field is a number"))
+}
+
+/// An owner at 7,000 results a second looked through those of the last 30 s for each submitted stage
+/// and each finished call, until it had no processor time left.
+#[test]
+fn owner_runs_out_of_processor_time_after_many_results() {
+    const WORKERS: usize = 42;
+    const RESULTS_PER_S: usize = 7_000;
+    const STORED_S: f64 = 0.5;
+    const GIVEN_S: usize = 29;
+    const ROUNDS_PER_S: usize = 700;
+    /// Processor time per second of the smallest VMs.
+    const BUDGET: Duration = Duration::from_millis(120);
+    let keys = keys(WORKERS);
+    let mut set = WorkerSet::default();
+    let stored_from = RESULTS_PER_S * GIVEN_S - (RESULTS_PER_S as f64 * STORED_S) as usize;
+    for number in 0..RESULTS_PER_S * GIVEN_S {
+        let at = NOW + Duration::from_secs_f64(number as f64 / RESULTS_PER_S as f64);
+        let handle = format!("10.2.0.48:8503/{number}").into();
+        let worker = set.get_or_create(keys[number % WORKERS]).unwrap();
+        assert!(worker.record_handles(at, &[&handle]));
+        if number >= stored_from {
+            worker.add_result(handle, StoredResult { produced_at: at, ..result(1, 1) });
+        }
+    }
+    let now = NOW + Duration::from_secs(GIVEN_S as u64);
+    let before = processor_time();
+    for _ in 0..ROUNDS_PER_S {
+        assert_eq!(free_keys(&mut set, now, &keys).len(), WORKERS);
+    }
+    let took = processor_time() - before;
+    assert!(took < BUDGET, "{ROUNDS_PER_S} rounds took {took:?}");
+}
+
+/// A response that repeats a handle is recognised for 30 s after the last one that held it.
+#[test]
+fn given_handles_are_remembered_since_they_were_last_seen() {
+    let keys = keys(1);
+    let mut set = WorkerSet::default();
+    let handle = "10.2.0.48:8503/1".into();
+    let is_new_after = |set: &mut WorkerSet, s: u64| {
+        let now = NOW + Duration::from_secs(s);
+        set.free_workers(now, &keys, &BATCH_CONFIG, true);
+        set.get_or_create(keys[0]).unwrap().record_handles(now, &[&handle])
+    };
+    assert_eq!([0, 29, 58, 88].map(|s| is_new_after(&mut set, s)), [true, false, false, true]);
+}
+
+#[test]
+fn result_that_is_added_again_takes_its_bytes_once() {
+    let keys = keys(1);
+    let mut set = WorkerSet::default();
+    let worker = set.get_or_create(keys[0]).unwrap();
+    worker.add_result("h/1".into(), result(300, 1));
+    worker.add_result("h/1".into(), result(200, 1));
+    assert_eq!(worker.used_bytes(), 200);
+    worker.remove_result("h/1");
+    worker.remove_result("h/1");
+    assert_eq!(worker.used_bytes(), 0);
+    let expires_at = NOW + BATCH_CONFIG.result_lifetime;
+    assert_eq!(set.free_workers(expires_at, &keys, &BATCH_CONFIG, true), [(keys[0], 1_000)]);
+}
