Test: a fleet without state gets no configuration from a busy store in time

All nodes of a fleet that start at once while responses for the previous processes wait for the store's link read whole pages, give up after 0.8 s and ask again; the store still sends what nobody awaits.

--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -54,6 +54,7 @@
 mod slack;
 mod stage_plan;
 mod stage_simulation;
+mod store_start;
 mod tailing;
 mod upstreams;
 mod worker_pools;
