Test: delegates of a quiet large fleet defer most requests for records

In a fleet of 986 nodes in which nothing fails, 20,004 of 33,667 requests for the upstreams' records are deferred within 5 s (300 nodes: 0 of 7,006). The delegate that reads first gets 2,000 requests a second. It builds each reply, a walk over all upstreams, before it decides to defer it, and a deferred request is repeated within 60 ms whatever the size of the fleet.

--- a/crates/fernring-gateway/tests/testsuite/propagation.rs
+++ b/crates/fernring-gateway/tests/testsuite/propagation.rs
@@ -213,6 +213,8 @@
     calls: [usize; 2],
     failures: usize,
     deferrals: usize,
+    /// Records that nodes sent to each other.
+    records: usize,
 }
 
 fn address(node: usize) -> SocketAddr {
@@ -245,6 +247,7 @@
             calls: [0; 2],
             failures: 0,
             deferrals: 0,
+            records: 0,
         };
         for node in 0..count {
             fleet.add_node(node, count);
@@ -465,6 +468,7 @@
         match state.tailing.handle_request(now, bytes) {
             Reply::Deferred => self.send(Event::Deferral { to: from, topic }),
             Reply::Record => {
+                self.records += 1;
                 let received_at = self.transfer(to, from, bytes);
                 self.schedule_at(received_at, Event::Record { to: from, topic, mark, age, bytes });
             }
@@ -799,3 +803,22 @@
         assert_eq!(in_time, count, "{count} nodes, seed {seed}");
     }
 }
+
+/// Guards against delegates that are busy with deferring requests for records, in a fleet where nothing
+/// fails: each deferral costs them as much as a reply.
+#[test]
+fn requests_for_records_are_rarely_deferred_in_quiet_fleet() {
+    for (seed, count) in [(1, 18), (2, 300), (5, 986)] {
+        let mut fleet = Fleet::start(seed, count);
+        fleet.run_for(Duration::from_secs(2));
+        (fleet.records, fleet.deferrals) = (0, 0);
+        fleet.run_for(Duration::from_secs(5));
+        println!("{count} nodes: {} records, {} deferrals", fleet.records, fleet.deferrals);
+        assert!(
+            fleet.deferrals <= fleet.records / 2,
+            "{count} nodes: {} records, {} deferrals",
+            fleet.records,
+            fleet.deferrals
+        );
+    }
+}
