--- a/crates/fernring-gateway/src/store/store_loops/mod.rs
+++ b/crates/fernring-gateway/src/store/store_loops/mod.rs
@@ -46,7 +46,7 @@
 /// second.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(700);
 /// Longest pause of any other node, which reads only because its state isn't confirmed; more in a
-/// large fleet ([`TailedTopic::stand_in_pause`]).
+/// large fleet ([`TailedTopic::retry_pause`]).
 const STAND_IN_RETRY_PAUSE_MAX: Duration = Duration::from_secs(2);
 /// Pause between two reads of the configuration by all such nodes together: a small part of the
 /// calls that the store answers in a second.
