Streams taken up after all nodes were killed go on at the version that began them

Callers whose streams broke off when all nodes were killed took them up and got answers whose first part came from one version and the rest from another, with nothing to show it; with two versions in service all such streams were refused.

Cause: absence of memory taken for memory of absence. A node that had known a service for less than a minute asked peers and took any reply for knowledge of the past; peers that had started at the same moment knew as little, so the one version in sight passed for the only one of the last minute.

Change: what must be known after the end of all nodes is in the store. A record for each version of a service is written when it appears and removed a minute after it was last seen, by the clock of the node that owns the key, so no clocks are compared. A mark says that the history is complete; without it (nodes of an earlier build) nothing is concluded. Replies of peers say whether they know the past.

Why it holds: a stream goes on only at a version that its record names, or if the history is known to be complete and has one version; whatever is lost or unreadable makes it unknown, and refused as not run.

--- a/crates/fernring-gateway/src/decide/origin_table.rs
+++ b/crates/fernring-gateway/src/decide/origin_table.rs
@@ -137,18 +137,33 @@
         history.last_seen.retain(|(_, seen_at)| now < *seen_at + STREAM_LIFETIME);
     }
 
+    /// Records that the node has no current records of upstreams: it may miss a version that comes
+    /// and goes meanwhile.
+    pub fn record_gap(&mut self, now: Duration) {
+        for history in self.by_service.values_mut() {
+            history.known_since = now;
+        }
+    }
+
     /// Lists the versions that a service has had for as long as a stream may last.
     pub fn recent(&self, service: &str) -> impl Iterator<Item = &Arc<str>> {
         let history = self.by_service.get(service);
         history.into_iter().flat_map(|history| history.last_seen.iter().map(|(version, _)| version))
     }
 
+    /// Lists the services with the versions that each has had for as long as a stream may last.
+    pub fn all(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>)> {
+        self.by_service.iter().flat_map(|(service, history)| {
+            history.last_seen.iter().map(move |(version, _)| (service, version))
+        })
+    }
+
     /// Returns whether a service has had several versions for as long as a stream may last.
     pub fn has_several(&self, service: &str) -> bool {
         self.recent(service).nth(1).is_some()
     }
 
-    /// Returns whether a service has been known for as long as a stream may last.
+    /// Returns whether a service has been known without a gap for as long as a stream may last.
     pub fn is_long_known(&self, now: Duration, service: &str) -> bool {
         let history = self.by_service.get(service);
         history.is_some_and(|history| now >= history.known_since + STREAM_LIFETIME)
--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -193,8 +193,13 @@
             upstreams.clone(),
             decide_settings.clone(),
         ));
-        let stream_origins =
-            Rc::new(StreamOrigins::new(clock.clone(), peers.clone(), upstreams.clone()));
+        let stream_origins = Rc::new(StreamOrigins::new(
+            clock.clone(),
+            store.clone(),
+            peers.clone(),
+            upstreams.clone(),
+            failure_domain.clone(),
+        ));
         let deadline_timer = Rc::new(DeadlineTimer::new(clock.clone()));
         let tailing = [(); 2].map(|()| Rc::new(RefCell::new(Tailing::new(rand::random()))));
         let serving = Rc::new(ServingContext {
@@ -229,6 +234,7 @@
             upstreams: upstreams.clone(),
             owner: owner.clone(),
             crash_attribution: crash_attribution.clone(),
+            stream_origins: stream_origins.clone(),
             rollouts: rollouts.clone(),
             peers: peers.clone(),
             tailing,
@@ -239,6 +245,8 @@
             registered_era: Cell::default(),
         });
         spawn_local(stages.clone().run_queries());
+        spawn_local(stream_origins.clone().run_version_records());
+        spawn_local(stream_origins.clone().run_origin_log());
         spawn_local(stream_origins.run());
         spawn_local(owner.clone().run());
         spawn_local(owner.run_releases());
--- a/crates/fernring-gateway/src/store/store_loops/mod.rs
+++ b/crates/fernring-gateway/src/store/store_loops/mod.rs
@@ -25,6 +25,7 @@
         peers::Peers,
         position::Position,
         rollout::coordinator::Rollouts,
+        stream_origins::StreamOrigins,
         tailing::Tailing,
         telemetry,
         upstreams::Upstreams,
@@ -100,6 +101,8 @@
     pub owner: Rc<Owner>,
     /// The attribution of upstreams' crashes to requests.
     pub crash_attribution: Rc<CrashAttribution>,
+    /// The origins of streams, and the versions that services have had.
+    pub stream_origins: Rc<StreamOrigins>,
     /// Versions that operators order to be rolled out.
     pub rollouts: Rc<Rollouts>,
     /// The other nodes.
--- a/crates/fernring-gateway/src/store/store_loops/node_records.rs
+++ b/crates/fernring-gateway/src/store/store_loops/node_records.rs
@@ -38,6 +38,7 @@
             match self.store.read_newest(Topic::Nodes, None).await {
                 Ok(newest) => {
                     let node_count = self.apply_nodes(&newest.page);
+                    self.load_versions(node_count == 0).await;
                     if node_count > WRITERS_MAX {
                         sleep(write_pause(node_count)).await;
                     }
@@ -55,6 +56,14 @@
         }
     }
 
+    /// Reads which versions the services have had; retries until the store returns them.
+    async fn load_versions(&self, is_first_start: bool) {
+        while let Err(error) = self.stream_origins.load_versions(is_first_start).await {
+            self.record_failure(Topic::Versions, &error);
+            sleep(jitter(RETRY_PAUSE_MAX)).await;
+        }
+    }
+
     /// Applies records of nodes; returns how many nodes they name.
     fn apply_nodes(&self, page: &Page) -> usize {
         self.crash_attribution.load_records(&page.records);
@@ -135,6 +144,7 @@
         let line = LogLine::event("store_came_back").with("from_era", before);
         log::warn(line.with("era", self.store.era()));
         self.crash_attribution.handle_store_restored();
+        self.stream_origins.handle_store_restored();
         let loops = self.clone();
         spawn_local(async move {
             sleep(REWRITE_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))).await;
--- a/crates/fernring-gateway/src/stream_origins.rs
+++ b/crates/fernring-gateway/src/stream_origins/mod.rs
@@ -5,6 +5,14 @@
 //! own failure domain and one each in two others. A node that is asked to go on with a stream that
 //! it doesn't know asks the same peers. All of this is kept in memory for as long as a caller may
 //! wait; a stream whose origin nobody knows goes on only if its service has had one version.
+//!
+//! Memory alone doesn't tell a service that has had one version from nodes that have just started.
+//! What must be known after a restart of all nodes is in the store: which versions each service has
+//! had (`version_records`), and, while there are several, which of them began each stream
+//! (`origin_log`).
+
+mod origin_log;
+mod version_records;
 
 use {
     crate::{
@@ -13,11 +21,13 @@
         peers::Peers,
         telemetry,
         upstreams::Upstreams,
+        wire::Store,
     },
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{
         GatewayBody, OriginQuery, OriginReply, OriginReports, StreamOrigin,
     },
+    origin_log::OriginLog,
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeSet, HashMap, HashSet},
@@ -30,6 +40,7 @@
         sync::mpsc,
         time::{Instant, sleep, timeout_at},
     },
+    version_records::VersionRecords,
 };
 
 /// Longest wait for the replies of peers; a round trip between failure domains takes a few
@@ -53,6 +64,8 @@
     Own,
     /// A peer knows the stream.
     Peer,
+    /// The log of origins in the store has the stream.
+    Store,
     /// The service has had a single version.
     SingleVersion,
     /// It wasn't found.
@@ -64,6 +77,7 @@
         match self {
             Self::Own => "own",
             Self::Peer => "peer",
+            Self::Store => "store",
             Self::SingleVersion => "single_version",
             Self::Unknown => "unknown",
         }
@@ -73,29 +87,45 @@
 /// The origins of the streams that may be resumed.
 pub struct StreamOrigins {
     clock: Rc<dyn Clock>,
+    store: Rc<dyn Store>,
     peers: Rc<Peers>,
     upstreams: Rc<Upstreams>,
+    failure_domain: Arc<str>,
+    started_at: Duration,
     table: RefCell<StreamOriginTable>,
     history: RefCell<VersionHistory>,
     /// Services with several versions, whose streams have been reported to peers.
     reported_services: RefCell<HashSet<Arc<str>>>,
     queries: RefCell<HashMap<u64, mpsc::Sender<OriginReply>>>,
     next_ticket: Cell<u64>,
+    version_records: VersionRecords,
+    origin_log: OriginLog,
 }
 
 impl StreamOrigins {
-    /// Creates the state of a node that knows no streams.
-    pub fn new(clock: Rc<dyn Clock>, peers: Rc<Peers>, upstreams: Rc<Upstreams>) -> Self {
+    /// Creates the state of a node of a failure domain that knows no streams.
+    pub fn new(
+        clock: Rc<dyn Clock>,
+        store: Rc<dyn Store>,
+        peers: Rc<Peers>,
+        upstreams: Rc<Upstreams>,
+        failure_domain: Arc<str>,
+    ) -> Self {
         Self {
+            started_at: clock.now().monotonic,
             clock,
+            store,
             peers,
             upstreams,
+            failure_domain,
             table: RefCell::default(),
             history: RefCell::default(),
             reported_services: RefCell::default(),
             queries: RefCell::default(),
             // Distinct from the tickets of a process that ran at this address before.
             next_ticket: Cell::new(rand::random()),
+            version_records: VersionRecords::default(),
+            origin_log: OriginLog::default(),
         }
     }
 
@@ -111,7 +141,7 @@
         if let Origin::Version { service, .. } = origin
             && self.reported_services.borrow().contains(service)
         {
-            self.report([(request.clone(), self.message(request, origin, expires_at))].into());
+            self.report(&[(request.clone(), self.message(request, origin, expires_at))]);
         }
     }
 
@@ -124,19 +154,37 @@
         StreamOrigin { request: request.to_string(), service, version, lifetime_ms }
     }
 
-    fn report(&self, streams: Vec<(Arc<str>, StreamOrigin)>) {
+    /// Reports streams to the peers that hold them, and to the node that appends them to the log.
+    fn report(&self, streams: &[(Arc<str>, StreamOrigin)]) {
         let (own_domain, other_domain) = REPORTED_PEERS;
         let mut by_peer: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
         for (request, message) in streams {
-            for peer in self.peers.holders(&request, own_domain, other_domain) {
+            for peer in self.peers.holders(request, own_domain, other_domain) {
                 by_peer.entry(peer).or_default().push(message.clone());
             }
         }
         for (peer, messages) in by_peer {
-            for chunk in messages.chunks(REPORTED_MAX) {
-                let reports = OriginReports { streams: chunk.to_vec() };
-                self.peers.send(peer, GatewayBody::OriginReports(reports));
-            }
+            self.send_reports(peer, &messages, false);
+        }
+        let messages: Vec<_> = streams.iter().map(|(_, message)| message.clone()).collect();
+        let writer = self.origin_writer();
+        match writer == self.peers.address() {
+            true => self.append_to_log(&messages),
+            false => self.send_reports(writer, &messages, true),
+        }
+    }
+
+    fn send_reports(&self, peer: SocketAddr, streams: &[StreamOrigin], append_to_log: bool) {
+        for chunk in streams.chunks(REPORTED_MAX) {
+            let reports = OriginReports { streams: chunk.to_vec(), append_to_log };
+            self.peers.send(peer, GatewayBody::OriginReports(reports));
+        }
+    }
+
+    fn append_to_log(&self, streams: &[StreamOrigin]) {
+        for stream in streams {
+            let origin = to_origin(&stream.service, &stream.version);
+            self.origin_log.push(stream.request.as_str().into(), origin);
         }
     }
 
@@ -147,11 +195,9 @@
             sleep(EXPIRY_INTERVAL).await;
             let now = self.now();
             self.table.borrow_mut().expire(now);
-            let mut history = self.history.borrow_mut();
+            self.observe_versions();
+            let history = self.history.borrow();
             let directory = self.upstreams.directory();
-            for (service, versions) in directory.versions() {
-                history.record(now, service, versions);
-            }
             let several: HashSet<Arc<str>> = directory
                 .versions()
                 .map(|(service, _)| service)
@@ -167,13 +213,25 @@
                 let message = |(request, origin, expires_at): (&Arc<str>, &Origin, Duration)| {
                     (request.clone(), self.message(request, origin, expires_at))
                 };
-                let streams = own.map(message).collect();
+                let streams: Vec<_> = own.map(message).collect();
                 drop(table);
-                self.report(streams);
+                self.report(&streams);
             }
         }
     }
 
+    /// Records the versions that the upstreams of each service have now.
+    fn observe_versions(&self) {
+        let now = self.now();
+        let mut history = self.history.borrow_mut();
+        for (service, versions) in self.upstreams.directory().versions() {
+            history.record(now, service, versions);
+        }
+        if self.upstreams.records_age(now) > RECORDS_AGE_MAX {
+            history.record_gap(now);
+        }
+    }
+
     /// Lists the versions that a service has had for as long as a stream may last.
     fn recent_versions(&self, service: &str) -> BTreeSet<Arc<str>> {
         let now = self.now();
@@ -220,6 +278,7 @@
         let mut versions = self.recent_versions(service);
         let is_current = self.upstreams.records_age(now) <= RECORDS_AGE_MAX;
         let is_long_known = self.history.borrow().is_long_known(now, service);
+        let mut knows_past = self.knows_past_versions(service);
         let mut has_reply = false;
         // Peers may know of a version that was there before this node or came after its records.
         if versions.len() != 1 || !is_current || !is_long_known {
@@ -229,12 +288,20 @@
                 if let Some(origin) = reply_origin(&reply) {
                     return (Source::Peer, Some(origin));
                 }
+                knows_past |= reply.knows_past.unwrap_or(true);
                 versions
                     .extend(reply.recent_versions.iter().map(|version| version.as_str().into()));
             }
         }
+        if let Some(id) = resumes
+            && (versions.len() != 1 || !is_long_known)
+            && self.read_origin_log(versions.len() != 1).await
+            && let Some(origin) = self.table.borrow().find(now, id)
+        {
+            return (Source::Store, Some(origin.clone()));
+        }
         match versions.first() {
-            Some(version) if versions.len() == 1 && (is_current || has_reply) => {
+            Some(version) if versions.len() == 1 && knows_past && (is_current || has_reply) => {
                 let (service, version) = (service.clone(), version.clone());
                 (Source::SingleVersion, Some(Origin::Version { service, version }))
             }
@@ -273,6 +340,9 @@
 
     /// Records the origins of streams that a peer reports.
     pub fn handle_reports(&self, reports: OriginReports) {
+        if reports.append_to_log {
+            self.append_to_log(&reports.streams);
+        }
         let now = self.now();
         let mut table = self.table.borrow_mut();
         for stream in reports.streams {
@@ -299,6 +369,7 @@
             service,
             version,
             recent_versions: versions.iter().map(ToString::to_string).collect(),
+            knows_past: Some(self.knows_past_versions(&query.service)),
         };
         self.peers.send(sender, GatewayBody::OriginReply(reply));
     }
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -136,9 +136,17 @@
     Nodes,
     /// Status of roll-outs; written by the gateway.
     Rollouts,
+    /// The versions that services have had lately; written by the gateway.
+    Versions,
+    /// The versions that began streams; written by the gateway. A log that keeps all records for
+    /// some time, not the newest of each key.
+    StreamOrigins,
 }
 
 impl Topic {
+    /// Number of topics.
+    pub const COUNT: usize = 6;
+
     /// Returns the name used in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -146,6 +154,8 @@
             Self::Upstreams => "upstreams",
             Self::Nodes => "nodes",
             Self::Rollouts => "rollouts",
+            Self::Versions => "versions",
+            Self::StreamOrigins => "stream_origins",
         }
     }
 }
@@ -243,6 +253,12 @@
     /// Returns a [`StoreError`] if the call fails.
     async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError>;
 
+    /// Reads the records from an offset on that the store still keeps, without a wait.
+    ///
+    /// # Errors
+    /// Returns a [`StoreError`] if the call fails.
+    async fn read_kept(&self, topic: Topic, from: u64) -> Result<Page, StoreError>;
+
     /// Writes a record, or removes the key if there is no value.
     ///
     /// # Errors
--- a/crates/fernring-gateway/tests/testsuite/origins.rs
+++ b/crates/fernring-gateway/tests/testsuite/origins.rs
@@ -68,6 +68,21 @@
     assert!(!history.has_several("app") && history.is_long_known(end, "app"));
 }
 
+/// A node without current records may miss a version that comes and goes.
+#[test]
+fn service_counts_as_long_known_in_spite_of_a_gap() {
+    let mut history = VersionHistory::default();
+    let service: Arc<str> = "app".into();
+    let v1: Arc<str> = "v1".into();
+    history.record(START, &service, [&v1].into_iter());
+    let end = START + STREAM_LIFETIME;
+    assert!(history.is_long_known(end, &service));
+    history.record_gap(end);
+    assert!(!history.is_long_known(end, &service));
+    assert_eq!(history.all().collect::<Vec<_>>(), [(&service, &v1)]);
+    assert!(history.is_long_known(end + STREAM_LIFETIME, &service));
+}
+
 /// Returns members that know `nodes`, without `me`.
 fn members_without(me: &Member, nodes: &[Member]) -> Members {
     let mut members = Members::default();
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -97,6 +97,9 @@
     /// The streams.
     #[prost(message, repeated, tag = "1")]
     pub streams: Vec<StreamOrigin>,
+    /// Whether the receiver appends the streams to the log of origins in the store.
+    #[prost(bool, tag = "2")]
+    pub append_to_log: bool,
 }
 
 /// A stream and the version that began it.
@@ -148,6 +151,10 @@
     /// Versions that the queried service has had, for as long as a stream may last.
     #[prost(string, repeated, tag = "5")]
     pub recent_versions: Vec<String>,
+    /// Whether these are all of them: `false` from a sender that has just started and hasn't read
+    /// them from the store, missing from builds that don't tell.
+    #[prost(bool, optional, tag = "6")]
+    pub knows_past: Option<bool>,
 }
 
 /// Requests a tunnel to an upstream.
--- a/crates/fernring-standins/src/store.rs
+++ b/crates/fernring-standins/src/store.rs
@@ -356,7 +356,8 @@
         let mut appended = self.appended.subscribe();
         loop {
             let Some(page) = self.page(topic, from, bytes_max) else {
-                return (410, Vec::new());
+                let first = self.lock().get(topic).map_or(0, |topic| topic.first);
+                return (410, json!({"first": first}).to_string().into_bytes());
             };
             let has_records = page.len() > PAGE_HEADER_BYTES;
             if has_records || tokio::time::timeout_at(end, appended.changed()).await.is_err() {
