Small chunks count against the limit of a body

Cause: the limit of a body counted its data only, and framing may take 8 bytes for each byte of data. A chunk of a single byte takes six bytes on the wire, so 8 MiB of data took up to 48 MiB, and up to 72 MiB with extensions of chunks. On slower machines the time of the attempt ended first.

Ruled out: that only the kernel buffers more.

Change: a body that is limited is limited on the wire, too: to its limit and the 256 KiB of framing that any body may have, data and framing together. Bodies of 8 MiB in chunks of 256 bytes or more always fit; a body of 100,000 chunks of a single byte (an existing test) is served as before.

--- a/crates/fernring-gateway/src/connections.rs
+++ b/crates/fernring-gateway/src/connections.rs
@@ -497,6 +497,14 @@
         self.idle_timeout = idle_timeout.saturating_sub(IDLE_MARGIN);
     }
 
+    /// Limits what is read of it, data and framing together: chunks of a single byte have more
+    /// framing than data. The exact limit of the data is up to the reader.
+    pub fn limit(&mut self, bytes_max: usize) {
+        if let Some(active) = &self.connection {
+            active.progress().borrow_mut().limit_body(bytes_max);
+        }
+    }
+
     /// Closes the connection immediately.
     pub fn close(&mut self) {
         self.connection = None;
--- a/crates/fernring-gateway/src/decide/response_progress.rs
+++ b/crates/fernring-gateway/src/decide/response_progress.rs
@@ -83,6 +83,8 @@
     bytes_delivered: u64,
     /// `bytes_delivered` at the last read.
     delivered_before: u64,
+    /// Most bytes of the body, its framing included; `None` if it isn't limited.
+    body_bytes_max: Option<u64>,
     trickle: Trickle,
 }
 
@@ -92,6 +94,12 @@
         *self = Self { part: Some(ResponsePart::Head), ..Self::default() };
     }
 
+    /// Limits the body of the response under way, data and framing together, to `bytes_max` and
+    /// [`FRAMING_BYTES_MAX`].
+    pub fn limit_body(&mut self, bytes_max: usize) {
+        self.body_bytes_max = Some(bytes_max as u64 + FRAMING_BYTES_MAX);
+    }
+
     /// Records bytes that were read from the connection.
     ///
     /// # Errors
@@ -140,7 +148,8 @@
         self.trickle.record_read(now);
         let allowed = FRAMING_BYTES_MAX + FRAMING_BYTES_PER_DATA_BYTE * self.bytes_delivered;
         let framing = self.bytes_read.saturating_sub(self.bytes_delivered);
-        self.check(framing <= allowed && !self.trickle.is_endless())
+        let is_too_long = self.body_bytes_max.is_some_and(|max| self.bytes_read > max);
+        self.check(framing <= allowed && !is_too_long && !self.trickle.is_endless())
     }
 
     fn check(&self, is_in_progress: bool) -> Result<(), NoProgress> {
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -292,7 +292,7 @@
         let expected = expected_call_time(batch_config, queued.len());
         let tracked = self.rollouts.track_call(&pool.service, target);
         let exchange = async {
-            let response = self.upstreams.send(&*self.wire, target, send).await?;
+            let mut response = self.upstreams.send(&*self.wire, target, send).await?;
             if response.fields.not_run || response.fields.wrong_instance {
                 return Err(CallFailure::Refused);
             }
@@ -300,6 +300,7 @@
                 return Err(CallFailure::Failed(format!("status {}", response.head.status)));
             }
             let framing = Framing::of(&response.head);
+            response.body.limit(CALL_BYTES_MAX);
             let body = Limited::new(response.body, CALL_BYTES_MAX);
             let body = body.collect().await.map_err(|error| body_failure(&*error))?;
             let outcomes = self.wire.decode_batch(&body.to_bytes());
@@ -380,7 +381,8 @@
             request_id: None,
         };
         let exchange = async {
-            let response = self.upstreams.send_release(&*self.wire, &target, send).await?;
+            let mut response = self.upstreams.send_release(&*self.wire, &target, send).await?;
+            response.body.limit(CALL_BYTES_MAX);
             let body = Limited::new(response.body, CALL_BYTES_MAX);
             body.collect().await.map_err(|error| body_failure(&*error))
         };
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -235,6 +235,11 @@
     splitter: &mut EventSplitter,
     mode: ForwardingMode,
 ) -> Option<Result<Bytes, ConnectionLoss>> {
+    let is_limited =
+        matches!(mode, ForwardingMode::Body { .. }) && body.size_hint().exact().is_none();
+    if is_limited {
+        body.limit(BODY_BYTES_MAX);
+    }
     loop {
         let bytes = match next_bytes(body).await? {
             Ok(bytes) => bytes,
@@ -244,7 +249,6 @@
             ForwardingMode::CompleteEvents => splitter.push(&bytes),
             ForwardingMode::Events => splitter.skip(&bytes).map(|()| bytes),
             ForwardingMode::Body { forwarded } => {
-                let is_limited = body.size_hint().exact().is_none();
                 if is_limited && forwarded + bytes.len() > BODY_BYTES_MAX {
                     let reason = format!("the body is longer than {BODY_BYTES_MAX} bytes");
                     return Some(Err(ConnectionLoss { reason, kind: None }));
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -191,6 +191,7 @@
         mut opened: OpenedResponse,
     ) -> Result<Response<CallerBody>, String> {
         let collect_until = exchange.collect_until(&opened);
+        opened.body.limit(BODY_BYTES_MAX);
         let collecting = Limited::new(&mut opened.body, BODY_BYTES_MAX).collect();
         let loss = match self.deadline_timer.complete_by(collect_until, collecting).await {
             Some(Ok(collected)) => {
--- a/crates/fernring-gateway/tests/testsuite/response_progress.rs
+++ b/crates/fernring-gateway/tests/testsuite/response_progress.rs
@@ -96,6 +96,38 @@
     assert_eq!(part, ResponsePart::Body);
 }
 
+/// A body of single bytes took six times its data on the wire.
+#[test]
+fn limited_body_is_read_beyond_its_limit_in_small_chunks() {
+    let bytes_max = 1 << 20;
+    let limit = bytes_max as u64 + FRAMING_BYTES_MAX;
+    let chunk = b"1\r\na\r\n";
+    let mut progress = started();
+    progress.record_read(Duration::ZERO, HEAD).unwrap();
+    progress.limit_body(bytes_max);
+    let mut read = 0;
+    while progress.record_read(Duration::ZERO, chunk).is_ok() {
+        progress.record_delivered(1);
+        read += chunk.len() as u64;
+        assert!(read <= limit);
+    }
+    assert!(read + chunk.len() as u64 > limit);
+}
+
+#[test]
+fn limited_body_of_common_chunks_is_refused() {
+    let bytes_max = 1 << 20;
+    let chunk = [&b"400\r\n"[..], &[b'a'; 1_024], b"\r\n"].concat();
+    let mut progress = started();
+    progress.record_read(Duration::ZERO, HEAD).unwrap();
+    progress.limit_body(bytes_max);
+    for _ in 0..bytes_max / 1_024 {
+        progress.record_read(Duration::ZERO, &chunk).unwrap();
+        progress.record_delivered(1_024);
+    }
+    progress.record_read(Duration::ZERO, b"0\r\n\r\n").unwrap();
+}
+
 #[test]
 fn framing_in_drops_is_limited_in_time() {
     let mut progress = started();
@@ -122,6 +154,7 @@
             progress.record_read(Duration::ZERO, INTERIM).unwrap();
         }
         progress.record_read(Duration::ZERO, HEAD).unwrap();
+        progress.limit_body(0);
         progress.record_read(Duration::ZERO, &vec![b'a'; FRAMING_BYTES_MAX as usize]).unwrap();
         progress.start();
     }
