A stream that is resumed doesn't repeat events

What callers saw: 1 2 1 2 3 4 in one answer that looked complete, when the upstream that was to go on after event 2 began at 1 again; the same after a caller's Last-Event-Id. Cause: the relay sent Last-Event-Id and took whatever came for the rest. Why the fix holds: the first numbered event of each upstream has to be above all that the caller has. If it isn't, none of these bytes is forwarded, and the send counts as broken: another upstream is asked if the route allows it, or else the answer stays broken. Later events of the same upstream are forwarded as they are, since they are its own body.

--- a/crates/fernring-gateway/src/serving/events.rs
+++ b/crates/fernring-gateway/src/serving/events.rs
@@ -125,7 +125,71 @@
     }
 }
 
-/// Returns the number of the last of some complete events; `number_of` extracts it from a line.
-pub fn last_event_number(events: &[u8], number_of: impl Fn(&[u8]) -> Option<u64>) -> Option<u64> {
-    events.split(|byte| matches!(byte, b'\r' | b'\n')).filter_map(number_of).next_back()
+/// The events of a stream that its caller has received, as far as they say where it may go on.
+///
+/// ```
+/// use fernring_gateway::events::ReceivedEvents;
+///
+/// let number = |line: &[u8]| std::str::from_utf8(line.strip_prefix(b"id: ")?).ok()?.parse().ok();
+/// let mut received = ReceivedEvents::new(Some(4));
+/// assert!(received.record(b"id: 4\ndata: a\n\n", number).is_err());
+/// received.record(b"id: 5\ndata: b\n\n", number).unwrap();
+/// assert_eq!(received.last(), Some(5));
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct ReceivedEvents {
+    /// Highest number of an event.
+    last: Option<u64>,
+    /// Whether the upstream that sends the stream now has sent a numbered event.
+    has_number: bool,
+}
+
+/// The error for an upstream that sends events again that the caller has received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("event {first} follows event {last}")]
+pub struct RepeatedEvent {
+    /// Highest number of an event that the caller has received.
+    pub last: u64,
+    /// Number of the first event that the upstream sent.
+    pub first: u64,
+}
+
+impl ReceivedEvents {
+    /// Creates the state of a stream that goes on after an event; `None` if it begins.
+    pub fn new(last: Option<u64>) -> Self {
+        Self { last, has_number: false }
+    }
+
+    /// Returns the highest number of an event.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Records that another upstream sends the stream from now on.
+    pub fn record_upstream(&mut self) {
+        self.has_number = false;
+    }
+
+    /// Records complete events before they are forwarded; `number_of` extracts a number from a line.
+    ///
+    /// # Errors
+    /// If the upstream was to go on after the last event, and its first event isn't a later one.
+    pub fn record(
+        &mut self,
+        events: &[u8],
+        number_of: impl Fn(&[u8]) -> Option<u64>,
+    ) -> Result<(), RepeatedEvent> {
+        let mut lines = events.split(|byte| matches!(byte, b'\r' | b'\n'));
+        lines.by_ref().filter_map(number_of).try_for_each(|number| self.record_number(number))
+    }
+
+    fn record_number(&mut self, number: u64) -> Result<(), RepeatedEvent> {
+        let is_later = self.last.is_none_or(|last| number > last);
+        if let Some(last) = self.last.filter(|_| !is_later && !self.has_number) {
+            return Err(RepeatedEvent { last, first: number });
+        }
+        self.last = self.last.max(Some(number));
+        self.has_number = true;
+        Ok(())
+    }
 }
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         connections::{ConnectionLoss, ResponseBody},
-        events::{EventSplitter, last_event_number},
+        events::{EventSplitter, ReceivedEvents},
         exchange::{Exchange, ExchangeEnd, OpenedResponse, Received, StreamFailure},
         framing::Framing,
         handover::Silence,
@@ -29,8 +29,8 @@
     is_empty: bool,
     /// Whether the version of the upstream is recorded.
     has_origin: bool,
-    /// Number of the last complete event that was forwarded.
-    last_event: Option<u64>,
+    /// The complete events that were forwarded.
+    received: ReceivedEvents,
     /// Whether the stream may be resumed at another upstream. A failure response may not, since its
     /// head has been forwarded.
     is_resumable: bool,
@@ -44,7 +44,7 @@
 impl Relay {
     /// Creates a relay for a stream whose head has been received.
     pub fn new(exchange: Exchange, opened: OpenedResponse) -> Self {
-        let last_event = exchange.resume_after();
+        let received = ReceivedEvents::new(exchange.resume_after());
         let is_resumable =
             exchange.retry_policy() == RetryPolicy::Resume && opened.status().is_success();
         let splitter = EventSplitter::default();
@@ -55,7 +55,7 @@
             splitter,
             is_empty: true,
             has_origin: false,
-            last_event,
+            received,
             is_resumable,
             body_bytes: 0,
             forwarded_at,
@@ -103,7 +103,7 @@
         let mut holder = self.opened.holder();
         let silence =
             Silence { since: self.opened.received_at(), caller_waits_since: self.forwarded_at };
-        let (last_event, is_resumable) = (self.last_event, self.is_resumable);
+        let (last_event, is_resumable) = (self.received.last(), self.is_resumable);
         let mode = self.mode();
         let next = next_part(&mut self.opened.body, &mut self.splitter, mode);
         let received =
@@ -112,6 +112,9 @@
         match received {
             Received::Next(Some(Ok(bytes))) => {
                 self.exchange.record_bytes(&mut self.opened);
+                if let Err(loss) = self.record_received(&bytes) {
+                    return self.resume(loss).await;
+                }
                 self.is_empty = false;
                 self.record_forwarded(&bytes)?;
                 Ok(Some(bytes))
@@ -139,7 +142,7 @@
             return Some("ended inside an event");
         }
         // A caller that has received all events resumes the stream to learn that it is whole.
-        let has_no_events = self.is_empty && self.last_event.is_none();
+        let has_no_events = self.is_empty && self.received.last().is_none();
         let is_unmarked = self.opened.framing() == Framing::Connection;
         (has_no_events && is_unmarked).then_some("ended before its first event")
     }
@@ -160,14 +163,21 @@
         }
     }
 
-    fn record_forwarded(&mut self, bytes: &Bytes) -> Result<(), StreamFailure> {
-        self.body_bytes += bytes.len();
+    /// Records the events of a stream that may be resumed, unless the caller has them already.
+    fn record_received(&mut self, events: &[u8]) -> Result<(), ConnectionLoss> {
         if !self.is_resumable {
             return Ok(());
         }
-        let number = last_event_number(bytes, |line| self.exchange.event_number(line));
-        self.last_event = number.or(self.last_event);
-        if !self.has_origin {
+        let mut received = self.received;
+        let recorded = received.record(events, |line| self.exchange.event_number(line));
+        recorded.map_err(|error| ConnectionLoss { reason: error.to_string(), kind: None })?;
+        self.received = received;
+        Ok(())
+    }
+
+    fn record_forwarded(&mut self, bytes: &Bytes) -> Result<(), StreamFailure> {
+        self.body_bytes += bytes.len();
+        if self.is_resumable && !self.has_origin {
             self.exchange.record_origin(&self.opened)?;
             self.has_origin = true;
         }
@@ -184,7 +194,7 @@
         let line = line.with("attempts_left", self.exchange.attempts_left());
         let line = line.with("framing", self.opened.framing().name());
         let line = line.with("position", self.splitter.position().name());
-        log::warn(line.with_some("last_event", self.last_event));
+        log::warn(line.with_some("last_event", self.received.last()));
         self.record_position();
         self.is_empty = true;
         self.splitter.discard();
@@ -197,6 +207,7 @@
         let is_same = opened.version() == self.opened.version();
         telemetry::record_resumption(self.exchange.service(), is_same);
         self.opened = opened;
+        self.received.record_upstream();
         self.has_origin = false;
     }
 
@@ -205,7 +216,7 @@
         if !self.is_resumable {
             return Err(StreamFailure::Broken(loss.reason));
         }
-        match self.exchange.open_elsewhere(self.last_event).await {
+        match self.exchange.open_elsewhere(self.received.last()).await {
             Ok(opened) => {
                 self.go_on_at(opened);
                 Ok(Some(Bytes::new()))
--- a/crates/fernring-gateway/tests/testsuite/events.rs
+++ b/crates/fernring-gateway/tests/testsuite/events.rs
@@ -2,7 +2,7 @@
 
 use {
     fernring_gateway::{
-        events::{EventPosition, EventSplitter, last_event_number},
+        events::{EventPosition, EventSplitter, ReceivedEvents},
         response_progress::EVENT_BYTES_MAX,
     },
     proptest::prelude::*,
@@ -12,12 +12,19 @@
     std::str::from_utf8(line.strip_prefix(b"id: ")?).ok()?.parse().ok()
 }
 
+/// Returns the highest number of the events.
+fn last_event_number(events: &[u8]) -> Option<u64> {
+    let mut received = ReceivedEvents::new(None);
+    received.record(events, number).unwrap();
+    received.last()
+}
+
 #[test]
 fn incomplete_event_is_buffered_until_discarded() {
     let mut splitter = EventSplitter::default();
     let complete = splitter.push(b"id: 1\ndata: x\n\nid: 2\nda").unwrap();
     assert_eq!(&complete[..], b"id: 1\ndata: x\n\n");
-    assert_eq!(last_event_number(&complete, number), Some(1));
+    assert_eq!(last_event_number(&complete), Some(1));
     splitter.discard();
     assert_eq!(&splitter.push(b"id: 2\n\n").unwrap()[..], b"id: 2\n\n");
 }
@@ -90,7 +97,7 @@
             let (head, tail) = events.as_bytes().split_at(cut);
             let complete = [splitter.push(head).unwrap(), splitter.push(tail).unwrap()].concat();
             assert_eq!(complete, events.as_bytes(), "{line_ending:?} {cut}");
-            assert_eq!(last_event_number(&complete, number), Some(2), "{line_ending:?}");
+            assert_eq!(last_event_number(&complete), Some(2), "{line_ending:?}");
         }
     }
 }
@@ -123,3 +130,26 @@
         splitter.skip(b"\n\n").unwrap();
     }
 }
+
+/// The first event of each upstream has to be later than what the caller has received.
+#[test]
+fn stream_goes_on_with_events_that_its_caller_has() {
+    for (after, events, is_repeated) in [
+        (Some(2), "id: 2\n\n", true),
+        (Some(2), "id: 1\n\nid: 3\n\n", true),
+        (Some(2), "data: a\n\nid: 1\n\n", true),
+        (Some(2), "id: 3\n\nid: 3\n\n", false),
+        (Some(2), "", false),
+        (Some(0), "id: 0\n\n", true),
+        (None, "id: 0\n\n", false),
+    ] {
+        let mut received = ReceivedEvents::new(after);
+        assert_eq!(received.record(events.as_bytes(), number).is_err(), is_repeated, "{events:?}");
+        let mut received = ReceivedEvents::new(None);
+        if let Some(last) = after {
+            received.record(format!("id: {last}\n\n").as_bytes(), number).unwrap();
+        }
+        received.record_upstream();
+        assert_eq!(received.record(events.as_bytes(), number).is_err(), is_repeated, "{events:?}");
+    }
+}
