A stream doesn't go on after an event without an id

What callers saw: an event without an id came twice, since the stream went on after the last id before it; a stream without any ids began again within one answer. Cause: the last id that was seen counted as the place of the last event. Why the fix holds: a stream goes on elsewhere, after a break or a silence, only if its last event has an id above all ids before. Otherwise the answer stays broken, as on a route whose streams can't be resumed.

--- a/crates/fernring-gateway/src/serving/events.rs
+++ b/crates/fernring-gateway/src/serving/events.rs
@@ -134,12 +134,16 @@
 /// let mut received = ReceivedEvents::new(Some(4));
 /// assert!(received.record(b"id: 4\ndata: a\n\n", number).is_err());
 /// received.record(b"id: 5\ndata: b\n\n", number).unwrap();
-/// assert_eq!(received.last(), Some(5));
+/// assert_eq!((received.last(), received.may_go_on()), (Some(5), true));
+/// received.record(b"data: c\n\n", number).unwrap();
+/// assert!(!received.may_go_on());
 /// ```
 #[derive(Debug, Clone, Copy)]
 pub struct ReceivedEvents {
     /// Highest number of an event.
     last: Option<u64>,
+    /// Whether the last event has a number, and one above those of all events before.
+    may_go_on: bool,
     /// Whether the upstream that sends the stream now has sent a numbered event.
     has_number: bool,
 }
@@ -157,7 +161,7 @@
 impl ReceivedEvents {
     /// Creates the state of a stream that goes on after an event; `None` if it begins.
     pub fn new(last: Option<u64>) -> Self {
-        Self { last, has_number: false }
+        Self { last, may_go_on: true, has_number: false }
     }
 
     /// Returns the highest number of an event.
@@ -165,6 +169,12 @@
         self.last
     }
 
+    /// Returns whether the stream may go on at another upstream: the number of its last event names
+    /// no other place in it.
+    pub fn may_go_on(&self) -> bool {
+        self.may_go_on
+    }
+
     /// Records that another upstream sends the stream from now on.
     pub fn record_upstream(&mut self) {
         self.has_number = false;
@@ -179,8 +189,14 @@
         events: &[u8],
         number_of: impl Fn(&[u8]) -> Option<u64>,
     ) -> Result<(), RepeatedEvent> {
-        let mut lines = events.split(|byte| matches!(byte, b'\r' | b'\n'));
-        lines.by_ref().filter_map(number_of).try_for_each(|number| self.record_number(number))
+        for event in events_of(events) {
+            let lines = event.split(|byte| matches!(byte, b'\r' | b'\n'));
+            match lines.filter_map(&number_of).next_back() {
+                Some(number) => self.record_number(number)?,
+                None => self.may_go_on = false,
+            }
+        }
+        Ok(())
     }
 
     fn record_number(&mut self, number: u64) -> Result<(), RepeatedEvent> {
@@ -189,7 +205,19 @@
             return Err(RepeatedEvent { last, first: number });
         }
         self.last = self.last.max(Some(number));
-        self.has_number = true;
+        (self.may_go_on, self.has_number) = (is_later, true);
         Ok(())
     }
 }
+
+/// Splits complete events; each has the comments and blank lines before it.
+fn events_of(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = events;
+    std::iter::from_fn(move || {
+        let mut position = EventPosition::default();
+        let end = (1..=rest.len()).find(|end| position.advance(&rest[end - 1..*end]).is_some());
+        let (event, tail) = rest.split_at(end?);
+        rest = tail;
+        Some(event)
+    })
+}
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -103,11 +103,11 @@
         let mut holder = self.opened.holder();
         let silence =
             Silence { since: self.opened.received_at(), caller_waits_since: self.forwarded_at };
-        let (last_event, is_resumable) = (self.received.last(), self.is_resumable);
+        let (last_event, may_go_on) = (self.received.last(), self.may_go_on());
         let mode = self.mode();
         let next = next_part(&mut self.opened.body, &mut self.splitter, mode);
         let received =
-            self.exchange.receive(&mut holder, next, silence, last_event, is_resumable).await;
+            self.exchange.receive(&mut holder, next, silence, last_event, may_go_on).await;
         self.opened.set_counted(holder.is_counted());
         match received {
             Received::Next(Some(Ok(bytes))) => {
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Returns whether the stream may go on at another upstream now.
+    fn may_go_on(&self) -> bool {
+        self.is_resumable && self.received.may_go_on()
+    }
+
     /// Records the events of a stream that may be resumed, unless the caller has them already.
     fn record_received(&mut self, events: &[u8]) -> Result<(), ConnectionLoss> {
         if !self.is_resumable {
@@ -213,7 +218,7 @@
 
     async fn resume(&mut self, loss: ConnectionLoss) -> Result<Option<Bytes>, StreamFailure> {
         self.leave(&loss);
-        if !self.is_resumable {
+        if !self.may_go_on() {
             return Err(StreamFailure::Broken(loss.reason));
         }
         match self.exchange.open_elsewhere(self.received.last()).await {
--- a/crates/fernring-gateway/tests/testsuite/events.rs
+++ b/crates/fernring-gateway/tests/testsuite/events.rs
@@ -12,10 +12,11 @@
     std::str::from_utf8(line.strip_prefix(b"id: ")?).ok()?.parse().ok()
 }
 
-/// Returns the highest number of the events.
+/// Returns the highest number of the events, if none of them repeats another.
 fn last_event_number(events: &[u8]) -> Option<u64> {
     let mut received = ReceivedEvents::new(None);
     received.record(events, number).unwrap();
+    assert!(received.may_go_on());
     received.last()
 }
 
@@ -131,6 +132,35 @@
     }
 }
 
+/// A stream must not go on after the last number if an event without one, or with a lower one, came since.
+#[test]
+fn number_that_names_another_place_in_a_stream_resumes_it() {
+    let cases: [(Option<u64>, &str, Option<u64>, bool); 11] = [
+        (None, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Some(2), true),
+        (None, "data: a\n\n", None, false),
+        (None, "data: a\r\n\r\n: comment\r\n\r\n", None, false),
+        (None, "id: 1\r\rdata: a\r\r", Some(1), false),
+        (None, "id: 1\n\ndata: a\n\nid: 2\n\n", Some(2), true),
+        (None, "id: 1\n\n: comment\n\n\n", Some(1), true),
+        (None, "id: 1\n\nretry: 5\n\n", Some(1), false),
+        (None, "id: 1\ndata: a\n\nid: 1\ndata: a\n\n", Some(1), false),
+        (None, "id: 2\n\nid: 1\n\n", Some(2), false),
+        (None, "id: 2\n\nid: 1\n\nid: 2\n\n", Some(2), false),
+        (Some(7), "id: 8\n\nid: 10\n\n", Some(10), true),
+    ];
+    for (after, events, last, may_go_on) in cases {
+        for cut in 1..=events.len() {
+            let mut received = ReceivedEvents::new(after);
+            let mut splitter = EventSplitter::default();
+            for bytes in events.as_bytes().chunks(cut) {
+                received.record(&splitter.push(bytes).unwrap(), number).unwrap();
+            }
+            let state = (received.last(), received.may_go_on());
+            assert_eq!(state, (last, may_go_on), "{events:?} {cut}");
+        }
+    }
+}
+
 /// The first event of each upstream has to be later than what the caller has received.
 #[test]
 fn stream_goes_on_with_events_that_its_caller_has() {
