The history of versions counts only if it is complete, and is written before it is needed

Cause: the mark of a complete history was tied neither to the era of the store nor to the records of other nodes, streams began on a version before its record was acknowledged, and only the owner of the mark's key wrote it, which mostly was a node that itself waited for it.

Change: the mark names the era. A node reads the topic when it sees a version without a record; the owner writes it, after a second anybody does, and the mark comes when no record is missing. New streams that may be resumed go to recorded versions, or wait for up to a second if there is none. Removals are conditional on the topic's end. A gap of ten seconds in the upstreams' records makes a node read the history again. Reads are spread by the number of nodes. A start waits for none of this. Peers of a build that doesn't tell don't vouch for the past.

One stays red and is listed: the store takes no writes while a version replaces the only one, all nodes end, and the first version is back before they start.

--- a/crates/fernring-gateway/src/serving/exchange/choosing.rs
+++ b/crates/fernring-gateway/src/serving/exchange/choosing.rs
@@ -73,7 +73,7 @@
         let candidates: Vec<_> = candidates.into_iter().filter(untried).collect();
         let mut candidates = match self.required_version() {
             Some(_) => self.filter_by_origin(candidates),
-            None => self.filter_by_version(candidates),
+            None => self.filter_by_record(self.filter_by_version(candidates)),
         };
         let mut by_speed = None;
         let (key, tokens) = match self.prompt_demand() {
--- a/crates/fernring-gateway/src/serving/exchange/resuming.rs
+++ b/crates/fernring-gateway/src/serving/exchange/resuming.rs
@@ -3,6 +3,7 @@
 use {
     super::{Exchange, OpenedResponse, StreamFailure},
     crate::{
+        model::RetryPolicy,
         origin_table::{Origin, STREAM_LIFETIME},
         refusal::Refusal,
         selection::Candidate,
@@ -75,6 +76,38 @@
         candidates
     }
 
+    /// Returns whether a new stream begins that may be resumed, so that the version that begins it
+    /// has to be known after a restart of all nodes.
+    fn begins_resumable_stream(&self) -> bool {
+        self.origin.is_none() && self.retry_policy() == RetryPolicy::Resume
+    }
+
+    /// Waits until the store has the record of a version that can begin the stream.
+    pub(super) async fn wait_until_version_recorded(&self) {
+        if self.begins_resumable_stream() {
+            self.serving.stream_origins.wait_until_recorded(&self.service).await;
+        }
+    }
+
+    /// Leaves out candidates whose version isn't recorded in the store, if others are left.
+    pub(super) fn filter_by_record(&self, candidates: Vec<Candidate>) -> Vec<Candidate> {
+        if !self.begins_resumable_stream() {
+            return candidates;
+        }
+        let directory = self.serving.upstreams.directory();
+        let unrecorded = self.serving.stream_origins.unrecorded_versions(&self.service);
+        if unrecorded.is_empty() {
+            return candidates;
+        }
+        let is_unrecorded = |candidate: &Candidate| {
+            let upstream = directory.get(candidate.key);
+            upstream.is_some_and(|upstream| unrecorded.contains(&upstream.record.version))
+        };
+        let (unrecorded, recorded): (Vec<_>, Vec<_>) =
+            candidates.into_iter().partition(is_unrecorded);
+        if recorded.is_empty() { unrecorded } else { recorded }
+    }
+
     /// Records the version of the upstream whose first complete event is about to be forwarded.
     ///
     /// # Errors
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -54,6 +54,7 @@
         let give_up_at = self.end_at + DEADLINE_MARGIN;
         let opening = async {
             self.find_origin().await?;
+            self.wait_until_version_recorded().await;
             self.admit_and_run_stages().await?;
             self.open().await
         };
--- a/crates/fernring-gateway/src/store/store_loops/node_records.rs
+++ b/crates/fernring-gateway/src/store/store_loops/node_records.rs
@@ -38,7 +38,7 @@
             match self.store.read_newest(Topic::Nodes, None).await {
                 Ok(newest) => {
                     let node_count = self.apply_nodes(&newest.page);
-                    self.load_versions(node_count == 0).await;
+                    self.stream_origins.set_first_start(node_count == 0);
                     if node_count > WRITERS_MAX {
                         sleep(write_pause(node_count)).await;
                     }
@@ -56,14 +56,6 @@
         }
     }
 
-    /// Reads which versions the services have had; retries until the store returns them.
-    async fn load_versions(&self, is_first_start: bool) {
-        while let Err(error) = self.stream_origins.load_versions(is_first_start).await {
-            self.record_failure(Topic::Versions, &error);
-            sleep(jitter(RETRY_PAUSE_MAX)).await;
-        }
-    }
-
     /// Applies records of nodes; returns how many nodes they name.
     fn apply_nodes(&self, page: &Page) -> usize {
         self.crash_attribution.load_records(&page.records);
--- a/crates/fernring-gateway/src/stream_origins/mod.rs
+++ b/crates/fernring-gateway/src/stream_origins/mod.rs
@@ -91,7 +91,6 @@
     peers: Rc<Peers>,
     upstreams: Rc<Upstreams>,
     failure_domain: Arc<str>,
-    started_at: Duration,
     table: RefCell<StreamOriginTable>,
     history: RefCell<VersionHistory>,
     /// Services with several versions, whose streams have been reported to peers.
@@ -112,7 +111,6 @@
         failure_domain: Arc<str>,
     ) -> Self {
         Self {
-            started_at: clock.now().monotonic,
             clock,
             store,
             peers,
@@ -227,9 +225,8 @@
         for (service, versions) in self.upstreams.directory().versions() {
             history.record(now, service, versions);
         }
-        if self.upstreams.records_age(now) > RECORDS_AGE_MAX {
-            history.record_gap(now);
-        }
+        drop(history);
+        self.observe_gap(now);
     }
 
     /// Lists the versions that a service has had for as long as a stream may last.
@@ -288,7 +285,7 @@
                 if let Some(origin) = reply_origin(&reply) {
                     return (Source::Peer, Some(origin));
                 }
-                knows_past |= reply.knows_past.unwrap_or(true);
+                knows_past |= reply.knows_past;
                 versions
                     .extend(reply.recent_versions.iter().map(|version| version.as_str().into()));
             }
@@ -369,7 +366,7 @@
             service,
             version,
             recent_versions: versions.iter().map(ToString::to_string).collect(),
-            knows_past: Some(self.knows_past_versions(&query.service)),
+            knows_past: self.knows_past_versions(&query.service),
         };
         self.peers.send(sender, GatewayBody::OriginReply(reply));
     }
--- a/crates/fernring-gateway/src/stream_origins/version_records.rs
+++ b/crates/fernring-gateway/src/stream_origins/version_records.rs
@@ -1,10 +1,14 @@
 //! Keeps the recent versions of each service in the store, so that nodes know of them after a
 //! restart of all nodes at once.
 //!
-//! A version has a record for as long as its streams may be resumed. The records carry no times:
-//! a node that starts counts each version that it finds as seen at that moment, and removes the
-//! record of a version that it hasn't seen for the lifetime of a stream by its own clock. That may
-//! keep a version for too long, never for too short.
+//! A version has a record for as long as its streams may be resumed; no new stream that may be
+//! resumed goes to a version without one while another version can take it. The records carry no
+//! times: a node that starts counts each version that it finds as seen at that moment, and the
+//! owner of a record removes it when it hasn't seen the version for the lifetime of a stream by its
+//! own clock. That may keep a version for too long, never for too short.
+//!
+//! A mark says that the history is complete. It names the era of the store: the mark in a backup
+//! that the store was restored from doesn't count, since later records are lost.
 
 use {
     super::StreamOrigins,
@@ -32,23 +36,34 @@
 /// Key of the record that marks the history as complete: the topic lacks no version that a service
 /// had before. Nodes of a build that keeps no history don't write it.
 const COMPLETE_KEY: &str = "complete";
-/// Value of the record that marks the history as complete.
-const COMPLETE_VALUE: &[u8] = b"1";
 /// Prefix of the keys of versions.
 const VERSION_KEY_PREFIX: &str = "version/";
-/// Period over which nodes that start at the same moment spread their first look: the first ones
-/// write what the others then find.
+/// Pause between looks of a starting node whether it is the first one.
+const START_INTERVAL: Duration = Duration::from_millis(10);
+/// Period over which nodes that start at the same moment spread their first write: the first
+/// ones write what the others then find.
 const START_SPREAD: Duration = Duration::from_millis(200);
+/// Age of the upstreams' records from which a version may have come and gone unseen.
+const GAP_MIN: Duration = Duration::from_secs(10);
 /// Pause between looks for records that are missing or outdated.
-const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between the reads of any two nodes, if all of them read again and again: a quarter of the
+/// calls that the store answers in a second.
+const READ_PAUSE: Duration = Duration::from_millis(2);
 /// Pause after a failed call, and between looks whether the history has become complete.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time after which a missing record is written by any node, whoever owns its key.
+const OWNER_TIME: Duration = Duration::from_secs(1);
+/// Longest wait of a stream for the record of the only version that can take it.
+const RECORD_WAIT_MAX: Duration = Duration::from_secs(1);
+/// Pause between two looks of a stream that waits for a record.
+const RECORD_WAIT_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A version of a service as stored, in TOML.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct VersionRecord {
-    service: String,
-    version: String,
+    service: Arc<str>,
+    version: Arc<str>,
 }
 
 impl VersionRecord {
@@ -62,55 +77,43 @@
 /// What a node knows of the records.
 #[derive(Debug, Default)]
 pub(super) struct VersionRecords {
-    /// Keys of the records that are in the store, as far as this node knows.
-    stored: RefCell<BTreeSet<String>>,
+    /// Whether no node ran before this one; `None` as long as that isn't known.
+    is_first_start: Cell<Option<bool>>,
+    /// The recent versions whose records are in the store, as far as this node knows, by key.
+    recorded: RefCell<BTreeMap<String, VersionRecord>>,
+    /// Keys of records in the store whose versions this node has seen, but not lately.
+    outdated: RefCell<BTreeSet<String>>,
+    /// Whether the mark is in the store.
+    is_marked: Cell<bool>,
     /// Whether this node knows all versions that the services have had for as long as a stream may
     /// last.
     is_complete: Cell<bool>,
+    /// Whether the records have to be read, since versions may have come and gone unseen.
+    is_read_due: Cell<bool>,
+    /// Since when the upstreams' records have been current without a gap.
+    current_since: Cell<Option<Duration>>,
+    /// Since when a record has been missing.
+    missing_since: Cell<Option<Duration>>,
+}
+
+impl VersionRecords {
+    fn has(&self, service: &str, version: &str) -> bool {
+        let recorded = self.recorded.borrow();
+        recorded.values().any(|record| &*record.service == service && &*record.version == version)
+    }
 }
 
 impl StreamOrigins {
-    /// Reads which versions the services have had. `is_first_start` says that no node ran before,
-    /// so that an empty history is complete.
-    ///
-    /// # Errors
-    /// If the store doesn't return all records.
-    pub async fn load_versions(&self, is_first_start: bool) -> Result<(), StoreError> {
-        let records = self.read_version_records().await?;
-        let now = self.now();
-        let mut history = self.history.borrow_mut();
-        for record in records.iter().filter(|record| record.key.starts_with(VERSION_KEY_PREFIX)) {
-            if let Some(record) = decode(record) {
-                let (service, version) = (record.service.into(), record.version.into());
-                history.record(now, &service, [&version].into_iter());
-            }
-        }
-        drop(history);
-        let is_marked = self.version_records.stored.borrow().contains(COMPLETE_KEY);
-        let is_complete = self.version_records.is_complete.get() || is_first_start || is_marked;
-        self.version_records.is_complete.set(is_complete);
-        let line = LogLine::event("version_history").with("records", records.len());
-        log::info(line.with("is_complete", is_complete));
-        Ok(())
+    /// Records whether no node ran before this one, so that an empty history is complete.
+    pub fn set_first_start(&self, is_first_start: bool) {
+        self.version_records.is_first_start.set(Some(is_first_start));
     }
 
-    /// Reads the records, and notes which keys are in the store.
-    async fn read_version_records(&self) -> Result<Vec<KeyedRecord>, StoreError> {
-        let mut records = Vec::new();
-        let mut after: Option<Arc<str>> = None;
-        loop {
-            let newest = self.store.read_newest(Topic::Versions, after.as_deref()).await?;
-            telemetry::record_store_call(Topic::Versions.name(), "answered");
-            records.extend(newest.page.records);
-            after = newest.next;
-            if after.is_none() {
-                break;
-            }
-        }
-        records.retain(|record| record.value.is_some());
-        let keys = records.iter().map(|record| record.key.to_string()).collect();
-        *self.version_records.stored.borrow_mut() = keys;
-        Ok(records)
+    /// Forgets which records are in the store after it was restored from a backup: they may be
+    /// lost, and are written again.
+    pub fn handle_store_restored(&self) {
+        self.version_records.recorded.borrow_mut().clear();
+        self.version_records.is_marked.set(false);
     }
 
     /// Returns whether this node knows all versions that a service has had for as long as a stream
@@ -120,104 +123,253 @@
         is_long_known || self.version_records.is_complete.get()
     }
 
+    /// Lists the versions that a service has now and whose records aren't in the store; none if
+    /// there is a single version.
+    pub fn unrecorded_versions(&self, service: &str) -> Vec<Arc<str>> {
+        let directory = self.upstreams.directory();
+        let versions =
+            directory.versions_of(service).into_iter().flat_map(|(_, versions)| versions);
+        let versions: Vec<_> = versions.cloned().collect();
+        let unrecorded =
+            versions.iter().filter(|version| !self.version_records.has(service, version));
+        if versions.len() > 1 { unrecorded.cloned().collect() } else { Vec::new() }
+    }
+
+    /// Waits until a version that a service has now is recorded. Returns after
+    /// [`RECORD_WAIT_MAX`] even if none is: its streams then go on after a restart of all nodes
+    /// only if the store takes the record later.
+    pub async fn wait_until_recorded(&self, service: &str) {
+        let state = &self.version_records;
+        let end = state.missing_since.get().unwrap_or_else(|| self.now()) + RECORD_WAIT_MAX;
+        while state.is_complete.get() && self.now() < end && !self.has_recorded_version(service) {
+            sleep(RECORD_WAIT_INTERVAL).await;
+        }
+    }
+
+    fn has_recorded_version(&self, service: &str) -> bool {
+        let directory = self.upstreams.directory();
+        let versions = directory.versions_of(service);
+        versions.is_none_or(|(service, mut versions)| {
+            versions.any(|version| self.version_records.has(service, version))
+        })
+    }
+
+    /// Records whether the upstreams' records are current. After a gap, versions may have come and
+    /// gone unseen.
+    pub(super) fn observe_gap(&self, now: Duration) {
+        let state = &self.version_records;
+        if self.upstreams.records_age(now) < GAP_MIN {
+            state.current_since.set(state.current_since.get().or(Some(now)));
+            return;
+        }
+        self.history.borrow_mut().record_gap(now);
+        state.current_since.set(None);
+        state.is_read_due.set(true);
+    }
+
     /// Keeps the records up to date, for as long as the process runs.
     pub async fn run_version_records(self: Rc<Self>) {
-        sleep(START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+        let state = &self.version_records;
+        state.is_read_due.set(true);
+        while state.is_first_start.get().is_none() {
+            sleep(START_INTERVAL).await;
+        }
+        let mut pause = self.pause_after(self.load_versions().await);
+        pause += START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
         loop {
-            let result = match self.version_records.is_complete.get() {
-                true => self.write_version_records().await,
-                false => self.complete_history().await,
-            };
-            let pause = match result {
-                Ok(()) => WRITE_INTERVAL,
-                Err(error) => {
-                    telemetry::record_store_call(Topic::Versions.name(), "failed");
-                    log::warn(LogLine::event("versions_not_stored").with("error", error));
-                    RETRY_PAUSE
-                }
-            };
             sleep(pause).await;
+            pause = self.pause_after(self.update_version_records().await);
         }
     }
 
-    /// Looks again whether the history is complete. It becomes complete when this node has run for
-    /// as long as a stream may last, whatever ran before.
-    async fn complete_history(&self) -> Result<(), StoreError> {
-        sleep(RETRY_PAUSE).await;
-        if self.now() >= self.started_at + STREAM_LIFETIME {
-            self.version_records.is_complete.set(true);
-            return Ok(());
+    fn pause_after(&self, result: Result<(), StoreError>) -> Duration {
+        match result {
+            Ok(()) if self.version_records.is_complete.get() => CHECK_INTERVAL,
+            Ok(()) => RETRY_PAUSE.max(self.read_pause()),
+            Err(error) => {
+                telemetry::record_store_call(Topic::Versions.name(), "failed");
+                log::warn(LogLine::event("versions_not_stored").with("error", error));
+                RETRY_PAUSE.max(self.read_pause())
+            }
         }
-        self.load_versions(false).await
     }
 
-    /// Writes missing records and removes outdated ones, among those whose keys this node owns.
-    async fn write_version_records(&self) -> Result<(), StoreError> {
+    async fn update_version_records(&self) -> Result<(), StoreError> {
         self.observe_versions();
-        let recent = self.recent_version_records();
-        if recent.is_empty() || self.version_changes(&recent).is_empty() {
-            return Ok(());
+        let state = &self.version_records;
+        let is_current = state.current_since.get().is_some();
+        if !state.is_complete.get() || is_current && state.is_read_due.get() {
+            self.load_versions().await?;
+        }
+        if state.is_complete.get() && is_current {
+            self.write_version_records().await?;
         }
-        // Another node may have owned the keys until now.
+        Ok(())
+    }
+
+    /// Reads the history, and looks whether it is complete. Whatever ran before, it becomes complete
+    /// when this node has known the upstreams for as long as a stream may last.
+    async fn load_versions(&self) -> Result<(), StoreError> {
         self.read_version_records().await?;
-        for (key, record) in self.version_changes(&recent) {
-            self.store.write(Topic::Versions, &key, record).await?;
+        let now = self.now();
+        let state = &self.version_records;
+        let is_long_known =
+            state.current_since.get().is_some_and(|since| now >= since + STREAM_LIFETIME);
+        let is_complete = state.is_complete.get()
+            || state.is_marked.get()
+            || state.is_first_start.get() == Some(true)
+            || is_long_known;
+        let was_complete = state.is_complete.replace(is_complete);
+        if state.is_read_due.replace(false) || is_complete != was_complete {
+            let records = state.recorded.borrow().len();
+            let line = LogLine::event("version_history").with("records", records);
+            log::info(line.with("is_complete", is_complete));
+        }
+        Ok(())
+    }
+
+    /// Reads the records, and notes which are in the store. Versions that this node hasn't seen, or
+    /// not since a gap, are added to the history. Returns the end of the topic.
+    async fn read_version_records(&self) -> Result<u64, StoreError> {
+        let mut records = Vec::new();
+        let mut after: Option<Arc<str>> = None;
+        let (era, end) = loop {
+            let newest = self.store.read_newest(Topic::Versions, after.as_deref()).await?;
             telemetry::record_store_call(Topic::Versions.name(), "answered");
-            let mut stored = self.version_records.stored.borrow_mut();
-            match record {
-                Some(_) => stored.insert(key),
-                None => stored.remove(&key),
-            };
+            records.extend(newest.page.records);
+            after = newest.next;
+            if after.is_none() {
+                break (newest.page.era, newest.page.end);
+            }
+        };
+        records.retain(|record| record.value.is_some());
+        let state = &self.version_records;
+        let mark = records.iter().find(|record| &*record.key == COMPLETE_KEY);
+        state.is_marked.set(mark.is_some_and(|mark| is_of_era(mark, era)));
+        let versions = records.iter().filter(|record| record.key.starts_with(VERSION_KEY_PREFIX));
+        let versions: Vec<_> =
+            versions.filter_map(|record| Some((record.key.to_string(), decode(record)?))).collect();
+        let mut outdated = state.outdated.borrow_mut();
+        outdated.retain(|key| versions.iter().any(|(stored, _)| stored == key));
+        let recent = versions.into_iter().filter(|(key, _)| !outdated.contains(key));
+        let recent: BTreeMap<_, _> = recent.collect();
+        let now = self.now();
+        for record in recent.values().filter(|record| !self.is_recent(record)) {
+            let versions = [&record.version].into_iter();
+            self.history.borrow_mut().record(now, &record.service, versions);
+        }
+        *state.recorded.borrow_mut() = recent;
+        Ok(end)
+    }
+
+    fn is_recent(&self, record: &VersionRecord) -> bool {
+        let history = self.history.borrow();
+        history.recent(&record.service).any(|version| *version == record.version)
+    }
+
+    /// Writes missing records and removes outdated ones.
+    async fn write_version_records(&self) -> Result<(), StoreError> {
+        self.drop_outdated_versions();
+        let state = &self.version_records;
+        if !self.has_missing_records() && !self.has_own_outdated_records() {
+            state.missing_since.set(None);
+            return Ok(());
+        }
+        let now = self.now();
+        let missing_since = state.missing_since.get().unwrap_or(now);
+        state.missing_since.set(Some(missing_since));
+        let end = self.read_version_records().await?;
+        if !self.has_missing_records() {
+            return self.remove_outdated_records(end).await;
+        }
+        let is_overdue = now >= missing_since + OWNER_TIME;
+        for (key, record) in self.missing_versions() {
+            if is_overdue || self.owns(&key) {
+                self.write_record(&key, encode(&record)?.as_bytes()).await?;
+                state.recorded.borrow_mut().insert(key, record);
+            }
+        }
+        // Written last, since it says that the other records are there.
+        let is_mark_due = self.missing_versions().is_empty() && !state.is_marked.get();
+        if is_mark_due && (is_overdue || self.owns(COMPLETE_KEY)) {
+            self.write_record(COMPLETE_KEY, self.store.era().to_string().as_bytes()).await?;
+            state.is_marked.set(true);
         }
+        sleep(self.read_pause()).await;
+        Ok(())
+    }
+
+    async fn write_record(&self, key: &str, record: &[u8]) -> Result<(), StoreError> {
+        self.store.write(Topic::Versions, key, Some(record)).await?;
+        telemetry::record_store_call(Topic::Versions.name(), "answered");
         Ok(())
     }
 
-    /// Returns the records of versions that have to be in the store, by key. Every service that had
-    /// a version keeps the last one.
-    fn recent_version_records(&self) -> BTreeMap<String, Vec<u8>> {
+    /// Removes the outdated records whose keys this node owns, unless another record has been
+    /// written since the topic ended at `end`.
+    async fn remove_outdated_records(&self, end: u64) -> Result<(), StoreError> {
+        let outdated = self.version_records.outdated.borrow().clone();
+        for (key, end) in outdated.into_iter().filter(|key| self.owns(key)).zip(end..) {
+            self.store.remove_if(Topic::Versions, &key, end).await?;
+            telemetry::record_store_call(Topic::Versions.name(), "answered");
+            self.version_records.outdated.borrow_mut().remove(&key);
+        }
+        Ok(())
+    }
+
+    /// Forgets the records of versions that are no longer recent: if such a version returns, its
+    /// record may have been removed.
+    fn drop_outdated_versions(&self) {
+        let mut recorded = self.version_records.recorded.borrow_mut();
+        let mut outdated = self.version_records.outdated.borrow_mut();
+        recorded.retain(|key, record| {
+            let is_recent = self.is_recent(record);
+            if !is_recent {
+                outdated.insert(key.clone());
+            }
+            is_recent
+        });
+    }
+
+    fn has_missing_records(&self) -> bool {
+        !self.version_records.is_marked.get() || !self.missing_versions().is_empty()
+    }
+
+    fn has_own_outdated_records(&self) -> bool {
+        self.version_records.outdated.borrow().iter().any(|key| self.owns(key))
+    }
+
+    /// Lists the recent versions without a record, by key. A service without upstreams keeps its
+    /// last versions.
+    fn missing_versions(&self) -> Vec<(String, VersionRecord)> {
         let history = self.history.borrow();
-        let versions = history.all().map(|(service, version)| VersionRecord {
-            service: service.to_string(),
-            version: version.to_string(),
+        let missing =
+            history.all().filter(|(service, version)| !self.version_records.has(service, version));
+        let missing = missing.map(|(service, version)| VersionRecord {
+            service: service.clone(),
+            version: version.clone(),
         });
-        versions.filter_map(|record| Some((record.key(), encode(&record)?))).collect()
-    }
-
-    /// Returns the keys to write, each with its record, or without one if it is removed. The mark
-    /// comes last, since it says that the other records are there.
-    fn version_changes<'a>(
-        &self,
-        recent: &'a BTreeMap<String, Vec<u8>>,
-    ) -> Vec<(String, Option<&'a [u8]>)> {
-        let stored = self.version_records.stored.borrow();
-        let missing = recent.iter().filter(|(key, _)| !stored.contains(*key));
-        let missing = missing.map(|(key, record)| (key.clone(), Some(record.as_slice())));
-        let outdated = stored.iter().filter(|key| key.starts_with(VERSION_KEY_PREFIX));
-        let outdated = outdated.filter(|key| !recent.contains_key(*key));
-        let outdated = outdated.map(|key| (key.clone(), None));
-        let mark = (!stored.contains(COMPLETE_KEY))
-            .then(|| (COMPLETE_KEY.to_owned(), Some(COMPLETE_VALUE)));
-        let is_mine = |key: &str| self.peers.owner(key) == self.peers.address();
-        missing.chain(outdated).chain(mark).filter(|(key, _)| is_mine(key)).collect()
+        missing.map(|record| (record.key(), record)).collect()
     }
 
-    /// Forgets which records are in the store after it was restored from a backup: they may be
-    /// lost, and are written again.
-    pub fn handle_store_restored(&self) {
-        self.version_records.stored.borrow_mut().clear();
+    fn owns(&self, key: &str) -> bool {
+        self.peers.owner(key) == self.peers.address()
     }
-}
 
-fn encode(record: &VersionRecord) -> Option<Vec<u8>> {
-    match toml::to_string(record) {
-        Ok(text) => Some(text.into_bytes()),
-        Err(error) => {
-            log_unreadable(&record.version, error);
-            None
-        }
+    /// Returns the pause between two reads of this node, if all nodes read again and again.
+    fn read_pause(&self) -> Duration {
+        READ_PAUSE * self.peers.node_count() as u32
     }
 }
 
+fn is_of_era(mark: &KeyedRecord, era: u64) -> bool {
+    mark.value.as_deref() == Some(era.to_string().as_bytes())
+}
+
+fn encode(record: &VersionRecord) -> Result<String, StoreError> {
+    toml::to_string(record).map_err(|error| StoreError::Malformed(error.to_string()))
+}
+
 fn decode(record: &KeyedRecord) -> Option<VersionRecord> {
     let text = std::str::from_utf8(record.value.as_deref()?).map_err(|error| error.to_string());
     match text.and_then(|text| toml::from_str(text).map_err(|error| error.to_string())) {
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -278,6 +278,13 @@
         end: u64,
     ) -> Result<(), StoreError>;
 
+    /// Removes a key if the topic ends at an offset.
+    ///
+    /// # Errors
+    /// Returns [`StoreError::Conflict`] if the topic ends elsewhere, or another error if the call
+    /// fails.
+    async fn remove_if(&self, topic: Topic, key: &str, end: u64) -> Result<(), StoreError>;
+
     /// Returns the latest known era of the store: the number of times that it was restored from a
     /// backup.
     fn era(&self) -> u64;
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -152,9 +152,9 @@
     #[prost(string, repeated, tag = "5")]
     pub recent_versions: Vec<String>,
     /// Whether these are all of them: `false` from a sender that has just started and hasn't read
-    /// them from the store, missing from builds that don't tell.
-    #[prost(bool, optional, tag = "6")]
-    pub knows_past: Option<bool>,
+    /// them from the store, and from builds that don't tell.
+    #[prost(bool, tag = "6")]
+    pub knows_past: bool,
 }
 
 /// Requests a tunnel to an upstream.
