A kept failure is recorded as an answer on plain routes, too

Cause: serve_plain and open_stream keep an upstream's failure as the answer while others are asked, each with code of its own for the end. That of serve_plain didn't record the end, so the request was recorded when its exchange was dropped: request_ended outcome=caller_left, and the same label in fernring_gateway_requests_total.

Change: both end by one function. The answers to callers are unchanged. The loops themselves stay apart: one collects every response, the other only failures that may be repeated.

--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -149,12 +149,7 @@
         loop {
             let opened = match exchange.open().await {
                 Ok(opened) => opened,
-                Err(refusal) => {
-                    return match failure {
-                        Some(answer) => answer,
-                        None => self.refuse(&mut exchange, &refusal),
-                    };
-                }
+                Err(refusal) => return self.fail(&mut exchange, failure, &refusal),
             };
             let status = opened.status();
             let is_failure = opened.is_failure();
@@ -237,27 +232,35 @@
         let mut opened = exchange.open_stream().await;
         let mut failure = None;
         loop {
-            let response = match (opened, failure) {
-                (Ok(response), _) => response,
-                (Err(_), Some((status, answer))) => {
-                    exchange.record_end(ExchangeEnd::Answered { status });
-                    return Err(answer);
-                }
-                (Err(refusal), None) => return Err(self.refuse(exchange, &refusal)),
+            let response = match opened {
+                Ok(response) => response,
+                Err(refusal) => return Err(self.fail(exchange, failure, &refusal)),
             };
             if !response.is_failure() || !exchange.may_be_repeated(&response) {
                 return Ok(response);
             }
-            let status = response.status();
-            let collected = self.collect_response(exchange, response).await;
-            failure = collected.ok().map(|answer| {
+            failure = self.collect_response(exchange, response).await.ok();
+            if failure.is_some() {
                 exchange.record_failure_response();
-                (status, answer)
-            });
+            }
             opened = exchange.reopen(exchange.resume_after()).await;
         }
     }
 
+    /// Ends a request that no upstream serves: with the failure that was kept, if any.
+    fn fail(
+        &self,
+        exchange: &mut Exchange,
+        failure: Option<Response<CallerBody>>,
+        refusal: &Refusal,
+    ) -> Response<CallerBody> {
+        let Some(answer) = failure else {
+            return self.refuse(exchange, refusal);
+        };
+        exchange.record_end(ExchangeEnd::Answered { status: answer.status() });
+        answer
+    }
+
     fn refuse(&self, exchange: &mut Exchange, refusal: &Refusal) -> Response<CallerBody> {
         exchange.record_end(ExchangeEnd::Refused(refusal));
         refusal.response(&*self.wire).map(CallerBody::full)
