--- a/crates/fernring-gateway/src/crash_attribution/mod.rs
+++ b/crates/fernring-gateway/src/crash_attribution/mod.rs
@@ -277,7 +277,7 @@
     }
 
     /// Waits until it is known whether an upstream at which a send broke off has crashed. Returns
-    /// `false` if that isn't known within [`VERDICT_TIMEOUT`].
+    /// `false` if that isn't known within `VERDICT_TIMEOUT`.
     pub async fn has_upstream_crashed(&self, key: UpstreamKey) -> bool {
         let verdict = async {
             loop {
--- a/crates/fernring-gateway/src/decide/engine_speeds.rs
+++ b/crates/fernring-gateway/src/decide/engine_speeds.rs
@@ -8,7 +8,7 @@
 //! which are up to some seconds old. Gaps serve better than the time to the first event, which
 //! depends on the engine's queue and on what it has cached.
 //!
-//! Limits: estimates halve their weight within [`HALF_LIFE`], so that a slow period of a machine is
+//! Limits: estimates halve their weight within `HALF_LIFE`, so that a slow period of a machine is
 //! noticed, and forgotten, within a few seconds. An engine without estimates counts as average.
 
 use std::{collections::HashMap, time::Duration};
--- a/crates/fernring-gateway/src/decide/leaving.rs
+++ b/crates/fernring-gateway/src/decide/leaving.rs
@@ -38,7 +38,7 @@
         self.confirmed_at.keys().copied()
     }
 
-    /// Removes incarnations that have had no record for [`UNRECORDED_RETENTION`].
+    /// Removes incarnations that have had no record for `UNRECORDED_RETENTION`.
     pub fn expire(&mut self, now: Duration, is_recorded: impl Fn(u64) -> bool) {
         self.confirmed_at.retain(|incarnation_id, confirmed_at| {
             if is_recorded(*incarnation_id) {
--- a/crates/fernring-gateway/src/decide/permit_issuer.rs
+++ b/crates/fernring-gateway/src/decide/permit_issuer.rs
@@ -6,7 +6,7 @@
 //! unused where only a few nodes have requests, and exceeds it where each share is at least one. A
 //! single issuer issues permits up to the limit in the order of the requests. A network partition
 //! leads to several issuers; each therefore issues permits for the part of the nodes that it can
-//! reach, and together they issue no more than [`OVERCOMMIT_FACTOR`] times the limit.
+//! reach, and together they issue no more than `OVERCOMMIT_FACTOR` times the limit.
 
 use {crate::throughput::ArrivalRate, std::time::Duration};
 
--- a/crates/fernring-gateway/src/decide/prefill_pauses.rs
+++ b/crates/fernring-gateway/src/decide/prefill_pauses.rs
@@ -6,7 +6,7 @@
 //!
 //! Inputs: the longest pauses of this node's streams, as if their engines had average speed.
 //!
-//! Limits: of [`LONGER_PART`] of the streams the longest pause is above the learned one, since about
+//! Limits: of `LONGER_PART` of the streams the longest pause is above the learned one, since about
 //! that many may miss what their callers accept.
 
 use std::{cell::RefCell, collections::HashMap, sync::Arc, time::Duration};
--- a/crates/fernring-gateway/src/decide/prefix_demand.rs
+++ b/crates/fernring-gateway/src/decide/prefix_demand.rs
@@ -8,7 +8,7 @@
 //! are spread over the nodes, so that each has about its part of the prefix's demand; nothing here
 //! is old.
 //!
-//! Limits: the homes of a prefix are used to [`UTILIZATION`], so that a queue at one of them is
+//! Limits: the homes of a prefix are used to `UTILIZATION`, so that a queue at one of them is
 //! short. The number of prefixes that are tracked is bounded; the others have one home.
 
 use std::{collections::HashMap, time::Duration};
--- a/crates/fernring-gateway/src/decide/reachability.rs
+++ b/crates/fernring-gateway/src/decide/reachability.rs
@@ -214,7 +214,7 @@
         self.results.iter().map(|(address, result)| (*address, result.is_reached))
     }
 
-    /// Forgets results that are older than [`RESULT_LIFETIME`].
+    /// Forgets results that are older than `RESULT_LIFETIME`.
     pub fn expire(&mut self, now: Duration) {
         self.results.retain(|_, result| now < result.at + RESULT_LIFETIME);
         if !self.is_lost && self.unreached_count() < UNREACHED_MIN {
--- a/crates/fernring-gateway/src/decide/worker_speeds.rs
+++ b/crates/fernring-gateway/src/decide/worker_speeds.rs
@@ -72,7 +72,7 @@
 
 /// Factor by which calls to a worker take longer than to a usual worker of its service.
 ///
-/// Invariant: at least 1 and at most [`SLOWDOWN_MAX`].
+/// Invariant: at least 1 and at most `SLOWDOWN_MAX`.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Slowdown(f64);
 
--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -178,7 +178,7 @@
         }
     }
 
-    /// Forgets peers that have been silent for [`FORGET_AFTER`], and returns those that became
+    /// Forgets peers that have been silent for `FORGET_AFTER`, and returns those that became
     /// silent since `before`, the time of the last such check. If that is long ago, this node was
     /// paused, and the peers have another heartbeat's time to be heard.
     pub fn expire(&mut self, before: Duration, now: Duration) -> Vec<SilentPeer> {
--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -1,6 +1,6 @@
 //! A gateway node: creates its parts and runs them through start, reload of the settings and
-//! shutdown. [`readiness`] responds to the balancer, [`peer_messages`] handles the messages of
-//! peers, [`peer_records`] passes records of the store on to them.
+//! shutdown. `readiness` responds to the balancer, `peer_messages` handles the messages of
+//! peers, `peer_records` passes records of the store on to them.
 
 mod peer_messages;
 mod peer_records;
--- a/crates/fernring-gateway/src/owner/mod.rs
+++ b/crates/fernring-gateway/src/owner/mod.rs
@@ -1,7 +1,7 @@
 //! The owner of a stage service: collects the pieces of all nodes for the service and fills them
 //! into batches.
 //!
-//! [`dispatch`] fills the batches, [`calls`] sends them to the workers, [`outcomes`] handles the
+//! `dispatch` fills the batches, `calls` sends them to the workers, `outcomes` handles the
 //! outcomes of the pieces.
 //!
 //! Each worker gets one call at a time. A piece whose call failed goes into another call, up to
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -1,6 +1,6 @@
-//! The state of one request from its admission to its end. [`admitting`] decides whether it is
-//! admitted, [`staging`] runs its stages, [`choosing`] chooses an upstream, [`sending`] sends it
-//! there, [`handing_over`] offers it to others while that is silent, [`resuming`] finds out where a
+//! The state of one request from its admission to its end. `admitting` decides whether it is
+//! admitted, `staging` runs its stages, `choosing` chooses an upstream, `sending` sends it
+//! there, `handing_over` offers it to others while that is silent, `resuming` finds out where a
 //! stream may go on.
 
 mod admitting;
