Ports of started nodes are held until their test ends

Cause: a soak failed since another process had taken a node's port ("can't listen on 127.0.0.1:29923: Address already in use"). free_addresses found ports that were free at the moment and let them go before the nodes listened there. Searches of two processes drew from the same thousand ports if their ids were equal modulo 20, and nothing kept a port while its node restarted.

Change: the system chooses the ports, and a bound socket holds each one until the process ends. It reuses addresses only once it is bound: a node, which reuses them, too, can listen at the port whenever it starts, while no search finds it again. Fixed ranges and slices are gone. Only a program that asks for that very port and reuses addresses could still take it. The soak's own files are unchanged.

Ruled out by a trial (IP_LOCAL_PORT_RANGE narrowed to a held port): that the port goes to an outgoing connection (EADDRNOTAVAIL; without the holder the connection gets it) or to a socket that binds to port 0 (EADDRINUSE), also after a node there has ended.

--- a/crates/fernring-standins/src/ports.rs
+++ b/crates/fernring-standins/src/ports.rs
@@ -1,39 +1,37 @@
 //! Free ports for real programs that read their addresses from a settings file.
 
 use {
-    rand::RngExt,
     std::{
-        net::{Ipv4Addr, SocketAddr, TcpListener},
-        ops::Range,
+        net::{Ipv4Addr, SocketAddr},
+        sync::{Mutex, PoisonError},
     },
+    tokio::net::TcpSocket,
 };
 
-/// Ports of nodes: above the well-known ports, below the ephemeral ports of outgoing connections.
-const PORTS: Range<u16> = 12_000..32_000;
-/// Number of slices of the port range. Each run uses one slice: otherwise runs that start together
-/// would find the same ports free, and the nodes of one of them would fail to start.
-const PORT_SLICES: u16 = 20;
-/// Most ports that are tried for each that is needed.
-const TRIES_PER_PORT: usize = 20;
+/// Sockets that are bound to the ports that were found, until this process ends.
+///
+/// A program that reuses addresses, as a node does, can listen at such a port as often as it
+/// restarts. The system gives the port to no connection, and to no other socket that asks for a free
+/// one. Without them, another process took a port before its node had bound it (`can't listen:
+/// Address already in use`).
+static HELD_PORTS: Mutex<Vec<TcpSocket>> = Mutex::new(Vec::new());
 
-/// Finds free ports below the ephemeral range. An ephemeral port could be taken by a connection of
-/// another process before the node binds it or while the node is down (`can't listen: Address
-/// already in use`).
+/// Finds free ports and keeps them free for the programs that this process starts.
 ///
 /// # Errors
 /// If too few ports are free.
 pub fn free_addresses(count: usize) -> anyhow::Result<Vec<SocketAddr>> {
-    let mut listeners = Vec::new();
-    let slice_size = (PORTS.end - PORTS.start) / PORT_SLICES;
-    let slice = (std::process::id() % u32::from(PORT_SLICES)) as u16;
-    let first = PORTS.start + slice * slice_size;
-    for _ in 0..count * TRIES_PER_PORT {
-        if listeners.len() == count {
-            break;
-        }
-        let port = rand::rng().random_range(first..first + slice_size);
-        listeners.extend(TcpListener::bind((Ipv4Addr::LOCALHOST, port)));
-    }
-    anyhow::ensure!(listeners.len() == count, "fewer than {count} ports are free");
-    listeners.iter().map(|listener| Ok(listener.local_addr()?)).collect()
+    let sockets = (0..count).map(|_| hold_port()).collect::<anyhow::Result<Vec<_>>>()?;
+    let addresses =
+        sockets.iter().map(TcpSocket::local_addr).collect::<Result<_, std::io::Error>>()?;
+    HELD_PORTS.lock().unwrap_or_else(PoisonError::into_inner).extend(sockets);
+    Ok(addresses)
+}
+
+fn hold_port() -> anyhow::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into())?;
+    // Only after the port was found: a socket that reuses addresses may get one that is held already.
+    socket.set_reuseaddr(true)?;
+    Ok(socket)
 }
--- a/crates/fernring-standins/tests/testsuite/main.rs
+++ b/crates/fernring-standins/tests/testsuite/main.rs
@@ -8,5 +8,6 @@
 mod operators;
 mod partitions;
 mod path;
+mod ports;
 mod soak;
 mod tickets;
