An empty rest doesn't complete a stream that broke off inside an event

What callers saw: a stream of which the second event had begun looked complete after the first, when the upstream that was to go on closed its connection behind the head. Cause: a rest without events was taken for that of a stream whose events had all arrived. Evidence: ordered::empty_rest_of_a_stream_that_broke_off_inside_an_event_looks_complete failed before. It also checks that an empty rest still completes a stream that broke off after an event. Why the fix holds: once a field of an event has begun that wasn't forwarded, the rest has at least that event. A response without one counts as broken, whatever marks its end. Not covered: a break between two events, and a caller's own attempt. There, an empty rest without a marked end may be the whole rest or a crash behind the head, and nothing tells them apart.

--- a/crates/fernring-gateway/src/serving/events.rs
+++ b/crates/fernring-gateway/src/serving/events.rs
@@ -56,6 +56,11 @@
         self.is_inside_event
     }
 
+    /// Returns whether a field of an event has begun, and the event hasn't ended.
+    pub fn has_begun_event(&self) -> bool {
+        self.is_inside_event && self.has_field
+    }
+
     /// Returns the name used in log lines and metrics.
     pub fn name(&self) -> &'static str {
         if self.is_inside_event { "inside_event" } else { "between_events" }
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -31,6 +31,8 @@
     has_origin: bool,
     /// The complete events that were forwarded.
     received: ReceivedEvents,
+    /// Whether the response that was given up had begun an event that wasn't forwarded.
+    has_further_events: bool,
     /// Whether the stream may be resumed at another upstream. A failure response may not, since its
     /// head has been forwarded.
     is_resumable: bool,
@@ -56,6 +58,7 @@
             is_empty: true,
             has_origin: false,
             received,
+            has_further_events: false,
             is_resumable,
             body_bytes: 0,
             forwarded_at,
@@ -141,6 +144,9 @@
         if self.splitter.position().is_inside_event() {
             return Some("ended inside an event");
         }
+        if self.is_empty && self.has_further_events {
+            return Some("ended before its next event");
+        }
         // A caller that has received all events resumes the stream to learn that it is whole.
         let has_no_events = self.is_empty && self.received.last().is_none();
         let is_unmarked = self.opened.framing() == Framing::Connection;
@@ -201,6 +207,8 @@
         let line = line.with("position", self.splitter.position().name());
         log::warn(line.with_some("last_event", self.received.last()));
         self.record_position();
+        let had_further_events = self.is_empty && self.has_further_events;
+        self.has_further_events = had_further_events || self.splitter.position().has_begun_event();
         self.is_empty = true;
         self.splitter.discard();
         self.opened.body.close();
