The tickets of a node aren't those of its previous incarnation

What callers saw: a request whose second stage ran on the results of another request. What nodes saw: a node numbers the work that it submits to owners from 1 in each incarnation. An owner that still works for the incarnation before, at the same address, reports that outcome under a number that the new one has given out again; the node takes it, handles included, for its own. Cause: tickets began at 1, and an owner kept its work under the ticket alone, so that the first outcome of either work went out under it. An outcome from a peer that isn't the ticket's owner ended the wait, too, and the request got 503. Evidence: three tests of owners failed before: outcome_for_the_previous_incarnation_is_taken_for_another_request (the second stage's inputs were the foreign handle), owner_takes_the_outcome_of_a_ticket_for_that_of_its_next_work, outcome_of_another_owner_ends_the_wait_for_pieces. Why the fix holds: the tickets of an incarnation start at a random number of 64 bits. An owner that gets a ticket again, from a node of the build before, cancels the first work and reports only the second. Tickets of permits start at random in the same way; no test of theirs failed.

--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -59,7 +59,7 @@
         stage_plan, throughput, worker_pools, worker_speeds, workers, workspace_demands,
         workspace_reports, workspace_shares,
     },
-    members::{delegates, pause_detector, peers},
+    members::{delegates, pause_detector, peers, tickets},
     serving::{
         caller_body, context, deadline_timer, events, exchange, fingerprint, ingress, refusal,
         relay, serve,
--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -1,11 +1,13 @@
 //! Tracks the live nodes by their heartbeats, and which node owns what.
 //!
 //! [`delegates`] chooses the delegates of a failure domain and the targets of heartbeats, [`peers`]
-//! carries the messages, [`pause_detector`] detects that the process itself was paused.
+//! carries the messages, [`pause_detector`] detects that the process itself was paused,
+//! and [`tickets`] numbers requests to peers.
 
 pub mod delegates;
 pub mod pause_detector;
 pub mod peers;
+pub mod tickets;
 
 use {
     std::{
--- a/crates/fernring-gateway/src/stages.rs
+++ b/crates/fernring-gateway/src/stages.rs
@@ -14,6 +14,7 @@
         stage_messages::{decode_outcome, decode_work, encode_done, encode_work},
         stage_shares::{OwnedPool, StageShares},
         telemetry,
+        tickets::Tickets,
         upstreams::Upstreams,
         worker_pools::{ShardedServices, WorkerPool, draw_domain},
     },
@@ -58,7 +59,7 @@
     /// Work of peers that is in progress here, by peer and the peer's ticket; the value is the
     /// work's number at the owner.
     peer_work: RefCell<HashMap<(SocketAddr, u64), u64>>,
-    next_ticket: Cell<u64>,
+    tickets: RefCell<Tickets>,
     /// Last known owner of each worker pool, and since when, for the log.
     last_owners: RefCell<HashMap<WorkerPool, (SocketAddr, Duration)>>,
     /// The services that are sharded by failure domain.
@@ -108,7 +109,7 @@
             shares: StageShares::new(decide_settings),
             pending: RefCell::default(),
             peer_work: RefCell::default(),
-            next_ticket: Cell::new(1),
+            tickets: RefCell::default(),
             last_owners: RefCell::default(),
             sharded_services: RefCell::default(),
         }
@@ -391,13 +392,17 @@
         let work = decode_work(self.clock.now().monotonic, sender, message);
         let (reply, receiver) = oneshot::channel();
         let id = self.owner.submit(work, reply);
-        self.peer_work.borrow_mut().insert((sender, ticket), id);
+        // A ticket that is given out again is one of another incarnation, which has ended the first.
+        if let Some(ended) = self.peer_work.borrow_mut().insert((sender, ticket), id) {
+            self.owner.cancel(ended);
+        }
         let stages = self.clone();
         spawn_local(async move {
             let outcome = receiver.await;
-            if stages.peer_work.borrow_mut().remove(&(sender, ticket)).is_none() {
+            if stages.peer_work.borrow().get(&(sender, ticket)) != Some(&id) {
                 return;
             }
+            stages.peer_work.borrow_mut().remove(&(sender, ticket));
             let done = encode_done(ticket, outcome.unwrap_or(WorkOutcome::Failed));
             stages.peers.send(sender, GatewayBody::WorkDone(done));
         });
@@ -412,13 +417,15 @@
 
     /// Handles the outcome of pieces that were submitted to a peer.
     pub fn handle_done(&self, sender: SocketAddr, done: StageDone) {
-        let Some(pending) = self.pending.borrow_mut().remove(&done.ticket) else {
-            return;
-        };
-        if pending.owner != sender {
+        let mut all = self.pending.borrow_mut();
+        if all.get(&done.ticket).is_none_or(|pending| pending.owner != sender) {
             return;
         }
-        drop(pending.reply.send(decode_outcome(&done)));
+        let ended = all.remove(&done.ticket);
+        drop(all);
+        if let Some(pending) = ended {
+            drop(pending.reply.send(decode_outcome(&done)));
+        }
     }
 
     /// Asks owners at intervals whether they still have the stages submitted to them, for as long as
@@ -481,8 +488,7 @@
         if owner == self.peers.address() {
             return CancelTarget::Local(self.owner.submit(work.clone(), reply));
         }
-        let ticket = self.next_ticket.get();
-        self.next_ticket.set(ticket + 1);
+        let ticket = self.tickets.borrow_mut().issue();
         let submitted_at = self.clock.now().monotonic;
         let pending = PendingStage { owner, submitted_at, reply };
         self.pending.borrow_mut().insert(ticket, pending);
--- a/crates/fernring-gateway/src/upstreams/announced_limits.rs
+++ b/crates/fernring-gateway/src/upstreams/announced_limits.rs
@@ -16,6 +16,7 @@
         permit_issuer::{PermitDenied, PermitIssuer, combined_drain_time, limit_share},
         retry_after::RetryForecast,
         telemetry,
+        tickets::Tickets,
     },
     fernring_core::text::LogLine,
     fernring_protocol::gateway::{self, PermitRequest, PermitResponse, PermitReturn},
@@ -90,7 +91,7 @@
     /// Incarnations whose last response announced an unreadable limit. Logged once, not for each
     /// response.
     unreadable: HashSet<u64>,
-    last_ticket: u64,
+    tickets: Tickets,
     /// Limits published so far; selects the ones for the next heartbeat.
     published_count: usize,
     permit_transport: Option<Rc<dyn PermitTransport>>,
@@ -343,8 +344,7 @@
         let (sender, receiver) = oneshot::channel();
         let request = {
             let mut limited_upstreams = self.limited_upstreams.borrow_mut();
-            limited_upstreams.last_ticket += 1;
-            let ticket = limited_upstreams.last_ticket;
+            let ticket = limited_upstreams.tickets.issue();
             limited_upstreams.pending.retain(|_, waiter| !waiter.is_closed());
             limited_upstreams.pending.insert(ticket, sender);
             PermitRequest {
--- a/crates/fernring-gateway/src/upstreams/brittle.rs
+++ b/crates/fernring-gateway/src/upstreams/brittle.rs
@@ -18,6 +18,7 @@
         permit_issuer::{PermitDenied, limit_share},
         rejection_guard::RejectionGuard,
         telemetry,
+        tickets::Tickets,
     },
     fernring_core::{clock::Clock, text::LogLine},
     fernring_protocol::gateway::{LimitReport, PermitRequest, PermitResponse, PermitReturn},
@@ -53,7 +54,7 @@
     guards: HashMap<u64, RejectionGuard>,
     pending: HashMap<u64, oneshot::Sender<PermitResponse>>,
     unreadable: HashSet<u64>,
-    last_ticket: u64,
+    tickets: Tickets,
     published_count: usize,
     transport: Option<Rc<dyn PermitTransport>>,
 }
@@ -261,8 +262,7 @@
         };
         let (ticket, transport) = {
             let mut state = self.brittle.state.borrow_mut();
-            state.last_ticket += 1;
-            (state.last_ticket, state.transport.clone())
+            (state.tickets.issue(), state.transport.clone())
         };
         let issuer = transport.as_ref().and_then(|transport| transport.issuer(incarnation_id));
         let permit = match (&transport, issuer) {
