--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -1,11 +1,13 @@
 //! Tracks the live nodes by their heartbeats, and which node owns what.
 //!
 //! [`delegates`] chooses the delegates of a failure domain and the targets of heartbeats, [`peers`]
-//! carries the messages, [`pause_detector`] detects that the process itself was paused.
+//! carries the messages, [`pause_detector`] detects that the process itself was paused,
+//! and [`tickets`] numbers requests to peers.
 
 pub mod delegates;
 pub mod pause_detector;
 pub mod peers;
+pub mod tickets;
 
 use {
     std::{
@@ -178,7 +180,7 @@
         }
     }
 
-    /// Forgets peers that have been silent for [`FORGET_AFTER`], and returns those that became
+    /// Forgets peers that have been silent for `FORGET_AFTER`, and returns those that became
     /// silent since `before`, the time of the last such check. If that is long ago, this node was
     /// paused, and the peers have another heartbeat's time to be heard.
     pub fn expire(&mut self, before: Duration, now: Duration) -> Vec<SilentPeer> {
