A version gets its record two seconds after it appears, and begins no streams until then

Cause: a version in sight counted as one that may have begun streams.

Change: as long as a service has a recorded version in sight, versions without a record have begun no streams, and count for none. A record is written two seconds after its version appeared, at once if no recorded version is left; until then running streams reach the log, and callers resume theirs after a restart.

--- a/crates/fernring-gateway/src/stream_origins/mod.rs
+++ b/crates/fernring-gateway/src/stream_origins/mod.rs
@@ -290,6 +290,7 @@
                     .extend(reply.recent_versions.iter().map(|version| version.as_str().into()));
             }
         }
+        let versions = self.versions_in_use(service, versions).await;
         if let Some(id) = resumes
             && (versions.len() != 1 || !is_long_known)
             && self.read_origin_log(versions.len() != 1).await
--- a/crates/fernring-gateway/src/stream_origins/version_records.rs
+++ b/crates/fernring-gateway/src/stream_origins/version_records.rs
@@ -2,7 +2,7 @@
 //! restart of all nodes at once.
 //!
 //! A version has a record for as long as its streams may be resumed; no new stream that may be
-//! resumed goes to a version without one while another version can take it. The records carry no
+//! resumed goes to a version without one while a recorded version can take it. The records carry no
 //! times: a node that starts counts each version that it finds as seen at that moment, and the
 //! owner of a record removes it when it hasn't seen the version for the lifetime of a stream by its
 //! own clock. That may keep a version for too long, never for too short.
@@ -30,7 +30,7 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Key of the record that marks the history as complete: the topic lacks no version that a service
@@ -54,8 +54,14 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Time after which a missing record is written by any node, whoever owns its key.
 const OWNER_TIME: Duration = Duration::from_secs(1);
+/// Time for which a version stays without a record while a recorded one can begin streams. Streams
+/// that run when it appears reach the log meanwhile, and after a restart of all nodes most callers
+/// have resumed theirs: as long as there is one recorded version, it has begun all of them.
+const RECORD_DELAY: Duration = Duration::from_secs(2);
 /// Longest wait of a stream for the record of the only version that can take it.
 const RECORD_WAIT_MAX: Duration = Duration::from_secs(1);
+/// Longest wait of a caller for a read of the records.
+const RECORDS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between two looks of a stream that waits for a record.
 const RECORD_WAIT_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -94,6 +100,8 @@
     current_since: Cell<Option<Duration>>,
     /// Since when a record has been missing.
     missing_since: Cell<Option<Duration>>,
+    /// Since when the versions that the services have now have been there without a record, by key.
+    unrecorded_since: RefCell<BTreeMap<String, Duration>>,
 }
 
 impl VersionRecords {
@@ -339,17 +347,52 @@
         self.version_records.outdated.borrow().iter().any(|key| self.owns(key))
     }
 
-    /// Lists the recent versions without a record, by key. A service without upstreams keeps its
-    /// last versions.
+    /// Lists the versions that have to be recorded now, by key.
     fn missing_versions(&self) -> Vec<(String, VersionRecord)> {
-        let history = self.history.borrow();
-        let missing =
-            history.all().filter(|(service, version)| !self.version_records.has(service, version));
-        let missing = missing.map(|(service, version)| VersionRecord {
-            service: service.clone(),
-            version: version.clone(),
-        });
-        missing.map(|record| (record.key(), record)).collect()
+        let now = self.now();
+        let unrecorded = self.unrecorded_records();
+        let mut since = self.version_records.unrecorded_since.borrow_mut();
+        since.retain(|key, _| unrecorded.contains_key(key));
+        let mut is_due = |key: &String, record: &VersionRecord| {
+            let since = *since.entry(key.clone()).or_insert(now);
+            now >= since + RECORD_DELAY || !self.has_recorded_version(&record.service)
+        };
+        unrecorded.into_iter().filter(|(key, record)| is_due(key, record)).collect()
+    }
+
+    /// Lists the versions that the services have now and that have no record, by key.
+    fn unrecorded_records(&self) -> BTreeMap<String, VersionRecord> {
+        let directory = self.upstreams.directory();
+        let mut unrecorded = BTreeMap::new();
+        for (service, versions) in directory.versions() {
+            for version in versions.filter(|version| !self.version_records.has(service, version)) {
+                let record = VersionRecord { service: service.clone(), version: version.clone() };
+                unrecorded.insert(record.key(), record);
+            }
+        }
+        unrecorded
+    }
+
+    /// Lists the versions that may have begun streams of a service, of those that are `known`. As
+    /// long as a recorded version is there, versions without a record have begun none.
+    pub(super) async fn versions_in_use(
+        &self,
+        service: &str,
+        known: BTreeSet<Arc<str>>,
+    ) -> BTreeSet<Arc<str>> {
+        let is_recorded = |version: &Arc<str>| self.version_records.has(service, version);
+        if known.len() < 2
+            || !self.version_records.is_complete.get()
+            || known.iter().all(is_recorded)
+        {
+            return known;
+        }
+        let read = timeout(RECORDS_TIMEOUT, self.read_version_records()).await;
+        if !matches!(read, Ok(Ok(_))) || !self.has_recorded_version(service) {
+            return known;
+        }
+        let known = known.into_iter().chain(self.recent_versions(service));
+        known.filter(is_recorded).collect()
     }
 
     fn owns(&self, key: &str) -> bool {
