The soak changes versions while all or half of the nodes are killed at once

A service of its own, whose upstreams put their version into each event; callers take broken streams up with Last-Event-Id and Resumes, three times at most. The old version stays, leaves before or meanwhile, or its instances start again with the new one. ORDER: a stream holds each event once, of one version. LOST: of the streams taken up after an end of all nodes whose version still serves, those that go on are at least half the share of new streams that begin at the same node at the same moment. Requests sent while all nodes were down don't count for the share that is served.

--- a/crates/fernring-standins/examples/soak/faults.rs
+++ b/crates/fernring-standins/examples/soak/faults.rs
@@ -82,9 +82,13 @@
     /// One, some or all upstreams of a service fall silent, at times twice, while configurations are
     /// written.
     Silence,
+    /// All or half of the nodes are killed at once while the versions of a service change; no other
+    /// fault is injected.
+    Versions,
 }
 
-/// The kinds that are drawn at random; limits, roll-outs and overload run in parallel to them.
+/// The kinds that are drawn at random; limits, roll-outs, overload and versions run in parallel to
+/// them.
 const DRAWN_KINDS: [FaultKind; 11] = [
     FaultKind::Kill,
     FaultKind::Stop,
@@ -225,8 +229,11 @@
                 self.nodes.rewrite_settings(node).await
             }
             FaultKind::Silence => self.silence_upstreams(draw, version).await,
-            // `announce_limits`, `overload_upstreams` and `rollouts::order_rollouts` inject these.
-            FaultKind::Limit | FaultKind::Rollout | FaultKind::Overload => Ok(()),
+            // `announce_limits`, `overload_upstreams`, `rollouts::order_rollouts` and
+            // `versions::change_versions` inject these.
+            FaultKind::Limit | FaultKind::Rollout | FaultKind::Overload | FaultKind::Versions => {
+                Ok(())
+            }
         }
     }
 
@@ -367,6 +374,7 @@
     }
 
     async fn inject_store_outage(&self, mode: Mode, time: Duration) -> anyhow::Result<()> {
+        self.ledger.record_outage(time);
         // Nodes can't read any record during the outage.
         (0..self.nodes.count()).for_each(|node| self.nodes.mark_disturbed(node, time));
         self.store.set_mode(mode);
--- a/crates/fernring-standins/examples/soak/nodes.rs
+++ b/crates/fernring-standins/examples/soak/nodes.rs
@@ -187,8 +187,26 @@
         self.lock(number).stopping_until.is_some_and(|until| until > since)
     }
 
-    /// Ends a node with a signal, checks how it ended and starts a new process.
+    /// Kills nodes with SIGKILL at once, and starts them again when all have ended and `while_down`
+    /// is done.
+    pub(crate) async fn kill_together(
+        &self,
+        numbers: &[usize],
+        while_down: impl Future<Output = anyhow::Result<()>>,
+    ) -> anyhow::Result<()> {
+        let ends = numbers.iter().map(|number| self.end(*number, Signal::SIGKILL));
+        futures_util::future::try_join_all(ends).await?;
+        while_down.await?;
+        numbers.iter().try_for_each(|number| self.start_again(*number))
+    }
+
     async fn restart_after(&self, number: usize, signal: Signal) -> anyhow::Result<()> {
+        self.end(number, signal).await?;
+        self.start_again(number)
+    }
+
+    /// Ends a node with a signal and checks how it ended.
+    async fn end(&self, number: usize, signal: Signal) -> anyhow::Result<()> {
         // The process may have ended on its own before.
         let sent = self.signal(number, signal);
         let status = loop {
@@ -197,11 +215,16 @@
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         };
-        let mut node = self.lock(number);
         if sent.is_err() || !is_end_by(status, signal) {
-            let violation = format!("{} ended with {status} instead of {signal}", node.name);
+            let name = &self.lock(number).name;
+            let violation = format!("{name} ended with {status} instead of {signal}");
             self.unexpected_ends().push(violation);
         }
+        Ok(())
+    }
+
+    fn start_again(&self, number: usize) -> anyhow::Result<()> {
+        let mut node = self.lock(number);
         let process = Process::start(&node.name, "fernring", &["gateway", &node.settings])?;
         let earlier = std::mem::replace(&mut node.process, process);
         node.earlier_lines.extend(earlier.lines());
--- a/crates/fernring-standins/tests/testsuite/soak.rs
+++ b/crates/fernring-standins/tests/testsuite/soak.rs
@@ -62,6 +62,13 @@
     run_soak(601, 25, 80, &["--only", "rollout"]);
 }
 
+/// Streams that were taken up after all nodes were killed at once, while a version of their service was
+/// replaced, were joined from two versions or refused.
+#[test]
+fn streams_taken_up_after_all_nodes_were_killed_go_on_at_their_version() {
+    run_soak(1, 15, 40, &["--only", "versions"]);
+}
+
 #[test]
 fn guarantees_hold_under_all_faults() {
     run_soak(311, 20, 40, &[]);
