--- a/crates/fernring-standins/examples/soak/ledger.rs
+++ b/crates/fernring-standins/examples/soak/ledger.rs
@@ -101,6 +101,7 @@
 struct RequestRecord {
     kind: RequestKind,
     sent_at: Instant,
+    ended_at: Option<Instant>,
     /// The node that it was sent to.
     node: usize,
     /// The node that it was sent to, if it is a deadly request.
@@ -275,8 +276,8 @@
 }
 
 impl Report {
-    /// Returns the share of the requests that got a complete answer, of those sent while nodes were
-    /// up.
+    /// Returns the share of the requests that got a complete answer, of those sent and ended while
+    /// nodes were up.
     pub(crate) fn served_share(&self) -> f64 {
         self.served as f64 / self.requests.max(1) as f64
     }
@@ -301,6 +302,7 @@
         let record = RequestRecord {
             kind,
             sent_at: Instant::now(),
+            ended_at: None,
             node,
             deadly_node,
             outcome: None,
@@ -359,6 +361,7 @@
     pub(crate) fn record_outcome(&self, id: &str, outcome: Outcome) {
         if let Some(record) = self.lock().requests.get_mut(id) {
             record.outcome = Some(outcome);
+            record.ended_at = Some(Instant::now());
         }
     }
 
@@ -569,7 +572,10 @@
         }
         // Take-ups may be refused, and are checked by themselves.
         let is_counted = |record: &&RequestRecord| {
-            let is_up = !inner.downtimes.iter().any(|span| span.contains(&record.sent_at));
+            let is_within = |span: &Range<Instant>| {
+                record.sent_at < span.end && record.ended_at.is_none_or(|at| at > span.start)
+            };
+            let is_up = !inner.downtimes.iter().any(is_within);
             record.deadly_node.is_none() && record.kind != RequestKind::Feed && is_up
         };
         let counted = || inner.requests.values().filter(is_counted);
