The soak withdraws a version that has just come while all nodes are down

A sixth change: the new version comes 60 to 180 ms before the nodes are killed and is gone when they start.

--- a/crates/fernring-standins/examples/soak/faults.rs
+++ b/crates/fernring-standins/examples/soak/faults.rs
@@ -226,7 +226,13 @@
             FaultKind::DeadlyPart => self.send_deadly_requests(draw, true).await,
             FaultKind::Settings => {
                 let node = draw as usize % self.nodes.count();
-                self.nodes.rewrite_settings(node).await
+                // A node that is killed and started meanwhile may read invalid settings.
+                let is_reserved = self.nodes.reserve(node);
+                let result = self.nodes.rewrite_settings(node).await;
+                if is_reserved {
+                    self.nodes.release(node);
+                }
+                result
             }
             FaultKind::Silence => self.silence_upstreams(draw, version).await,
             // `announce_limits`, `overload_upstreams`, `rollouts::order_rollouts` and
--- a/crates/fernring-standins/examples/soak/nodes.rs
+++ b/crates/fernring-standins/examples/soak/nodes.rs
@@ -158,7 +158,8 @@
         let broken = text.replace("[node]", "[node");
         for text in [&text, &changed, &broken, &text] {
             std::fs::write(&path, text)?;
-            self.signal(number, Signal::SIGHUP)?;
+            // An error is ignored: the node may be down. One that ended on its own is reported.
+            let _ = self.signal(number, Signal::SIGHUP);
             tokio::time::sleep(REWRITE_PAUSE).await;
         }
         Ok(())
--- a/crates/fernring-standins/examples/soak/versions.rs
+++ b/crates/fernring-standins/examples/soak/versions.rs
@@ -66,14 +66,17 @@
     LeavesMeanwhile,
     /// Its instances start again with the new version while the nodes are down.
     StartsAgain,
+    /// It stays, and the new one comes shortly before and is gone while the nodes are down.
+    Returns,
 }
 
-const CHANGES: [Change; 5] = [
+const CHANGES: [Change; 6] = [
     Change::None,
     Change::Stays,
     Change::LeavesBefore,
     Change::LeavesMeanwhile,
     Change::StartsAgain,
+    Change::Returns,
 ];
 
 /// How many of the streams that were taken up after an end of all nodes went on, and how many of the
@@ -212,14 +215,12 @@
             }
             let id = format!("{}-{number}", self.id);
             let end = self.streams.last_end(first_event_at);
-            let served_before = self.is_version_serving();
+            let could_go_on = self.can_go_on(first_event_at);
             let beside = end.map(|_| self.begin_beside(format!("{id}-new"), node));
             attempt = self.send(id, node).await;
-            let is_checked = served_before
-                && self.is_version_serving()
-                && !self.system.ledger.had_outage_since(first_event_at - STORE_SETTLE_TIME);
+            let goes_on = attempt != Attempt::Nothing;
+            let is_checked = could_go_on && (goes_on || self.can_go_on(first_event_at));
             if is_checked && let Some((end, beside)) = end.zip(beside) {
-                let goes_on = attempt != Attempt::Nothing;
                 self.streams.record(end, |kept| &mut kept.taken_up, goes_on);
                 let streams = self.streams.clone();
                 tokio::spawn(async move {
@@ -236,11 +237,13 @@
         tokio::spawn(async move { reader.send(id, node).await != Attempt::Nothing })
     }
 
-    fn is_version_serving(&self) -> bool {
+    /// Returns whether its version serves and the store has been available since its first event.
+    fn can_go_on(&self, first_event_at: Instant) -> bool {
         let is_same = |upstream: &Arc<Upstream>| {
             upstream.service == FEED_SERVICE && Some(&upstream.version) == self.version.as_ref()
         };
         self.system.upstreams.all().iter().any(is_same)
+            && !self.system.ledger.had_outage_since(first_event_at - STORE_SETTLE_TIME)
     }
 
     /// Sends one request for the events after the last one.
@@ -362,7 +365,7 @@
                 self.upstreams.add_version(FEED_SERVICE, new.to_owned(), false).await?;
             }
         }
-        sleep(pauses[1]).await;
+        sleep(if change == Change::Returns { pauses[1] / 5 } else { pauses[1] }).await;
         if change == Change::LeavesBefore {
             self.remove_version(old);
             sleep(pauses[2]).await;
@@ -370,6 +373,7 @@
         let meanwhile = async {
             match change {
                 Change::LeavesMeanwhile => self.remove_version(old),
+                Change::Returns => self.remove_version(new),
                 Change::StartsAgain => {
                     for upstream in self.upstreams.take_version(FEED_SERVICE, old, true) {
                         upstream.announce_limit(None);
@@ -390,7 +394,7 @@
         if change == Change::Stays {
             self.remove_version(old);
         }
-        Ok(if change == Change::None { old } else { new })
+        Ok(if matches!(change, Change::None | Change::Returns) { old } else { new })
     }
 
     async fn kill_nodes(
