The first history of a deployment is marked as complete at once

Cause: the mark was left to the owner of its key for a second, and the owner mostly is a node that waits for the mark.

Change: a node that started first writes the records and the mark itself.

--- a/crates/fernring-gateway/src/stream_origins/version_records.rs
+++ b/crates/fernring-gateway/src/stream_origins/version_records.rs
@@ -290,7 +290,9 @@
         if !self.has_missing_records() {
             return self.remove_outdated_records(end).await;
         }
-        let is_overdue = now >= missing_since + OWNER_TIME;
+        // At the first start, the owner may be a node that waits for the mark itself.
+        let is_first = state.is_first_start.get() == Some(true) && !state.is_marked.get();
+        let is_overdue = is_first || now >= missing_since + OWNER_TIME;
         for (key, record) in self.missing_versions() {
             if is_overdue || self.owns(&key) {
                 self.write_record(&key, encode(&record)?.as_bytes()).await?;
