Extra sends before and after the end of all nodes stay within the allowance

Callers saw nothing; upstreams of one service got more repeated requests within a window than all nodes together may send: 138 beyond the first where 128 are allowed (three nodes spend the budget, are killed, and spend it again), and 69 where 24 are allowed (a node that knows of nine others by their records and has heard none).

Cause: the budget starts empty with each process, which passes for a budget that nobody has spent; and the slack was divided by the nodes heard so far, which is one right after a start.

For the length of a window after its start a node spends what the shares before it can't have spent: the rest of the ratio and of the slack (1 - 0.7, 1 - 0.6). The slack is divided by the largest number of nodes known lately, from records of the store as well, as cold starts and announced limits do; none is spent until that number is known.

Not covered: all nodes killed twice within one window.

--- a/crates/fernring-gateway/src/decide/budget.rs
+++ b/crates/fernring-gateway/src/decide/budget.rs
@@ -1,5 +1,9 @@
 //! The budget of sends beyond the first. All nodes share it without communicating: each spends its
 //! part of the allowance, in proportion to the requests that it received itself.
+//!
+//! A node that starts doesn't know what was spent before: all nodes may have ended at the same moment,
+//! with their budgets spent. For the length of a window it spends only what nodes that ran before
+//! can't have spent.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -10,9 +14,13 @@
 /// Part of the allowed ratio that a node spends. It is below 1 because the windows of the nodes are
 /// not aligned: a request counted late in one window may be repeated in the next.
 const RATIO_SHARE: f64 = 0.7;
+/// Part of the allowed ratio that a node spends in the first window after its start.
+const STARTUP_RATIO_SHARE: f64 = 1.0 - RATIO_SHARE;
 /// Part of the allowed slack that all nodes spend together. It is below 1 because nodes that join
 /// or return briefly count fewer peers than there are.
 const SLACK_SHARE: f64 = 0.6;
+/// Part of the allowed slack that all nodes spend together in the first window after their start.
+const STARTUP_SLACK_SHARE: f64 = 1.0 - SLACK_SHARE;
 
 /// Extra sends allowed to all nodes together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -45,13 +53,14 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     allowance: Allowance,
+    started_at: Duration,
     services: HashMap<Arc<str>, Spending>,
 }
 
 impl RetryBudget {
-    /// Creates an unspent budget.
-    pub fn new(allowance: Allowance) -> Self {
-        Self { allowance, services: HashMap::new() }
+    /// Creates the budget of a node that starts.
+    pub fn new(allowance: Allowance, started_at: Duration) -> Self {
+        Self { allowance, started_at, services: HashMap::new() }
     }
 
     /// Changes the allowance.
@@ -67,18 +76,24 @@
     }
 
     /// Spends `count` extra sends to a service, or none; returns whether it did. `nodes` is the
-    /// number of nodes that share the slack.
+    /// number of nodes that share the slack; a node that doesn't know it spends no slack.
     pub fn try_spend(
         &mut self,
         now: Duration,
         service: &Arc<str>,
         count: usize,
-        nodes: usize,
+        nodes: Option<usize>,
     ) -> bool {
         let spending = self.services.entry(service.clone()).or_default();
         spending.drop_before(now.saturating_sub(self.allowance.window));
-        let by_ratio = spending.requests.len() as f64 * self.allowance.ratio * RATIO_SHARE;
-        let by_slack = self.allowance.slack * SLACK_SHARE / nodes.max(1) as f64;
+        let is_starting = now < self.started_at + self.allowance.window;
+        let (ratio_share, slack_share) = match is_starting {
+            true => (STARTUP_RATIO_SHARE, STARTUP_SLACK_SHARE),
+            false => (RATIO_SHARE, SLACK_SHARE),
+        };
+        let by_ratio = spending.requests.len() as f64 * self.allowance.ratio * ratio_share;
+        let slack_of_node = |nodes: usize| self.allowance.slack * slack_share / nodes.max(1) as f64;
+        let by_slack = nodes.map_or(0.0, slack_of_node);
         if (spending.extra_sends.len() + count) as f64 > by_ratio + by_slack {
             return false;
         }
--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -158,7 +158,11 @@
             Rc::new(Connector::new(clock.clone(), dialer)),
         ));
         let peers = Rc::new(Peers::new(member, clock.clone()));
-        let retries = Rc::new(Retries::new(settings.retries.allowance(), peers.clone()));
+        let retries = Rc::new(Retries::new(
+            settings.retries.allowance(),
+            clock.now().monotonic,
+            upstreams.clone(),
+        ));
         let decide_settings = Rc::new(Cell::new(settings.decide));
         let crash_attribution = Rc::new(CrashAttribution::new(
             clock.clone(),
--- a/crates/fernring-gateway/src/retries.rs
+++ b/crates/fernring-gateway/src/retries.rs
@@ -1,10 +1,11 @@
-//! The node's retry budget. Its size depends on the number of live nodes.
+//! The node's retry budget. Its size depends on the number of nodes, including those that this node
+//! hasn't heard yet or no longer reaches.
 
 use {
     crate::{
         budget::{Allowance, RetryBudget},
-        peers::Peers,
         telemetry,
+        upstreams::Upstreams,
     },
     std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
 };
@@ -12,13 +13,13 @@
 /// The retry budget of a node.
 pub struct Retries {
     budget: RefCell<RetryBudget>,
-    peers: Rc<Peers>,
+    upstreams: Rc<Upstreams>,
 }
 
 impl Retries {
-    /// Creates an unused budget.
-    pub fn new(allowance: Allowance, peers: Rc<Peers>) -> Self {
-        Self { budget: RefCell::new(RetryBudget::new(allowance)), peers }
+    /// Creates the budget of a node that starts.
+    pub fn new(allowance: Allowance, started_at: Duration, upstreams: Rc<Upstreams>) -> Self {
+        Self { budget: RefCell::new(RetryBudget::new(allowance, started_at)), upstreams }
     }
 
     /// Changes the allowance.
@@ -34,7 +35,7 @@
     /// Spends budget on extra sends to a service, all of them or none; returns whether the budget
     /// allowed them.
     pub fn try_spend(&self, now: Duration, service: &Arc<str>, count: usize) -> bool {
-        let nodes = self.peers.node_count();
+        let nodes = self.upstreams.peak_nodes();
         let is_allowed = self.budget.borrow_mut().try_spend(now, service, count, nodes);
         if !is_allowed {
             telemetry::record_retry_denied(service);
--- a/crates/fernring-gateway/src/upstreams/access.rs
+++ b/crates/fernring-gateway/src/upstreams/access.rs
@@ -31,6 +31,7 @@
     pub(super) node: u64,
     pub(super) started_at: Duration,
     pub(super) peak_nodes: PeakNodeCount,
+    pub(super) has_read_nodes: bool,
     pub(super) permits: SecondaryMap<UpstreamKey, ColdPermits>,
     pub(super) no_listener: SecondaryMap<UpstreamKey, RefusedConnection>,
 }
@@ -46,7 +47,18 @@
     /// Sets how many nodes have a record in the store. That many nodes may exist, even if some of
     /// them are unreachable.
     pub fn set_recorded_nodes(&self, nodes: usize) {
-        self.cold.borrow_mut().peak_nodes.record(self.clock.now().monotonic, nodes);
+        let mut cold = self.cold.borrow_mut();
+        cold.peak_nodes.record(self.clock.now().monotonic, nodes);
+        cold.has_read_nodes = true;
+    }
+
+    /// Returns the largest recent number of nodes; `None` if neither the store nor enough time has
+    /// told yet.
+    pub fn peak_nodes(&self) -> Option<usize> {
+        let cold = self.cold.borrow();
+        let is_known =
+            cold.has_read_nodes || self.clock.now().monotonic >= cold.started_at + STARTUP_TIME;
+        is_known.then(|| cold.peak_nodes.peak())
     }
 
     /// Sets the limits on sends to cold upstreams that apply in addition to the configuration.
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -199,6 +199,7 @@
             node: rand::random(),
             started_at: clock.now().monotonic,
             peak_nodes: PeakNodeCount::default(),
+            has_read_nodes: false,
             permits: SecondaryMap::new(),
             no_listener: SecondaryMap::new(),
         };
