A node whose clock is ahead doesn't remove the records of the quarantine

After the end of all nodes, one that started before the others with a clock ahead of the one that wrote the records took them for expired and removed them: nodes that started after it sent requests on that had crashed three upstreams.

Cause: the age of a crash is the difference of two machines' calendar times, and the owner of a key removes what it doesn't hold as quarantined; it had never held it.

A record that a node found at its start but never held is removed only once the node has run for the lifetime of a crash by its own clock: the crash came before the start, so it has expired whatever the calendar says.

Not covered: a clock that is ahead by less than what is left shortens a quarantine by as much.

--- a/crates/fernring-gateway/src/crash_attribution/mod.rs
+++ b/crates/fernring-gateway/src/crash_attribution/mod.rs
@@ -103,6 +103,7 @@
 
 /// Upstreams that crashed, and the requests that were in flight there.
 pub struct CrashAttribution {
+    started_at: Duration,
     clock: Rc<dyn Clock>,
     store: Rc<dyn Store>,
     upstreams: Rc<Upstreams>,
@@ -137,6 +138,7 @@
         decide_settings: Rc<Cell<DecideSettings>>,
     ) -> Self {
         Self {
+            started_at: clock.now().monotonic,
             clock,
             store,
             upstreams,
--- a/crates/fernring-gateway/src/crash_attribution/persistence.rs
+++ b/crates/fernring-gateway/src/crash_attribution/persistence.rs
@@ -7,7 +7,7 @@
         fingerprint::{Fingerprint, PartKey, RequestTraits},
         log,
         part_quarantine::PartCrashRecord,
-        quarantine::CrashRecord,
+        quarantine::{ATTRIBUTION_LIFETIME, CrashRecord},
         wire::{KeyedRecord, Topic},
     },
     fernring_core::{clock::saturating_ms, text::LogLine},
@@ -27,7 +27,11 @@
 
 /// Keys of the records that are in the store, as far as this node knows.
 #[derive(Debug, Default)]
-pub(super) struct PersistedKeys(BTreeSet<String>);
+pub(super) struct PersistedKeys {
+    stored: BTreeSet<String>,
+    /// Those of requests and parts that were quarantined at this node since its start.
+    held: BTreeSet<String>,
+}
 
 /// A quarantined request as stored, in TOML.
 #[derive(Debug, Serialize, Deserialize)]
@@ -72,25 +76,41 @@
     format!("{PART_RECORD_KEY_PREFIX}{digest}")
 }
 
+impl PersistedKeys {
+    fn forget(&mut self, key: &str) {
+        self.stored.remove(key);
+        self.held.remove(key);
+    }
+}
+
 impl CrashAttribution {
     /// Writes missing records and removes expired ones, among those whose keys this node owns.
     pub(super) async fn persist(&self) {
         let quarantined = self.quarantined_records();
         let is_mine = |key: &String| self.peers.owner(key) == self.peers.address();
         let missing =
-            quarantined.iter().filter(|(key, _)| !self.persisted.borrow().0.contains(*key));
+            quarantined.iter().filter(|(key, _)| !self.persisted.borrow().stored.contains(*key));
         for (key, record) in missing.filter(|(key, _)| is_mine(key)).collect::<Vec<_>>() {
             self.write_record(key, Some(record)).await;
         }
-        let persisted = self.persisted.borrow().0.clone();
+        self.persisted.borrow_mut().held.extend(quarantined.keys().cloned());
+        let persisted = self.persisted.borrow().stored.clone();
         for key in persisted.iter().filter(|key| !quarantined.contains_key(*key)) {
             match is_mine(key) {
-                true => self.write_record(key, None).await,
-                false => drop(self.persisted.borrow_mut().0.remove(key)),
+                true if self.is_surely_over(key) => self.write_record(key, None).await,
+                true => {}
+                false => self.persisted.borrow_mut().forget(key),
             }
         }
     }
 
+    /// Returns whether what isn't quarantined here needs no record anywhere. If this node has never
+    /// held it as quarantined, its clock may be ahead of the one that wrote the record.
+    fn is_surely_over(&self, key: &str) -> bool {
+        let has_run_long = self.clock.now().monotonic >= self.started_at + ATTRIBUTION_LIFETIME;
+        has_run_long || self.persisted.borrow().held.contains(key)
+    }
+
     /// Returns the records of all that is quarantined, by key.
     fn quarantined_records(&self) -> BTreeMap<String, String> {
         let quarantine = self.quarantine.borrow();
@@ -124,7 +144,7 @@
     /// Forgets which records are in the store after it was restored from a backup: they may be
     /// lost, and are written again.
     pub fn handle_store_restored(&self) {
-        self.persisted.borrow_mut().0.clear();
+        self.persisted.borrow_mut().stored.clear();
     }
 
     /// Writes a record, or removes it if `record` is `None`. A failed write is repeated in the next
@@ -133,8 +153,8 @@
         let value = record.map(String::as_bytes);
         let written = self.store.write(Topic::Nodes, key, value).await;
         match (written, record) {
-            (Ok(()), Some(_)) => drop(self.persisted.borrow_mut().0.insert(key.to_owned())),
-            (Ok(()), None) => drop(self.persisted.borrow_mut().0.remove(key)),
+            (Ok(()), Some(_)) => drop(self.persisted.borrow_mut().stored.insert(key.to_owned())),
+            (Ok(()), None) => self.persisted.borrow_mut().forget(key),
             (Err(error), _) => log_not_persisted(key, &error),
         }
     }
@@ -157,7 +177,7 @@
         let Some(stored) = decode::<QuarantineRecord>(record) else {
             return;
         };
-        self.persisted.borrow_mut().0.insert(record.key.to_string());
+        self.persisted.borrow_mut().stored.insert(record.key.to_string());
         let at = self.time_of(stored.at_ms);
         for crash in stored.ended {
             let incarnation =
@@ -174,7 +194,7 @@
             log_unreadable(&record.key, "the part is no number");
             return;
         };
-        self.persisted.borrow_mut().0.insert(record.key.to_string());
+        self.persisted.borrow_mut().stored.insert(record.key.to_string());
         let part = PartKey { service: stored.service.into(), id };
         for crash in stored.ended {
             let Some(fingerprint) = Fingerprint::parse(&crash.content) else {
