--- a/crates/fernring-standins/examples/soak/main.rs
+++ b/crates/fernring-standins/examples/soak/main.rs
@@ -49,6 +49,9 @@
     /// Only this kind of fault; all if none is named
     #[arg(long)]
     only: Option<faults::FaultKind>,
+    /// Inject all faults but changes of versions with an end of all nodes.
+    #[arg(long, conflicts_with = "only")]
+    without_versions: bool,
     /// Keep the nodes' logs also if no guarantee was violated
     #[arg(long)]
     keep_logs: bool,
@@ -95,7 +98,8 @@
             false => Ok(()),
         }
     };
-    let has_versions = args.only.is_none_or(|kind| kind == faults::FaultKind::Versions);
+    let has_versions =
+        !args.without_versions && args.only.is_none_or(|kind| kind == faults::FaultKind::Versions);
     let streams = Arc::new(versions::Streams::default());
     let versions = async {
         match has_versions {
