A version that only drains doesn't keep another one without a record

Found by reading before the landing: while the recorded version of a service drains, new streams began at another one without a record, and after the end of all nodes counted as streams of the recorded one.

Cause: a recorded version counted as one that can begin streams as long as it had any upstream.

Change: it counts only while one of its upstreams gets new work. While it does, candidates without a record are left out even if no other is left for this request; once it doesn't, the other version is recorded at once and streams wait for that.

--- a/crates/fernring-gateway/src/serving/exchange/resuming.rs
+++ b/crates/fernring-gateway/src/serving/exchange/resuming.rs
@@ -89,7 +89,8 @@
         }
     }
 
-    /// Leaves out candidates whose version isn't recorded in the store, if others are left.
+    /// Leaves out candidates whose version isn't recorded in the store, unless no recorded version
+    /// can begin streams.
     pub(super) fn filter_by_record(&self, candidates: Vec<Candidate>) -> Vec<Candidate> {
         if !self.begins_resumable_stream() {
             return candidates;
@@ -105,7 +106,10 @@
         };
         let (unrecorded, recorded): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(is_unrecorded);
-        if recorded.is_empty() { unrecorded } else { recorded }
+        match self.serving.stream_origins.has_recorded_version(&self.service) {
+            true => recorded,
+            false => unrecorded,
+        }
     }
 
     /// Records the version of the upstream whose first complete event is about to be forwarded.
--- a/crates/fernring-gateway/src/stream_origins/version_records.rs
+++ b/crates/fernring-gateway/src/stream_origins/version_records.rs
@@ -134,10 +134,7 @@
     /// Lists the versions that a service has now and whose records aren't in the store; none if
     /// there is a single version.
     pub fn unrecorded_versions(&self, service: &str) -> Vec<Arc<str>> {
-        let directory = self.upstreams.directory();
-        let versions =
-            directory.versions_of(service).into_iter().flat_map(|(_, versions)| versions);
-        let versions: Vec<_> = versions.cloned().collect();
+        let versions = self.current_versions(service);
         let unrecorded =
             versions.iter().filter(|version| !self.version_records.has(service, version));
         if versions.len() > 1 { unrecorded.cloned().collect() } else { Vec::new() }
@@ -149,19 +146,35 @@
     pub async fn wait_until_recorded(&self, service: &str) {
         let state = &self.version_records;
         let end = state.missing_since.get().unwrap_or_else(|| self.now()) + RECORD_WAIT_MAX;
-        while state.is_complete.get() && self.now() < end && !self.has_recorded_version(service) {
+        while state.is_complete.get() && self.now() < end && self.lacks_record(service) {
             sleep(RECORD_WAIT_INTERVAL).await;
         }
     }
 
-    fn has_recorded_version(&self, service: &str) -> bool {
-        let directory = self.upstreams.directory();
-        let versions = directory.versions_of(service);
-        versions.is_none_or(|(service, mut versions)| {
-            versions.any(|version| self.version_records.has(service, version))
+    /// Returns whether only versions without a record can begin streams of a service.
+    fn lacks_record(&self, service: &str) -> bool {
+        let versions = self.current_versions(service);
+        let is_recorded = |version: &Arc<str>| self.version_records.has(service, version);
+        !versions.iter().all(is_recorded) && !self.has_recorded_version(service)
+    }
+
+    /// Returns whether a version with a record can begin streams of a service: one of its upstreams
+    /// gets new work.
+    pub fn has_recorded_version(&self, service: &str) -> bool {
+        let mut versions = self.current_versions(service).into_iter();
+        versions.any(|version| {
+            self.version_records.has(service, &version)
+                && self.upstreams.has_version(service, &version)
         })
     }
 
+    /// Lists the versions that a service has now.
+    fn current_versions(&self, service: &str) -> Vec<Arc<str>> {
+        let directory = self.upstreams.directory();
+        let versions = directory.versions_of(service).into_iter();
+        versions.flat_map(|(_, versions)| versions.cloned()).collect()
+    }
+
     /// Records whether the upstreams' records are current. After a gap, versions may have come and
     /// gone unseen.
     pub(super) fn observe_gap(&self, now: Duration) {
@@ -376,7 +389,7 @@
     }
 
     /// Lists the versions that may have begun streams of a service, of those that are `known`. As
-    /// long as a recorded version is there, versions without a record have begun none.
+    /// long as a recorded version can begin streams, versions without a record have begun none.
     pub(super) async fn versions_in_use(
         &self,
         service: &str,
