--- a/crates/fernring-gateway/src/crash_attribution/persistence.rs
+++ b/crates/fernring-gateway/src/crash_attribution/persistence.rs
@@ -238,9 +238,7 @@
 
 /// Decodes a record; logs why that fails.
 fn decode<T: DeserializeOwned>(record: &KeyedRecord) -> Option<T> {
-    let value = std::str::from_utf8(record.value.as_deref()?).map_err(|error| error.to_string());
-    let decoded = value.and_then(|value| toml::from_str(value).map_err(|error| error.to_string()));
-    match decoded {
+    match record.decode_toml()? {
         Ok(decoded) => Some(decoded),
         Err(error) => {
             log_unreadable(&record.key, error);
--- a/crates/fernring-gateway/src/stream_origins/origin_log.rs
+++ b/crates/fernring-gateway/src/stream_origins/origin_log.rs
@@ -213,8 +213,7 @@
 }
 
 fn decode(record: &KeyedRecord) -> Option<StoredOrigins> {
-    let text = std::str::from_utf8(record.value.as_deref()?).map_err(|error| error.to_string());
-    match text.and_then(|text| toml::from_str(text).map_err(|error| error.to_string())) {
+    match record.decode_toml()? {
         Ok(stored) => Some(stored),
         Err(error) => {
             let line = LogLine::event("origin_record_unreadable").with("offset", record.offset);
--- a/crates/fernring-gateway/src/stream_origins/version_records.rs
+++ b/crates/fernring-gateway/src/stream_origins/version_records.rs
@@ -14,10 +14,11 @@
     super::StreamOrigins,
     crate::{
         fingerprint::Fingerprint,
+        full_read::FullRead,
         log,
         origin_table::STREAM_LIFETIME,
         telemetry,
-        wire::{KeyedRecord, StoreError, Topic},
+        wire::{KeyedRecord, Page, StoreError, Topic},
     },
     fernring_core::text::LogLine,
     rand::RngExt,
@@ -252,15 +253,12 @@
     /// Reads the records, and notes which are in the store. Versions that this node hasn't seen, or
     /// not since a gap, are added to the history. Returns the end of the topic.
     async fn read_version_records(&self) -> Result<u64, StoreError> {
-        let mut records = Vec::new();
-        let mut after: Option<Arc<str>> = None;
-        let (era, end) = loop {
-            let newest = self.store.read_newest(Topic::Versions, after.as_deref()).await?;
+        let mut full_read = FullRead::default();
+        let Page { mut records, era, end, .. } = loop {
+            let newest = self.store.read_newest(Topic::Versions, full_read.page_token()).await?;
             telemetry::record_store_call(Topic::Versions.name(), "answered");
-            records.extend(newest.page.records);
-            after = newest.next;
-            if after.is_none() {
-                break (newest.page.era, newest.page.end);
+            if let Some(all_records) = full_read.add_page(newest)? {
+                break all_records;
             }
         };
         records.retain(|record| record.value.is_some());
@@ -429,8 +427,7 @@
 }
 
 fn decode(record: &KeyedRecord) -> Option<VersionRecord> {
-    let text = std::str::from_utf8(record.value.as_deref()?).map_err(|error| error.to_string());
-    match text.and_then(|text| toml::from_str(text).map_err(|error| error.to_string())) {
+    match record.decode_toml()? {
         Ok(decoded) => Some(decoded),
         Err(error) => {
             log_unreadable(&record.key, error);
--- a/crates/fernring-gateway/src/wire.rs
+++ b/crates/fernring-gateway/src/wire.rs
@@ -14,6 +14,7 @@
     async_trait::async_trait,
     bytes::Bytes,
     http::{HeaderMap, HeaderName, StatusCode},
+    serde::de::DeserializeOwned,
     std::{sync::Arc, time::Duration},
     thiserror::Error,
 };
@@ -171,6 +172,17 @@
     pub offset: u64,
 }
 
+impl KeyedRecord {
+    /// Decodes the value, which is TOML; `None` if the key was removed.
+    ///
+    /// # Errors
+    /// Says why the value can't be decoded.
+    pub(crate) fn decode_toml<T: DeserializeOwned>(&self) -> Option<Result<T, String>> {
+        let text = std::str::from_utf8(self.value.as_deref()?).map_err(|error| error.to_string());
+        Some(text.and_then(|text| toml::from_str(text).map_err(|error| error.to_string())))
+    }
+}
+
 /// Consecutive records of a topic, and the offset at which reading continues.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
