Review: one repeated answer of a stage's engine shifts all answers that follow

An engine of a stage answers one call with errors only and sends that answer again where the next one is expected. The owner of the stage takes it for the next call's answer, and keeps the connection; from then on each call gets the answer of the call before, and model engines get inputs of other requests.

--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,22 @@
+//! Stand-ins for the platform's store, engines and clients, and the cases that use them.
+
+mod deployment;
+mod end_of_grace;
+mod engines;
+mod extra_answer;
+mod http;
+mod json;
+mod store;
+
+fn main() {
+    let arguments: Vec<_> = std::env::args().skip(1).collect();
+    let [case, folder] = &arguments[..] else {
+        deployment::cannot_run("arguments: CASE FOLDER");
+    };
+    let code = match &**case {
+        "extra-answer" => extra_answer::run(folder),
+        "end-of-grace" => end_of_grace::run(folder),
+        _ => deployment::cannot_run("no such case"),
+    };
+    std::process::exit(code);
+}
