Review: bodies within the limit end a process by its memory

Each body is held whole for as long as its request, and nothing bounds all of them together: 40 bodies of 4 MB exceed the 260 MB of a machine.

--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Returns the process's id, if it runs.
+    pub fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(std::process::Child::id)
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             drop(child.kill());
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod store;
+mod uploads;
 
 fn main() {
     let arguments: Vec<_> = std::env::args().skip(1).collect();
@@ -16,6 +17,7 @@
     let code = match &**case {
         "extra-answer" => extra_answer::run(folder),
         "end-of-grace" => end_of_grace::run(folder),
+        "uploads" => uploads::run(folder),
         _ => deployment::cannot_run("no such case"),
     };
     std::process::exit(code);
