Review: a request goes on at a second engine while a slow one works on

Case 6, rule TWICE. After 4.8 s without an event a request is sent to a second engine, and the first, which is slow and reachable, keeps it until the second answers.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod extra_answer;
 mod http;
 mod json;
+mod slow_engine;
 mod store;
 mod uploads;
 
@@ -18,6 +19,7 @@
         "extra-answer" => extra_answer::run(folder),
         "end-of-grace" => end_of_grace::run(folder),
         "uploads" => uploads::run(folder),
+        "slow-engine" => slow_engine::run(folder),
         _ => deployment::cannot_run("no such case"),
     };
     std::process::exit(code);
