Review: a lone process keeps an old configuration behind a silent connection

A process that hears no other one waits up to 4.8 s for a silent read of the store, and runs requests on a route that was dropped.

--- a/review/standin-2/src/deployment.rs
+++ b/review/standin-2/src/deployment.rs
@@ -89,10 +89,14 @@
 impl Deployment {
     /// Starts a process in each of the zones, and waits until all are ready.
     pub fn start(store: &Store, zones: &[&str], record: &Record) -> Self {
+        Self::start_with(store.clone().start(), zones, record)
+    }
+
+    /// Does the same with a store at an address.
+    pub fn start_with(store: SocketAddr, zones: &[&str], record: &Record) -> Self {
         if !PathBuf::from(PROGRAM).exists() {
             cannot_run("target/release/fernring isn't built");
         }
-        let store = store.clone().start();
         let folder = std::env::temp_dir().join(format!("fernring-review-{}", std::process::id()));
         if let Err(error) = fs::create_dir_all(&folder) {
             cannot_run(&format!("no temporary folder: {error}"));
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod extra_answer;
 mod http;
 mod json;
+mod silent_store;
 mod slow_engine;
 mod store;
 mod uploads;
@@ -20,6 +21,7 @@
         "end-of-grace" => end_of_grace::run(folder),
         "uploads" => uploads::run(folder),
         "slow-engine" => slow_engine::run(folder),
+        "silent-store" => silent_store::run(folder),
         _ => deployment::cannot_run("no such case"),
     };
     std::process::exit(code);
