--- a/review/standin-2/src/slow_engine.rs
+++ b/review/standin-2/src/slow_engine.rs
@@ -1,4 +1,4 @@
-//! One of four model engines turns slow while it reads prompts.
+//! One of seven model engines turns slow while it reads prompts.
 
 use {
     crate::{
@@ -20,7 +20,7 @@
 };
 
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
-const ENGINES: usize = 4;
+const ENGINES: usize = 7;
 /// How long an engine reads a prompt of 50,000 tokens: 61.2 tokens a millisecond, and 0.324 ms for
 /// a million pairs of them, as on the sheet.
 const READS_FOR: Duration = Duration::from_millis(1_250);
@@ -29,7 +29,7 @@
 const SLOW_FOR: Duration = Duration::from_millis(6_500);
 const WINDOWS: u64 = 3;
 const WINDOW_PAUSE: Duration = Duration::from_secs(14);
-const REQUESTS_PER_WINDOW: u64 = 10;
+const REQUESTS_PER_WINDOW: u64 = 20;
 const EVENTS: u64 = 10;
 const STOPPED_WITHIN: Duration = Duration::from_millis(400);
 
