Requests without an answer are answered before the grace period ends

Requests that came while the node left were sent on with all of their time.

Cause: Node::shut_down returned at the end of the grace period, and the runtime dropped the tasks of the connections. Each wait of a request lasted until the request's own deadline; none knew when the process would end.

Why it works: the time at which answers are due is part of every wait of a request that has no answer, by the same call that ends it at its deadline. Answers are due 0.4 s before the process ends, which waits until callers have acknowledged them. The time that is sent on ends then as well, so that an upstream can refuse in time what waits in its queue. Streams under way are not affected.

--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -62,7 +62,7 @@
     members::{delegates, pause_detector, peers, tickets},
     serving::{
         caller_body, context, deadline_timer, events, exchange, fingerprint, ingress, refusal,
-        relay, serve,
+        relay, serve, shutdown,
     },
     store::{
         bootstrap, directory, evacuations, freshness, full_read, position, store_loops, tailing,
--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -25,6 +25,7 @@
         retries::Retries,
         rollout::{coordinator::Rollouts, orders::RolloutProgress},
         settings::{NodeSettings, Settings, load},
+        shutdown::Shutdown,
         slack::MeanSlacks,
         stages::Stages,
         store_loops::{StoreLoops, TailedTopic},
@@ -59,6 +60,11 @@
 /// Time before the end of the grace period at which the process stops, even if connections are
 /// still open.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of the process by which requests are answered that have no answer yet, so that
+/// callers receive it.
+const ANSWER_MARGIN: Duration = Duration::from_millis(400);
+/// The largest share of the grace period that [`ANSWER_MARGIN`] may take.
+const ANSWER_MARGIN_SHARE_MAX: f64 = 0.25;
 /// Interval at which a node that shuts down checks whether all connections are closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -225,6 +231,7 @@
             rollouts: rollouts.clone(),
             stream_origins: stream_origins.clone(),
             crash_attribution: crash_attribution.clone(),
+            shutdown: Shutdown::default(),
             in_flight: Cell::new(0),
         });
         let ingress = Rc::new(Ingress::new(serving.clone(), config.clone()));
@@ -357,11 +364,14 @@
     }
 
     /// Finishes the requests in flight and waits until all connections are closed or the grace
-    /// period ends.
+    /// period ends. Requests that have no answer shortly before are given one.
     async fn shut_down(&self) {
         let shutdown = self.settings.borrow().shutdown;
         let started = self.serving.now();
-        let end = started + Duration::from_secs_f64(shutdown.grace_s).saturating_sub(GRACE_MARGIN);
+        let time = Duration::from_secs_f64(shutdown.grace_s).saturating_sub(GRACE_MARGIN);
+        let end = started + time;
+        let answer_margin = ANSWER_MARGIN.min(time.mul_f64(ANSWER_MARGIN_SHARE_MAX));
+        self.serving.shutdown.begin(end - answer_margin);
         log::info(LogLine::event("stopping").with("in_flight", self.serving.in_flight.get()));
         self.ingress.set_phase(Phase::Leaving);
         self.peers.set_draining();
--- a/crates/fernring-gateway/src/serving/context.rs
+++ b/crates/fernring-gateway/src/serving/context.rs
@@ -5,8 +5,8 @@
         config::ConfigState, crash_attribution::CrashAttribution, deadline_timer::DeadlineTimer,
         peers::Peers, prefill_pauses::PrefillPauses, prefill_speed::PrefillSpeeds,
         prefix_demand::PrefixDemands, retries::Retries, rollout::coordinator::Rollouts,
-        settings::DecideSettings, slack::MeanSlacks, stages::Stages, stream_origins::StreamOrigins,
-        tailing::Tailing, upstreams::Upstreams, wire::Wire,
+        settings::DecideSettings, shutdown::Shutdown, slack::MeanSlacks, stages::Stages,
+        stream_origins::StreamOrigins, tailing::Tailing, upstreams::Upstreams, wire::Wire,
     },
     fernring_core::clock::Clock,
     std::{
@@ -54,6 +54,8 @@
     pub stream_origins: Rc<StreamOrigins>,
     /// The attribution of upstreams' crashes to requests.
     pub crash_attribution: Rc<CrashAttribution>,
+    /// The shutdown of this node.
+    pub shutdown: Shutdown,
     /// Number of requests in flight.
     pub in_flight: Cell<isize>,
 }
@@ -70,6 +72,20 @@
         self.clock.now().monotonic
     }
 
+    /// Runs `work` until a deadline, or until this node shuts down and its requests have to be
+    /// answered; returns `None` if it isn't done by then.
+    pub async fn complete_by<T>(
+        &self,
+        deadline: Duration,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::select! {
+            biased;
+            done = self.deadline_timer.complete_by(deadline, work) => done,
+            () = self.shutdown.wait_until_due(&self.deadline_timer) => None,
+        }
+    }
+
     /// Changes the number of requests in flight by `change`.
     pub fn adjust_in_flight(&self, change: isize) {
         self.in_flight.set(self.in_flight.get() + change);
--- a/crates/fernring-gateway/src/serving/exchange/handing_over.rs
+++ b/crates/fernring-gateway/src/serving/exchange/handing_over.rs
@@ -85,7 +85,7 @@
             tokio::select! {
                 biased;
                 next = &mut next => return Received::Next(next),
-                () = self.serving.deadline_timer.sleep_until(self.end_at) => break,
+                _ = self.wait_at_most(None, pending::<()>()) => break,
                 () = offer_due => {}
             }
             self.count_holder(holder);
@@ -118,16 +118,16 @@
     pub fn collect_until(&self, opened: &OpenedResponse) -> Duration {
         let is_length_known = opened.body.size_hint().exact().is_some();
         if is_length_known || !self.may_be_repeated(opened) || !self.has_candidate() {
-            return self.end_at;
+            return self.end_at();
         }
         let silence = Silence { since: opened.received_at, caller_waits_since: self.arrived_at };
         let patience = match self.route.streaming {
             true => self.route.event_gap_max,
             // The caller of a plain response waits up to the deadline.
-            false => self.end_at.saturating_sub(self.arrived_at),
+            false => self.deadline_at.saturating_sub(self.arrived_at),
         };
         let rule = HandoverRule { patience, ..self.handover_rule() };
-        rule.handover_at(silence).min(self.end_at)
+        rule.handover_at(silence).min(self.end_at())
     }
 
     /// Returns whether the route allows a further send after a response that isn't used.
@@ -139,7 +139,7 @@
         HandoverRule {
             patience: self.route.event_gap_max,
             first_event_time: self.route.objective,
-            deadline_at: self.end_at,
+            deadline_at: self.deadline_at,
         }
     }
 
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -17,7 +17,7 @@
         attempts::Attempts,
         backlog::rank_index,
         backlogs::Reservation,
-        connections::ResponseBody,
+        connections::{ConnectionLoss, ResponseBody},
         connector::Path,
         context::ServingContext,
         crash_attribution::InFlightGuard,
@@ -29,7 +29,7 @@
         model::{RequestFields, RetryPolicy, Route, UpstreamKey, Workspace},
         origin_table::Origin,
         prefill_budget::STREAM_TOKENS,
-        refusal::Refusal,
+        refusal::{RETRY_AFTER_NOT_READY, Refusal},
         request_size::SizeBand,
         residency::Residency,
         retry_after::{RetryForecast, retry_after},
@@ -51,6 +51,8 @@
 /// Time from the first bytes of a response after which more of them prove that its prompt doesn't
 /// crash its upstream.
 const PROGRESS_TIME: Duration = Duration::from_secs(1);
+/// Why a request ends that has no answer when this node shuts down.
+pub const SHUTDOWN_DETAIL: &str = "the node shuts down";
 /// Content type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -199,7 +201,10 @@
     due_at: Duration,
     /// When the caller disconnects if it has received nothing.
     patience_ends_at: Duration,
-    end_at: Duration,
+    /// The deadline of the request.
+    deadline_at: Duration,
+    /// Whether the head of a stream has been passed on.
+    has_begun_answer: bool,
     attempts: Attempts,
     /// Whether a send awaits its response.
     is_sending: bool,
@@ -285,7 +290,8 @@
             resume_after: request.fields.last_event,
             due_at: arrived_at + route.objective,
             patience_ends_at: arrived_at + time_limit.min(route.event_gap_max),
-            end_at: arrived_at + time_limit,
+            deadline_at: arrived_at + time_limit,
+            has_begun_answer: false,
             _in_flight: InFlight::new(serving.clone()),
             is_sending: false,
             tried: Vec::new(),
@@ -359,14 +365,37 @@
         self.arrived_at
     }
 
-    /// Returns the time left until the deadline.
+    /// Returns the time left until the request has to be answered.
     pub fn time_left(&self) -> Duration {
-        self.end_at.saturating_sub(self.serving.now())
+        self.end_at().saturating_sub(self.serving.now())
     }
 
-    /// Returns the deadline of the request.
+    /// Returns when the request has to be answered: by its deadline, or before this node shuts down.
+    /// A stream that has begun may go on until the process ends.
     pub fn end_at(&self) -> Duration {
-        self.end_at
+        match self.serving.shutdown.answers_due_at() {
+            Some(due_at) if !self.has_begun_answer => self.deadline_at.min(due_at),
+            _ => self.deadline_at,
+        }
+    }
+
+    /// Returns whether the request has to be answered because this node shuts down.
+    fn is_ended_by_shutdown(&self) -> bool {
+        self.time_left().is_zero() && self.serving.now() < self.deadline_at
+    }
+
+    /// Returns the loss of a response that there is no time to wait for. If this node shuts down, the
+    /// upstream isn't at fault.
+    pub fn loss_without_time(&self, reason: &str) -> ConnectionLoss {
+        match self.is_ended_by_shutdown() {
+            true => ConnectionLoss { reason: SHUTDOWN_DETAIL.to_owned(), kind: None },
+            false => ConnectionLoss::silent(reason),
+        }
+    }
+
+    /// Records that the head of a stream is passed on.
+    pub fn record_answer_begun(&mut self) {
+        self.has_begun_answer = true;
     }
 
     /// Runs `work` for at most `patience` and the time left; returns `None` if it isn't done by
@@ -377,8 +406,11 @@
         work: impl Future<Output = T>,
     ) -> Option<T> {
         let patient_at = patience.map(|patience| self.serving.now() + patience);
-        let at = patient_at.map_or(self.end_at, |at| at.min(self.end_at));
-        self.serving.deadline_timer.complete_by(at, work).await
+        let at = patient_at.map_or(self.deadline_at, |at| at.min(self.deadline_at));
+        match self.has_begun_answer {
+            true => self.serving.deadline_timer.complete_by(at, work).await,
+            false => self.serving.complete_by(at, work).await,
+        }
     }
 
     /// Returns the number of the event after which the stream resumes.
@@ -449,7 +481,7 @@
         self.check_origin()?;
         if self.plan.has_released_results() {
             self.plan = StagePlan::new(&self.route.stages, &self.request.fields.piece_counts);
-            self.patience_ends_at = self.end_at;
+            self.patience_ends_at = self.end_at();
             self.renew_due_time();
             self.run_admitted_stages().await?;
         }
@@ -462,6 +494,17 @@
         self.refusal_with_forecast(code, detail, RetryForecast::Unknown)
     }
 
+    /// Returns the final answer for a request that has no time left.
+    fn refusal_without_time(&self, detail: &str) -> Refusal {
+        match self.is_ended_by_shutdown() {
+            true => {
+                let forecast = RetryForecast::DrainedAfter(RETRY_AFTER_NOT_READY);
+                self.refusal_with_forecast(ResultCode::NotReady, SHUTDOWN_DETAIL, forecast)
+            }
+            false => self.refusal_for(ResultCode::WindowEnded, detail),
+        }
+    }
+
     /// Returns the same as [`Exchange::refusal_for`], with a forecast of when a retry may be
     /// served.
     fn refusal_with_forecast(
@@ -488,7 +531,8 @@
             };
         };
         let draw = rand::rng().random_range(0.0..1.0);
-        let after = retry_after(forecast, self.time_left(), rank_index(self.priority()), draw);
+        let caller_time_left = self.deadline_at.saturating_sub(self.serving.now());
+        let after = retry_after(forecast, caller_time_left, rank_index(self.priority()), draw);
         Refusal::not_run(not_run, code, after, detail)
     }
 
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -50,18 +50,18 @@
     /// # Errors
     /// If there is none at the deadline, or the request may not be sent again.
     pub async fn open_stream(&mut self) -> Result<OpenedResponse, Refusal> {
-        let timer = self.serving.deadline_timer.clone();
-        let give_up_at = self.end_at + DEADLINE_MARGIN;
+        let serving = self.serving.clone();
+        let give_up_at = self.deadline_at + DEADLINE_MARGIN;
         let opening = async {
             self.find_origin().await?;
             self.wait_until_version_recorded().await;
             self.admit_and_run_stages().await?;
             self.open().await
         };
-        let opened = timer.complete_by(give_up_at, opening).await;
+        let opened = serving.complete_by(give_up_at, opening).await;
         opened.unwrap_or_else(|| {
             self.withdraw_offer();
-            Err(self.refusal_for(ResultCode::WindowEnded, "no answer in time"))
+            Err(self.refusal_without_time("no answer in time"))
         })
     }
 
@@ -77,7 +77,7 @@
         for _ in 0..OFFERS_MAX {
             let left = self.time_left();
             if left.is_zero() {
-                return Err(self.refusal_for(ResultCode::WindowEnded, &reason));
+                return Err(self.refusal_without_time(&reason));
             }
             if !self.may_send() {
                 break;
@@ -116,7 +116,7 @@
             }
         }
         if self.time_left().is_zero() {
-            return Err(self.refusal_for(ResultCode::WindowEnded, &reason));
+            return Err(self.refusal_without_time(&reason));
         }
         Err(self.refusal_without_upstream(&reason))
     }
@@ -137,10 +137,12 @@
         if !opened.is_counted {
             self.attempts.record_failure(SendOutcome::Unknown);
         }
-        if let Some(tracked) = &opened.tracked {
-            tracked.record_failure();
+        if !self.is_ended_by_shutdown() {
+            if let Some(tracked) = &opened.tracked {
+                tracked.record_failure();
+            }
+            self.serving.upstreams.record_failure(self.serving.now(), opened.key());
         }
-        self.serving.upstreams.record_failure(self.serving.now(), opened.key());
         self.record_connection_loss(&opened.target, loss);
     }
 
@@ -240,8 +242,12 @@
                 return Ok(*opened);
             }
             Received::TimedOut => {
-                let loss = ConnectionLoss::silent("no answer in time");
-                return Err(failed(failed_by(SendOutcome::Unknown, loss)));
+                let loss = self.loss_without_time("no answer in time");
+                let failed_send = failed_by(SendOutcome::Unknown, loss);
+                return Err(match self.is_ended_by_shutdown() {
+                    true => failed_send,
+                    false => failed(failed_send),
+                });
             }
             Received::Next(Head::Quarantined) => {
                 let reason = "quarantined while waiting for the response".to_owned();
--- a/crates/fernring-gateway/src/serving/exchange/staging.rs
+++ b/crates/fernring-gateway/src/serving/exchange/staging.rs
@@ -98,6 +98,9 @@
                 WorkOutcome::Quarantined => {
                     return Err(self.refusal_for(ResultCode::NoUpstream, "a stage failed"));
                 }
+                WorkOutcome::Late if self.is_ended_by_shutdown() => {
+                    return Err(self.refusal_without_time("stage"));
+                }
                 WorkOutcome::Late => {
                     return Err(self.refusal_for(ResultCode::ExpiredInQueue, "stage"));
                 }
@@ -142,10 +145,11 @@
                     return WorkOutcome::NoWorkers;
                 };
                 self.reservations.remove(&stage);
-                let (stages, timer) = (&serving.stages, &serving.deadline_timer);
+                let serving = &serving;
                 let expires_at = work.deadline_at + EXPIRY_MARGIN;
                 running.push(async move {
-                    let outcome = timer.complete_by(expires_at, stages.run_stage(work)).await;
+                    let outcome = serving.stages.run_stage(work);
+                    let outcome = serving.complete_by(expires_at, outcome).await;
                     (stage, outcome.unwrap_or(WorkOutcome::Late))
                 });
             }
--- a/crates/fernring-gateway/src/serving/mod.rs
+++ b/crates/fernring-gateway/src/serving/mod.rs
@@ -14,3 +14,4 @@
 pub mod refusal;
 pub mod relay;
 pub mod serve;
+pub mod shutdown;
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -7,7 +7,9 @@
         config::ActiveConfig,
         connections::ConnectionLoss,
         context::ServingContext,
-        exchange::{CallerRequest, Exchange, ExchangeEnd, InFlight, OpenedResponse},
+        exchange::{
+            CallerRequest, Exchange, ExchangeEnd, InFlight, OpenedResponse, SHUTDOWN_DETAIL,
+        },
         fingerprint::Fingerprint,
         log,
         model::{PIECES_MAX, Route, Workspace, api_key_hash},
@@ -123,8 +125,10 @@
         check_piece_counts(&fields.piece_counts).map_err(refuse)?;
         let end_at = arrived_at + route.wait_limit(fields.remaining);
         let body_read = read_body(body, current.config.limits.body_bytes_max);
-        let body = self.deadline_timer.complete_by(end_at, body_read).await;
-        let body = body.unwrap_or_else(|| Err(Refusal::slow_body()));
+        let body = self.complete_by(end_at, body_read).await;
+        let body = body.unwrap_or_else(|| {
+            Err(if self.now() < end_at { shuts_down() } else { Refusal::slow_body() })
+        });
         let body = body.map_err(|refusal| match refusal.code {
             ResultCode::BodyTooLarge => refuse_by_config(refusal),
             _ => refuse(refusal),
@@ -188,7 +192,7 @@
         let collect_until = exchange.collect_until(&opened);
         opened.body.limit(BODY_BYTES_MAX);
         let collecting = Limited::new(&mut opened.body, BODY_BYTES_MAX).collect();
-        let loss = match self.deadline_timer.complete_by(collect_until, collecting).await {
+        let loss = match self.complete_by(collect_until, collecting).await {
             Some(Ok(collected)) => {
                 opened.record_intact();
                 let body = CallerBody::full(Full::new(collected.to_bytes()))
@@ -199,7 +203,7 @@
                 Some(error) => error.into(),
                 None => ConnectionLoss { reason: error.to_string(), kind: None },
             },
-            None => ConnectionLoss::silent("the response wasn't complete in time"),
+            None => exchange.loss_without_time("the response wasn't complete in time"),
         };
         exchange.record_broken_send(&opened, &loss);
         Err(loss.reason)
@@ -214,6 +218,7 @@
         if opened.status() == StatusCode::OK {
             exchange.record_success(opened.key());
         }
+        exchange.record_answer_begun();
         let end_at = exchange.end_at();
         let relay = Relay::new(exchange, opened);
         let events = stream::unfold(relay, |mut relay| async move {
@@ -272,6 +277,11 @@
     Refusal::not_run(NotRun::never_sent(), code, after, "no configuration")
 }
 
+fn shuts_down() -> Refusal {
+    let (code, after) = (ResultCode::NotReady, RETRY_AFTER_NOT_READY);
+    Refusal::not_run(NotRun::never_sent(), code, after, SHUTDOWN_DETAIL)
+}
+
 fn check_host(head: &request::Parts) -> Result<(), Refusal> {
     if head.headers.get_all(HOST).iter().count() > 1 {
         return Err(Refusal::invalid_request(ResultCode::BadRequest, "more than one host header"));
