Requests that were never sent are not said to have run

What callers saw: a request that waited for a connection at its deadline was answered with 504, so that one that runs once could not be repeated.

Cause: a send counted as one that may have run from its submission, though it may wait for a connection or a permit before its first byte.

Why it works: the last check before the first byte sets a mark; a send that is given up without it has the outcome GivenUp, from which a NotRun may be created. The mark is set before the connection gets the request, so a written request always has it.

--- a/crates/fernring-gateway/src/decide/attempts.rs
+++ b/crates/fernring-gateway/src/decide/attempts.rs
@@ -23,6 +23,8 @@
     NotSent,
     /// The upstream was ineligible for new requests; no byte left this node.
     Ineligible,
+    /// There was no time left before the first byte left this node.
+    GivenUp,
     /// The upstream states that it has not run the request.
     Refused,
     /// The intended instance is no longer at that address; the request has not run there.
@@ -37,6 +39,7 @@
         match self {
             Self::NotSent => "not_sent",
             Self::Ineligible => "barred",
+            Self::GivenUp => "given_up",
             Self::Refused => "refused",
             Self::WrongInstance => "wrong_instance",
             Self::Unknown => "unknown",
@@ -63,7 +66,10 @@
     /// Records a send that ended without a response to pass on.
     pub fn record_failure(&mut self, outcome: SendOutcome) {
         match outcome {
-            SendOutcome::NotSent | SendOutcome::Ineligible | SendOutcome::WrongInstance => {}
+            SendOutcome::NotSent
+            | SendOutcome::Ineligible
+            | SendOutcome::GivenUp
+            | SendOutcome::WrongInstance => {}
             SendOutcome::Refused => self.sends += 1,
             SendOutcome::Unknown => {
                 self.sends += 1;
--- a/crates/fernring-gateway/src/owner/calls.rs
+++ b/crates/fernring-gateway/src/owner/calls.rs
@@ -288,6 +288,7 @@
             version: None,
             connections_max,
             request_id: None,
+            has_begun: Rc::default(),
         };
         let expected = expected_call_time(batch_config, queued.len());
         let tracked = self.rollouts.track_call(&pool.service, target);
@@ -379,6 +380,7 @@
             version: None,
             connections_max: self.connections_max(key),
             request_id: None,
+            has_begun: Rc::default(),
         };
         let exchange = async {
             let mut response = self.upstreams.send_release(&*self.wire, &target, send).await?;
--- a/crates/fernring-gateway/src/serving/exchange/handing_over.rs
+++ b/crates/fernring-gateway/src/serving/exchange/handing_over.rs
@@ -14,7 +14,7 @@
     },
     fernring_core::text::LogLine,
     hyper::body::Body,
-    std::{future::pending, pin::pin, time::Duration},
+    std::{cell::Cell, future::pending, pin::pin, time::Duration},
     tokio::time::sleep,
 };
 
@@ -90,13 +90,13 @@
             }
             self.count_holder(holder);
             let last_response = self.last_response.clone();
-            let is_sending = std::mem::take(&mut self.is_sending);
+            let pending_send = self.pending_send.take();
             let refusal = tokio::select! {
                 biased;
                 next = &mut next => {
                     self.withdraw_offer();
                     self.last_response = last_response;
-                    self.is_sending = is_sending;
+                    self.pending_send = pending_send;
                     return Received::Next(next);
                 }
                 opened = Box::pin(self.open_elsewhere(last_event)) => match opened {
@@ -105,7 +105,7 @@
                 },
             };
             self.last_response = last_response;
-            self.is_sending = is_sending;
+            self.pending_send = pending_send;
             self.log_silence("handover_refused", holder, silence, Some(&refusal.detail));
             not_before = self.serving.now() + OFFER_PAUSE;
             offer_at = not_before;
@@ -206,8 +206,8 @@
 
     /// Counts a send that is cancelled before its response.
     pub(super) fn withdraw_offer(&mut self) {
-        if std::mem::take(&mut self.is_sending) {
-            self.attempts.record_failure(SendOutcome::Unknown);
+        if let Some(has_begun) = self.pending_send.take() {
+            self.attempts.record_failure(outcome_without_time(&has_begun));
         }
     }
 
@@ -239,3 +239,11 @@
         log::info(line);
     }
 }
+
+/// Returns the outcome of a send that isn't waited for any longer.
+pub(super) fn outcome_without_time(has_begun: &Cell<bool>) -> SendOutcome {
+    match has_begun.get() {
+        true => SendOutcome::Unknown,
+        false => SendOutcome::GivenUp,
+    }
+}
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -206,8 +206,8 @@
     /// Whether the head of a stream has been passed on.
     has_begun_answer: bool,
     attempts: Attempts,
-    /// Whether a send awaits its response.
-    is_sending: bool,
+    /// The send that awaits its response, and whether its first byte may have left this node.
+    pending_send: Option<Rc<Cell<bool>>>,
     tried: Vec<UpstreamKey>,
     /// Whether the first send goes to the version that is being rolled out; `None` until that is
     /// drawn.
@@ -293,7 +293,7 @@
             deadline_at: arrived_at + time_limit,
             has_begun_answer: false,
             _in_flight: InFlight::new(serving.clone()),
-            is_sending: false,
+            pending_send: None,
             tried: Vec::new(),
             is_drawn_for_rollout: Cell::default(),
             forecast_time: None,
--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -1,7 +1,10 @@
 //! Sends a request to an upstream: chooses the upstream, sends the request, and handles failures.
 
 use {
-    super::{Exchange, Holder, LastResponse, OpenedResponse, Prefill, Received},
+    super::{
+        Exchange, Holder, LastResponse, OpenedResponse, Prefill, Received,
+        handing_over::outcome_without_time,
+    },
     crate::{
         attempts::SendOutcome,
         connections::{ConnectionLoss, SendFailure},
@@ -17,7 +20,7 @@
     fernring_core::{code::ResultCode, text::LogLine},
     http::Request,
     http_body_util::Full,
-    std::time::Duration,
+    std::{cell::Cell, rc::Rc, time::Duration},
 };
 
 /// Most upstreams that one request is offered to, including those that refuse the connection. A
@@ -206,6 +209,7 @@
         weight: f64,
     ) -> Result<OpenedResponse, FailedSend> {
         let load = self.serving.upstreams.track_load(target.key, weight);
+        let has_begun = Rc::new(Cell::new(false));
         let upstream_send = UpstreamSend {
             request: self.upstream_request(target, left),
             rank: self.rank(),
@@ -213,6 +217,7 @@
             version: self.required_version().cloned(),
             connections_max: self.serving.config.borrow().connections_max(&self.service),
             request_id: Some(self.request.id.clone()),
+            has_begun: has_begun.clone(),
         };
         let guard = self.serving.crash_attribution.track_in_flight(target, &self.traits);
         let is_first = self.tried.len() <= 1;
@@ -242,8 +247,12 @@
                 return Ok(*opened);
             }
             Received::TimedOut => {
-                let loss = self.loss_without_time("no answer in time");
-                let failed_send = failed_by(SendOutcome::Unknown, loss);
+                let outcome = outcome_without_time(&has_begun);
+                let mut loss = self.loss_without_time("no answer in time");
+                if outcome == SendOutcome::GivenUp {
+                    loss.kind = None;
+                }
+                let failed_send = failed_by(outcome, loss);
                 return Err(match self.is_ended_by_shutdown() {
                     true => failed_send,
                     false => failed(failed_send),
@@ -251,7 +260,7 @@
             }
             Received::Next(Head::Quarantined) => {
                 let reason = "quarantined while waiting for the response".to_owned();
-                return Err(without_loss(SendOutcome::Unknown, reason));
+                return Err(without_loss(outcome_without_time(&has_begun), reason));
             }
             Received::Next(Head::Sent(sent)) => match *sent {
                 Ok(response) => response,
@@ -310,6 +319,7 @@
     ) -> Received<Head> {
         let (serving, traits) = (self.serving.clone(), self.traits.clone());
         let target = holder.target.clone();
+        self.pending_send = Some(upstream_send.has_begun.clone());
         let head = async move {
             tokio::select! {
                 sent = serving.upstreams.send(&*serving.wire, &target, upstream_send) => {
@@ -321,9 +331,8 @@
             }
         };
         let silence = Silence { since: self.serving.now(), caller_waits_since: self.arrived_at };
-        self.is_sending = true;
         let received = self.receive(holder, head, silence, self.resume_after, true).await;
-        self.is_sending = false;
+        self.pending_send = None;
         received
     }
 
@@ -349,7 +358,7 @@
         match outcome {
             SendOutcome::Refused => self.serving.upstreams.record_full(now, target.key),
             // The request wasn't sent, so the upstream's health is unchanged.
-            SendOutcome::Ineligible => {}
+            SendOutcome::Ineligible | SendOutcome::GivenUp => {}
             SendOutcome::NotSent => self.serving.upstreams.record_unreachable(now, target.key),
             SendOutcome::WrongInstance => {
                 self.serving.upstreams.record_failure(now, target.key);
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -149,6 +149,8 @@
     pub connections_max: u32,
     /// Identifier that the response has to carry; `None` if responses to this request carry none.
     pub request_id: Option<Arc<str>>,
+    /// Set before the first byte is written.
+    pub has_begun: Rc<Cell<bool>>,
 }
 
 /// A response of an upstream whose body is still to be read.
@@ -420,7 +422,15 @@
         target: &Target,
         send: UpstreamSend,
     ) -> Result<DecodedResponse, SendFailure> {
-        let UpstreamSend { request, rank, residency, version, connections_max, request_id } = send;
+        let UpstreamSend {
+            request,
+            rank,
+            residency,
+            version,
+            connections_max,
+            request_id,
+            has_begun,
+        } = send;
         let pool = self.pool(target)?;
         let has_permit = Cell::new(false);
         let brittle_permit = RefCell::new(None);
@@ -434,7 +444,9 @@
                 brittle_permit.replace(permit);
                 has_permit.set(true);
             }
-            self.ineligible_since(target.key)
+            self.ineligible_since(target.key)?;
+            has_begun.set(true);
+            Ok(())
         };
         let sent_at = self.clock.now().monotonic;
         let sent = pool.send_if(request, self.connections_share(connections_max), check).await;
--- a/crates/fernring-gateway/tests/testsuite/attempts.rs
+++ b/crates/fernring-gateway/tests/testsuite/attempts.rs
@@ -46,6 +46,7 @@
 fn any_outcome() -> impl Strategy<Value = SendOutcome> {
     prop_oneof![
         Just(SendOutcome::NotSent),
+        Just(SendOutcome::GivenUp),
         Just(SendOutcome::Refused),
         Just(SendOutcome::WrongInstance),
         Just(SendOutcome::Unknown),
