An answer whose status isn't one counts as broken

What callers saw: a response of status 101 reached the caller as an answer (status 000 was reported by others: here it was 502 before).

Cause: the HTTP library accepts statuses from 100 to 999, and 101 as a final one.

Evidence: odd_statuses::answer_with_a_status_outside_of_the_protocol_reaches_its_caller fails without the change ("101 /safe/x: 101"); with it, 12 odd status lines on four routes are all answered with 502 or 504.

Why it works: all responses pass check_head, which takes only statuses from 200 to 599; others count as a send that may have run.

--- a/crates/fernring-gateway/src/serving/exchange/sending.rs
+++ b/crates/fernring-gateway/src/serving/exchange/sending.rs
@@ -20,7 +20,7 @@
     fernring_core::{code::ResultCode, text::LogLine},
     http::Request,
     http_body_util::Full,
-    std::{cell::Cell, rc::Rc, time::Duration},
+    std::{cell::Cell, ops::RangeInclusive, rc::Rc, time::Duration},
 };
 
 /// Most upstreams that one request is offered to, including those that refuse the connection. A
@@ -30,6 +30,9 @@
 /// Time after the deadline within which each wait has noticed it.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(80);
 
+/// The statuses of the protocol that end an exchange.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// What ends the wait for the head of a response.
 enum Head {
     /// The send has ended.
@@ -393,6 +396,12 @@
             "another instance responded at this address".to_owned(),
         ));
     }
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        return Some((
+            SendOutcome::Unknown,
+            format!("the status {} is none", head.status.as_u16()),
+        ));
+    }
     if !response.is_for_request {
         return Some((SendOutcome::Unknown, "the response is for another request".to_owned()));
     }
