An answer that ends in order during its upload isn't whole

What callers saw: an upstream that answered an upload of 6 MB at once by a 200 without a length, ended its direction in order and then reset the connection: the part that was sent looked whole.

Cause: the end of the connection was taken for the end of the body though a write was still blocked. A relay passed it on as an end in order. Plain resets were seen as such before, in all ways that were tried.

Why it works: an upstream that ends its direction while it doesn't read on has not read the request, so its connection fails in place of ending; a relay marks an end as in order only if it holds nothing more of the request.

--- a/crates/fernring-gateway/src/connector/metered_stream.rs
+++ b/crates/fernring-gateway/src/connector/metered_stream.rs
@@ -1,4 +1,5 @@
-//! Connections that fail once their other end sends more without progress than any response needs.
+//! Connections that fail once their other end sends more without progress than any response needs,
+//! or ends while a request is still being written.
 
 use {
     super::ByteStream,
@@ -18,18 +19,22 @@
 /// The progress of the responses on a connection, shared by the stream and those who use it.
 pub type SharedProgress = Rc<RefCell<ResponseProgress>>;
 
-/// A stream that fails with [`ErrorKind::InvalidData`] at bytes without progress.
+/// A stream that fails with [`ErrorKind::InvalidData`] at bytes without progress, and with
+/// [`ErrorKind::ConnectionReset`] at an end before the request is written: what was received by then
+/// may only look whole.
 pub struct MeteredStream {
     stream: Box<dyn ByteStream>,
     address: SocketAddr,
     clock: Rc<dyn Clock>,
     progress: SharedProgress,
+    /// Whether a write waits until the other end reads.
+    is_write_blocked: bool,
 }
 
 impl MeteredStream {
     /// Watches the stream to an address.
     pub fn new(stream: Box<dyn ByteStream>, address: SocketAddr, clock: Rc<dyn Clock>) -> Self {
-        Self { stream, address, clock, progress: Rc::default() }
+        Self { stream, address, clock, progress: Rc::default(), is_write_blocked: false }
     }
 
     /// Returns the progress of its responses.
@@ -56,8 +61,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
+        let has_room = buffer.remaining() > 0;
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        Poll::Ready(self.record_read(buffer.filled().get(filled..).unwrap_or_default()))
+        let bytes = buffer.filled().get(filled..).unwrap_or_default();
+        if bytes.is_empty() && has_room && self.is_write_blocked {
+            let error = "the connection ended before the request was written";
+            return Poll::Ready(Err(io::Error::new(ErrorKind::ConnectionReset, error)));
+        }
+        Poll::Ready(self.record_read(bytes))
     }
 }
 
@@ -67,7 +78,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.is_write_blocked = written.is_pending();
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -87,6 +100,8 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.is_write_blocked = written.is_pending();
+        written
     }
 }
--- a/crates/fernring-gateway/src/tunnels.rs
+++ b/crates/fernring-gateway/src/tunnels.rs
@@ -26,7 +26,7 @@
         gateway::{GatewayBody, GatewayFrame, TunnelRequest, TunnelResponse, TunnelResult},
     },
     futures_util::{
-        SinkExt, StreamExt,
+        FutureExt, SinkExt, StreamExt,
         stream::{LocalBoxStream, once, unfold},
     },
     prost::Message,
@@ -256,17 +256,18 @@
     let mut peer = LiveStream::new(parts.io)?;
     let mut upstream = LiveStream::new(upstream)?;
     upstream.write_all(&parts.read_buf).await?;
-    let (mut peer_read, mut peer_write) = split(&mut peer);
+    let (mut peer_read, peer_write) = split(&mut peer);
     let (mut upstream_read, mut upstream_write) = split(&mut upstream);
-    let to_peer = async {
-        match in_frames {
-            true => send_frames(upstream_read, peer_write).await,
-            false => copy(&mut upstream_read, &mut peer_write).await.map(drop),
-        }
-    };
+    let mut frames = FramedWrite::new(peer_write, codec());
+    let is_writing = Cell::new(false);
     let forwarded = tokio::select! {
-    forwarded = copy(&mut peer_read, &mut upstream_write) => forwarded.map(drop),
-    forwarded = to_peer => forwarded,
+    forwarded = forward_requests(&mut peer_read, &mut upstream_write, &is_writing) => forwarded,
+    ended = forward_responses(&mut upstream_read, &mut frames, in_frames) => match ended {
+        Ok(()) if is_writing.get() || has_more(&mut peer_read) => Err(unread_request()),
+        // An empty frame says that the upstream has ended its connection in order.
+        Ok(()) if in_frames => frames.send(Bytes::new()).await,
+        ended => ended,
+    },
     };
     if forwarded.is_err() {
         upstream.get_ref().set_zero_linger()?;
@@ -278,20 +279,51 @@
     forwarded
 }
 
-/// Sends what an upstream sends in frames, and an empty frame if the upstream ends its connection in
-/// order.
-async fn send_frames(
-    mut upstream: impl AsyncRead + Unpin,
-    peer: impl AsyncWrite + Unpin,
+/// Writes what a peer sends to the upstream. `is_writing` is set while the upstream doesn't read on.
+async fn forward_requests(
+    mut peer: impl AsyncRead + Unpin,
+    mut upstream: impl AsyncWrite + Unpin,
+    is_writing: &Cell<bool>,
 ) -> io::Result<()> {
-    let mut frames = FramedWrite::new(peer, codec());
     let mut buffer = BytesMut::new();
     loop {
         buffer.reserve(BUFFER_BYTES);
-        let count = upstream.read_buf(&mut buffer).await?;
-        frames.send(buffer.split().freeze()).await?;
-        if count == 0 {
+        if peer.read_buf(&mut buffer).await? == 0 {
             return Ok(());
         }
+        is_writing.set(true);
+        upstream.write_all(&buffer.split()).await?;
+        is_writing.set(false);
+    }
+}
+
+/// Returns whether a peer has sent more that is still to be read.
+fn has_more(peer: &mut (impl AsyncRead + Unpin)) -> bool {
+    matches!(peer.read(&mut [0]).now_or_never(), Some(Ok(1..)))
+}
+
+/// The error for an upstream that ends its connection before it has read its request: its response
+/// may only look whole.
+fn unread_request() -> io::Error {
+    io::Error::new(ErrorKind::ConnectionReset, "the connection ended before the request")
+}
+
+/// Writes what an upstream sends to the peer, in frames or not, until the upstream ends its
+/// connection in order.
+async fn forward_responses(
+    upstream: &mut (impl AsyncRead + Unpin),
+    frames: &mut FramedWrite<impl AsyncWrite + Unpin, LengthDelimitedCodec>,
+    in_frames: bool,
+) -> io::Result<()> {
+    if !in_frames {
+        return copy(upstream, frames.get_mut()).await.map(drop);
+    }
+    let mut buffer = BytesMut::new();
+    loop {
+        buffer.reserve(BUFFER_BYTES);
+        if upstream.read_buf(&mut buffer).await? == 0 {
+            return Ok(());
+        }
+        frames.send(buffer.split().freeze()).await?;
     }
 }
