Only a proof of the present lets a stream of unknown origin go on

What callers saw: a stream that began on a version that had just joined went on at the old one, at nodes that were out of step: 12 of 12 at two nodes that were cut off together, 4 of 12 at a node whose last response of the store came late.

Cause: any reply of a peer counted as current, responses of the store were dated by when they were read, and records counted as current for as long as a new version waits before it begins streams.

Evidence: out_of_step::* fail without the change (12 and 4 streams joined) and pass with it. All tests of versions, rejoined streams and restarts pass but those listed.

Why it works: the proved age counts from when a read was sent, or from the end of the wait that the store was asked for, so neither a delay nor a pause makes it smaller; a reply adds the time since its query. No version that has begun streams is younger than 3 s while another one can begin them, so records of at most 2 s have it.

--- a/crates/fernring-gateway/src/members/mod.rs
+++ b/crates/fernring-gateway/src/members/mod.rs
@@ -340,7 +340,7 @@
         if self.live(now).next().is_none() {
             return ReaderRole::Standalone;
         }
-        let first = self.highest_ranked(now, me, STORE_READER_KEY, |_| true);
+        let first = self.store_reader(now, me);
         let is_same_domain = |other: &Member| other.failure_domain == me.failure_domain;
         let of_domain = self.highest_ranked(now, me, STORE_READER_KEY, is_same_domain);
         match (of_domain == Some(me.address), first == Some(me.address)) {
@@ -350,6 +350,11 @@
         }
     }
 
+    /// Returns the node that reads the store for all, which may be this one (`me`).
+    pub fn store_reader(&self, now: Duration, me: &Member) -> Option<SocketAddr> {
+        self.highest_ranked(now, me, STORE_READER_KEY, |_| true)
+    }
+
     /// Returns the first of the live delegates that are eligible, by rendezvous hashing weighted by
     /// their links. Draining delegates come after all others.
     ///
--- a/crates/fernring-gateway/src/members/peers.rs
+++ b/crates/fernring-gateway/src/members/peers.rs
@@ -198,6 +198,13 @@
         self.members.borrow().holders(self.now(), &me, key, own_domain, other_domain)
     }
 
+    /// Returns the peer that reads the store for all; `None` if this node does.
+    pub fn store_reader(&self) -> Option<SocketAddr> {
+        let me = self.me.borrow();
+        let reader = self.members.borrow().store_reader(self.now(), &me);
+        reader.filter(|reader| *reader != me.address)
+    }
+
     /// Sets the capacity of this node's network link, in Mbit/s.
     pub fn set_link_mbps(&self, link_mbps: u32) {
         self.me.borrow_mut().link_mbps = link_mbps;
--- a/crates/fernring-gateway/src/store/store_loops/mod.rs
+++ b/crates/fernring-gateway/src/store/store_loops/mod.rs
@@ -200,6 +200,7 @@
         let mut pause = RETRY_PAUSE_MIN;
         let mut has_failed = false;
         let mut has_read = false;
+        let mut asked_at = self.now();
         loop {
             let role = self.reader_role();
             self.tailing(tailed).borrow_mut().set_follower_spread(self.follower_spread(tailed));
@@ -224,7 +225,9 @@
             from = from.filter(|from| from.era == self.store.era());
             if !full_read.has_started() {
                 self.log_stand_in(tailed, role);
+                asked_at = self.now();
             }
+            let mut waited = Duration::ZERO;
             let response = match from {
                 None => match self.read_page(tailed, &mut full_read).await {
                     Ok(None) => continue,
@@ -233,6 +236,8 @@
                 },
                 Some(from) => {
                     let wait = self.read_wait(tailed, role, has_failed);
+                    asked_at = self.now();
+                    waited = wait;
                     tokio::select! {
                     response = self.store.read(topic, from.offset, wait) => response,
                     () = self.until_overdue(tailed, wait) => continue,
@@ -255,11 +260,14 @@
                     self.record_response(tailed);
                     report_unreadable(topic, &page);
                     let read_at = self.now().saturating_sub(page.took);
+                    let is_of =
+                        if has_records { asked_at } else { (asked_at + waited).min(read_at) };
                     self.handle_era(page.era);
                     if !has_regressed {
                         apply(page, is_full);
                         if !has_more {
                             self.tailing(tailed).borrow_mut().record_read(read_at, role);
+                            self.record_proof(tailed, is_of);
                         }
                     }
                     if has_records && !has_more && !coalesce.is_zero() {
@@ -480,6 +488,13 @@
         }
     }
 
+    /// Records that this node's state of a topic was the newest at `at`, by a read of its own.
+    fn record_proof(&self, tailed: TailedTopic, at: Duration) {
+        if tailed == TailedTopic::Upstreams {
+            self.upstreams.mark_records_proved(at);
+        }
+    }
+
     fn record_response(&self, tailed: TailedTopic) {
         telemetry::record_store_call(tailed.topic().name(), "answered");
         if tailed == TailedTopic::Config {
--- a/crates/fernring-gateway/src/stream_origins/mod.rs
+++ b/crates/fernring-gateway/src/stream_origins/mod.rs
@@ -40,14 +40,15 @@
         sync::mpsc,
         time::{Instant, sleep, timeout_at},
     },
-    version_records::VersionRecords,
+    version_records::{RECORD_DELAY, VersionRecords},
 };
 
 /// Longest wait for the replies of peers; a round trip between failure domains takes a few
 /// milliseconds.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
-/// Age from which the upstreams' records may lack a version that peers know.
-const RECORDS_AGE_MAX: Duration = Duration::from_secs(2);
+/// Largest proved age of records that have every version that may have begun streams. The difference
+/// covers the time until the stream is taken up, and differences between clocks.
+const PROVED_AGE_MAX: Duration = RECORD_DELAY.saturating_sub(Duration::from_secs(1));
 /// Pause between looks for versions that have appeared or expired.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Most streams that one message reports.
@@ -273,19 +274,17 @@
             return (Source::Own, known);
         }
         let mut versions = self.recent_versions(service);
-        let is_current = self.upstreams.records_age(now) <= RECORDS_AGE_MAX;
+        let mut is_current = is_proved(self.upstreams.proved_records_age(now));
         let is_long_known = self.history.borrow().is_long_known(now, service);
         let mut knows_past = self.knows_past_versions(service);
-        let mut has_reply = false;
         // Peers may know of a version that was there before this node or came after its records.
         if versions.len() != 1 || !is_current || !is_long_known {
-            let replies = self.query(resumes, service).await;
-            has_reply = !replies.is_empty();
-            for reply in replies {
+            for reply in self.query(resumes, service, &versions).await {
                 if let Some(origin) = reply_origin(&reply) {
                     return (Source::Peer, Some(origin));
                 }
                 knows_past |= reply.knows_past;
+                is_current |= is_proved(self.proved_age(&reply, now));
                 versions
                     .extend(reply.recent_versions.iter().map(|version| version.as_str().into()));
             }
@@ -299,7 +298,7 @@
             return (Source::Store, Some(origin.clone()));
         }
         match versions.first() {
-            Some(version) if versions.len() == 1 && knows_past && (is_current || has_reply) => {
+            Some(version) if versions.len() == 1 && knows_past && is_current => {
                 let (service, version) = (service.clone(), version.clone());
                 (Source::SingleVersion, Some(Origin::Version { service, version }))
             }
@@ -307,11 +306,26 @@
         }
     }
 
-    /// Queries peers for the origin of a stream. Returns the replies up to the first that names it.
-    async fn query(&self, resumes: Option<&Arc<str>>, service: &Arc<str>) -> Vec<OriginReply> {
+    /// Returns the proved age of a peer's records, by its reply to a query that was sent at `asked_at`:
+    /// the reply was sent later than that, however late it is read.
+    fn proved_age(&self, reply: &OriginReply, asked_at: Duration) -> Option<Duration> {
+        let age = Duration::from_millis(reply.records_age_ms?.into());
+        Some(age + self.now().saturating_sub(asked_at))
+    }
+
+    /// Queries peers for the origin of a stream. Returns the replies up to the first that names it, or
+    /// that shows that it can only be the one of the `versions` that are known.
+    async fn query(
+        &self,
+        resumes: Option<&Arc<str>>,
+        service: &Arc<str>,
+        versions: &BTreeSet<Arc<str>>,
+    ) -> Vec<OriginReply> {
+        let asked_at = self.now();
         let request = resumes.map_or("", |id| id);
         let (own_domain, other_domain) = QUERIED_PEERS;
-        let peers = self.peers.holders(request, own_domain, other_domain);
+        let mut peers = self.peers.holders(request, own_domain, other_domain);
+        peers.extend(self.peers.store_reader().filter(|reader| !peers.contains(reader)));
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket.wrapping_add(1));
         let (sender, mut received) = mpsc::channel(peers.len().max(1));
@@ -327,9 +341,16 @@
             let Ok(Some(reply)) = timeout_at(deadline, received.recv()).await else {
                 break;
             };
-            let is_known = reply_origin(&reply).is_some();
+            let has_same_versions = || {
+                reply.recent_versions.iter().map(String::as_str).eq(versions.iter().map(|v| &**v))
+            };
+            let is_only_version = versions.len() == 1
+                && reply.knows_past
+                && is_proved(self.proved_age(&reply, asked_at))
+                && has_same_versions();
+            let is_decisive = reply_origin(&reply).is_some() || is_only_version;
             replies.push(reply);
-            if is_known {
+            if is_decisive {
                 break;
             }
         }
@@ -353,6 +374,7 @@
     /// Replies to a peer's question for the origin of a stream.
     pub fn handle_query(&self, sender: SocketAddr, query: &OriginQuery) {
         let versions = self.recent_versions(&query.service);
+        let proved_age = self.upstreams.proved_records_age(self.now());
         let table = self.table.borrow();
         let known = table.find(self.now(), &query.request);
         let (service, version) = match known {
@@ -368,6 +390,7 @@
             version,
             recent_versions: versions.iter().map(ToString::to_string).collect(),
             knows_past: self.knows_past_versions(&query.service),
+            records_age_ms: proved_age.map(|age| age.as_millis().min(u32::MAX.into()) as u32),
         };
         self.peers.send(sender, GatewayBody::OriginReply(reply));
     }
@@ -381,6 +404,11 @@
     }
 }
 
+/// Returns whether records of a proved age have every version that may have begun streams.
+fn is_proved(age: Option<Duration>) -> bool {
+    age.is_some_and(|age| age <= PROVED_AGE_MAX)
+}
+
 /// A query that waits for replies until it is dropped.
 struct PendingQuery<'a> {
     queries: &'a RefCell<HashMap<u64, mpsc::Sender<OriginReply>>>,
--- a/crates/fernring-gateway/src/stream_origins/version_records.rs
+++ b/crates/fernring-gateway/src/stream_origins/version_records.rs
@@ -57,8 +57,9 @@
 const OWNER_TIME: Duration = Duration::from_secs(1);
 /// Time for which a version stays without a record while a recorded one can begin streams. Streams
 /// that run when it appears reach the log meanwhile, and after a restart of all nodes most callers
-/// have resumed theirs: as long as there is one recorded version, it has begun all of them.
-const RECORD_DELAY: Duration = Duration::from_secs(2);
+/// have resumed theirs: as long as there is one recorded version, it has begun all of them. A node
+/// whose records are younger than this knows every version that has begun streams.
+pub(super) const RECORD_DELAY: Duration = Duration::from_secs(3);
 /// Longest wait of a stream for the record of the only version that can take it.
 const RECORD_WAIT_MAX: Duration = Duration::from_secs(1);
 /// Longest wait of a caller for a read of the records.
--- a/crates/fernring-gateway/src/upstreams/mod.rs
+++ b/crates/fernring-gateway/src/upstreams/mod.rs
@@ -132,6 +132,8 @@
     announcements: RefCell<Announcements>,
     /// When records were last read from the store.
     records_read_at: Cell<Duration>,
+    /// A time at which the records were the newest for certain; `None` before the first read.
+    records_proved_at: Cell<Option<Duration>>,
 }
 
 /// A send of new work to an upstream.
@@ -228,6 +230,7 @@
             engine_speeds: RefCell::default(),
             node_count: Cell::new(1),
             records_read_at: Cell::default(),
+            records_proved_at: Cell::default(),
         }
     }
 
@@ -247,6 +250,18 @@
         now.saturating_sub(self.records_read_at.get())
     }
 
+    /// Records that the records were the newest at `at`. Unlike [`Self::mark_records_read`], neither
+    /// a delay of the response nor a pause of this process makes `at` later than it was.
+    pub fn mark_records_proved(&self, at: Duration) {
+        self.records_proved_at.set(self.records_proved_at.get().max(Some(at)));
+    }
+
+    /// Returns the longest time for which the store may have had newer records, by this node's own
+    /// reads; `None` if it hasn't read any.
+    pub fn proved_records_age(&self, now: Duration) -> Option<Duration> {
+        self.records_proved_at.get().map(|at| now.saturating_sub(at))
+    }
+
     /// Returns the number of open connections to all upstreams.
     pub fn open_connections(&self) -> usize {
         self.pools.borrow().values().map(ConnectionPool::open_count).sum()
--- a/crates/fernring-protocol/src/gateway.rs
+++ b/crates/fernring-protocol/src/gateway.rs
@@ -155,6 +155,10 @@
     /// them from the store, and from builds that don't tell.
     #[prost(bool, tag = "6")]
     pub knows_past: bool,
+    /// Longest time for which the store may have had newer records than the sender, by the sender's
+    /// own reads, in milliseconds; absent if the sender doesn't read or its build doesn't tell.
+    #[prost(uint32, optional, tag = "7")]
+    pub records_age_ms: Option<u32>,
 }
 
 /// Requests a tunnel to an upstream.
