Response bodies that a node holds have a limit together

What callers saw: with an upstream that sends bodies without length and without end, each request at it held up to 8 MB: 40 at once held 310 MB at one node, more than a VM has, so that the process would end and all its requests with it.

Cause: the limit of a body counted for itself alone.

Bytes count until they are sent to the caller.

--- a/crates/fernring-gateway/src/decide/mod.rs
+++ b/crates/fernring-gateway/src/decide/mod.rs
@@ -32,6 +32,7 @@
 pub mod engine_speeds;
 pub mod expiring_map;
 pub mod handover;
+pub mod held_bodies;
 pub mod leaving;
 pub mod limits;
 pub mod liveness;
--- a/crates/fernring-gateway/src/lib.rs
+++ b/crates/fernring-gateway/src/lib.rs
@@ -52,7 +52,7 @@
     decide::{
         admission, admission_gate, admission_shares, attempts, backlog, backlogs, backoff,
         batching, budget, cold, crash_detection, demand, dispatch_round, domain_preference,
-        eligibility, engine_speeds, expiring_map, handover, leaving, limits, liveness,
+        eligibility, engine_speeds, expiring_map, handover, held_bodies, leaving, limits, liveness,
         origin_table, part_quarantine, permit_issuer, prefill_budget, prefill_pauses,
         prefill_speed, prefix_demand, quarantine, reachability, rejection_guard, relays,
         request_size, residency, response_progress, retry_after, retry_schedule, selection, slack,
--- a/crates/fernring-gateway/src/node/mod.rs
+++ b/crates/fernring-gateway/src/node/mod.rs
@@ -15,6 +15,7 @@
         context::ServingContext,
         crash_attribution::CrashAttribution,
         deadline_timer::DeadlineTimer,
+        held_bodies::HeldBodies,
         ingress::{Ingress, Phase},
         log,
         members::Member,
@@ -231,6 +232,7 @@
             rollouts: rollouts.clone(),
             stream_origins: stream_origins.clone(),
             crash_attribution: crash_attribution.clone(),
+            held_bodies: HeldBodies::default(),
             shutdown: Shutdown::default(),
             in_flight: Cell::new(0),
         });
@@ -351,6 +353,11 @@
         self.serving.in_flight.get()
     }
 
+    /// Returns the bytes of response bodies that are collected or wait to be sent.
+    pub fn held_body_bytes(&self) -> usize {
+        self.serving.held_bodies.bytes()
+    }
+
     /// Returns the progress of the newest order to roll out a version of a service; `None` if there
     /// is no order.
     pub fn rollout_progress(&self, service: &str) -> Option<RolloutProgress> {
--- a/crates/fernring-gateway/src/node/readiness.rs
+++ b/crates/fernring-gateway/src/node/readiness.rs
@@ -80,6 +80,7 @@
                 .filter(|(key, _)| self.upstreams.may_send(*key).is_ok())
                 .count(),
             in_flight: self.serving.in_flight.get(),
+            held_body_bytes: self.held_body_bytes(),
             quarantined: self.serving.crash_attribution.quarantined_count(),
             caller_connections: self.ingress.open_connections(),
             upstream_connections: self.upstreams.open_connections(),
--- a/crates/fernring-gateway/src/serving/caller_body.rs
+++ b/crates/fernring-gateway/src/serving/caller_body.rs
@@ -1,7 +1,7 @@
 //! The body of an answer to a caller.
 
 use {
-    crate::exchange::StreamFailure,
+    crate::{exchange::StreamFailure, held_bodies::HeldBody},
     bytes::Bytes,
     futures_util::stream::Stream,
     http_body_util::Full,
@@ -23,6 +23,8 @@
 pub struct CallerBody {
     kind: BodyKind,
     guard: Option<Box<dyn Any>>,
+    /// The bytes of a complete body.
+    _held: Option<HeldBody>,
     on_complete: Option<Box<dyn FnOnce()>>,
     deadline: Option<Duration>,
 }
@@ -30,13 +32,19 @@
 impl CallerBody {
     /// Creates a complete body.
     pub fn full(body: Full<Bytes>) -> Self {
-        Self { kind: BodyKind::Full(body), guard: None, on_complete: None, deadline: None }
+        let kind = BodyKind::Full(body);
+        Self { kind, guard: None, _held: None, on_complete: None, deadline: None }
     }
 
     /// Creates a body that is streamed.
     pub fn stream(chunks: impl Stream<Item = Result<Bytes, StreamFailure>> + 'static) -> Self {
         let kind = BodyKind::Stream(Box::pin(chunks));
-        Self { kind, guard: None, on_complete: None, deadline: None }
+        Self { kind, guard: None, _held: None, on_complete: None, deadline: None }
+    }
+
+    /// Creates a complete body that counts among those that are held until it is sent.
+    pub fn held(body: Bytes, held: HeldBody) -> Self {
+        Self { _held: Some(held), ..Self::full(Full::new(body)) }
     }
 
     /// Sets the deadline of the request.
--- a/crates/fernring-gateway/src/serving/context.rs
+++ b/crates/fernring-gateway/src/serving/context.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         config::ConfigState, crash_attribution::CrashAttribution, deadline_timer::DeadlineTimer,
-        peers::Peers, prefill_pauses::PrefillPauses, prefill_speed::PrefillSpeeds,
-        prefix_demand::PrefixDemands, retries::Retries, rollout::coordinator::Rollouts,
-        settings::DecideSettings, shutdown::Shutdown, slack::MeanSlacks, stages::Stages,
-        stream_origins::StreamOrigins, tailing::Tailing, upstreams::Upstreams, wire::Wire,
+        held_bodies::HeldBodies, peers::Peers, prefill_pauses::PrefillPauses,
+        prefill_speed::PrefillSpeeds, prefix_demand::PrefixDemands, retries::Retries,
+        rollout::coordinator::Rollouts, settings::DecideSettings, shutdown::Shutdown,
+        slack::MeanSlacks, stages::Stages, stream_origins::StreamOrigins, tailing::Tailing,
+        upstreams::Upstreams, wire::Wire,
     },
     fernring_core::clock::Clock,
     std::{
@@ -54,6 +55,8 @@
     pub stream_origins: Rc<StreamOrigins>,
     /// The attribution of upstreams' crashes to requests.
     pub crash_attribution: Rc<CrashAttribution>,
+    /// The bodies of responses that are collected or wait to be sent.
+    pub held_bodies: HeldBodies,
     /// The shutdown of this node.
     pub shutdown: Shutdown,
     /// Number of requests in flight.
--- a/crates/fernring-gateway/src/serving/relay.rs
+++ b/crates/fernring-gateway/src/serving/relay.rs
@@ -290,7 +290,8 @@
     }
 }
 
-async fn next_bytes(body: &mut ResponseBody) -> Option<Result<Bytes, ConnectionLoss>> {
+/// Waits for the next bytes of a body; `None` at the end.
+pub(super) async fn next_bytes(body: &mut ResponseBody) -> Option<Result<Bytes, ConnectionLoss>> {
     loop {
         match body.frame().await? {
             Ok(frame) => match frame.into_data() {
--- a/crates/fernring-gateway/src/serving/serve.rs
+++ b/crates/fernring-gateway/src/serving/serve.rs
@@ -5,20 +5,21 @@
         attempts::NotRun,
         caller_body::CallerBody,
         config::ActiveConfig,
-        connections::ConnectionLoss,
+        connections::{ConnectionLoss, ResponseBody},
         context::ServingContext,
         exchange::{
             CallerRequest, Exchange, ExchangeEnd, InFlight, OpenedResponse, SHUTDOWN_DETAIL,
         },
         fingerprint::Fingerprint,
+        held_bodies::HeldBody,
         log,
         model::{PIECES_MAX, Route, Workspace, api_key_hash},
         refusal::{RETRY_AFTER_NOT_READY, Refusal},
-        relay::Relay,
+        relay::{Relay, next_bytes},
         response_progress::BODY_BYTES_MAX,
         telemetry,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     fernring_core::{code::ResultCode, text::LogLine},
     futures_util::stream,
     http::{
@@ -191,18 +192,15 @@
     ) -> Result<Response<CallerBody>, String> {
         let collect_until = exchange.collect_until(&opened);
         opened.body.limit(BODY_BYTES_MAX);
-        let collecting = Limited::new(&mut opened.body, BODY_BYTES_MAX).collect();
+        let mut held = self.held_bodies.begin();
+        let collecting = collect_body(&mut opened.body, &mut held);
         let loss = match self.complete_by(collect_until, collecting).await {
-            Some(Ok(collected)) => {
+            Some(Ok(body)) => {
                 opened.record_intact();
-                let body = CallerBody::full(Full::new(collected.to_bytes()))
-                    .with_deadline(exchange.end_at());
+                let body = CallerBody::held(body, held).with_deadline(exchange.end_at());
                 return Ok(caller_response(&opened, body));
             }
-            Some(Err(error)) => match error.downcast_ref::<hyper::Error>() {
-                Some(error) => error.into(),
-                None => ConnectionLoss { reason: error.to_string(), kind: None },
-            },
+            Some(Err(loss)) => loss,
             None => exchange.loss_without_time("the response wasn't complete in time"),
         };
         exchange.record_broken_send(&opened, &loss);
@@ -338,6 +336,25 @@
     }
 }
 
+/// Collects a response's body.
+async fn collect_body(
+    body: &mut ResponseBody,
+    held: &mut HeldBody,
+) -> Result<Bytes, ConnectionLoss> {
+    let mut collected = BytesMut::new();
+    while let Some(bytes) = next_bytes(body).await {
+        let bytes = bytes?;
+        if collected.len() + bytes.len() > BODY_BYTES_MAX {
+            let reason = format!("the body is longer than {BODY_BYTES_MAX} bytes");
+            return Err(ConnectionLoss { reason, kind: None });
+        }
+        let added = held.add(bytes.len());
+        added.map_err(|error| ConnectionLoss { reason: error.to_string(), kind: None })?;
+        collected.extend_from_slice(&bytes);
+    }
+    Ok(collected.freeze())
+}
+
 async fn body_too_long(body: Incoming, bytes_max: usize) -> Refusal {
     drain_body(body).await;
     Refusal::invalid_request(
--- a/crates/fernring-gateway/src/telemetry.rs
+++ b/crates/fernring-gateway/src/telemetry.rs
@@ -188,6 +188,7 @@
     pub(crate) upstreams: usize,
     /// Number of requests in flight.
     pub(crate) in_flight: isize,
+    pub(crate) held_body_bytes: usize,
     /// Number of quarantined fingerprints, whose requests are rejected because upstreams crashed
     /// under them.
     pub(crate) quarantined: usize,
@@ -291,6 +292,7 @@
     gauge!("fernring_gateway_delegate").set(f64::from(u8::from(values.is_delegate)));
     gauge!("fernring_gateway_upstreams").set(values.upstreams as f64);
     gauge!("fernring_gateway_requests_in_flight").set(values.in_flight as f64);
+    gauge!("fernring_gateway_held_body_bytes").set(values.held_body_bytes as f64);
     gauge!("fernring_gateway_turned_away").set(values.quarantined as f64);
     gauge!("fernring_gateway_connections", "side" => "callers")
         .set(values.caller_connections as f64);
--- a/crates/fernring-gateway/tests/testsuite/main.rs
+++ b/crates/fernring-gateway/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod fleet;
 mod freshness;
 mod handover;
+mod held_bodies;
 mod large_requests;
 mod leaving;
 mod limits;
