Streams are reported to peers while the store is silent

What callers saw: with the proof of the present alone, a stream whose node knew nothing of its origin was refused for as long as the store answered nobody.

Cause: nodes can't tell a store that answers nobody from a cut, so none has a proof.

Evidence: out_of_step::streams_of_a_single_version_are_refused_while_the_store_answers_nobody guards 24 streams, half of which began before the store fell silent; the tests of two nodes that are cut off together and of a late response pass as before.

Why it works: a node whose records are 1.5 s old reports the streams that it forwards to the holders of origins, so that a take-up at another node finds the version in place of concluding it. Nodes that are cut off get no such report.

--- a/crates/fernring-gateway/src/stream_origins/mod.rs
+++ b/crates/fernring-gateway/src/stream_origins/mod.rs
@@ -49,6 +49,9 @@
 /// Largest proved age of records that have every version that may have begun streams. The difference
 /// covers the time until the stream is taken up, and differences between clocks.
 const PROVED_AGE_MAX: Duration = RECORD_DELAY.saturating_sub(Duration::from_secs(1));
+/// Age of the upstreams' records from which the store counts as silent. Without a proof of the present,
+/// a stream goes on at another node only if that finds its origin.
+const SILENT_AGE: Duration = Duration::from_millis(1_500);
 /// Pause between looks for versions that have appeared or expired.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Most streams that one message reports.
@@ -96,6 +99,8 @@
     history: RefCell<VersionHistory>,
     /// Services with several versions, whose streams have been reported to peers.
     reported_services: RefCell<HashSet<Arc<str>>>,
+    /// Whether the store is silent, so that the streams of all services are reported to peers.
+    is_store_silent: Cell<bool>,
     queries: RefCell<HashMap<u64, mpsc::Sender<OriginReply>>>,
     next_ticket: Cell<u64>,
     version_records: VersionRecords,
@@ -120,6 +125,7 @@
             table: RefCell::default(),
             history: RefCell::default(),
             reported_services: RefCell::default(),
+            is_store_silent: Cell::default(),
             queries: RefCell::default(),
             // Distinct from the tickets of a process that ran at this address before.
             next_ticket: Cell::new(rand::random()),
@@ -137,10 +143,13 @@
     pub fn record(&self, request: &Arc<str>, origin: &Origin, lifetime: Duration) {
         let expires_at = self.now() + lifetime.min(STREAM_LIFETIME);
         self.table.borrow_mut().record(request, origin.clone(), expires_at, true);
-        if let Origin::Version { service, .. } = origin
-            && self.reported_services.borrow().contains(service)
-        {
-            self.report(&[(request.clone(), self.message(request, origin, expires_at))]);
+        let Origin::Version { service, .. } = origin else {
+            return;
+        };
+        let has_several = self.reported_services.borrow().contains(service);
+        if has_several || self.is_store_silent.get() {
+            let stream = (request.clone(), self.message(request, origin, expires_at));
+            self.report(&[stream], has_several);
         }
     }
 
@@ -153,8 +162,9 @@
         StreamOrigin { request: request.to_string(), service, version, lifetime_ms }
     }
 
-    /// Reports streams to the peers that hold them, and to the node that appends them to the log.
-    fn report(&self, streams: &[(Arc<str>, StreamOrigin)]) {
+    /// Reports streams to the peers that hold them, and, if the log is to have them, to the node that
+    /// appends them.
+    fn report(&self, streams: &[(Arc<str>, StreamOrigin)], append_to_log: bool) {
         let (own_domain, other_domain) = REPORTED_PEERS;
         let mut by_peer: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
         for (request, message) in streams {
@@ -165,6 +175,9 @@
         for (peer, messages) in by_peer {
             self.send_reports(peer, &messages, false);
         }
+        if !append_to_log {
+            return;
+        }
         let messages: Vec<_> = streams.iter().map(|(_, message)| message.clone()).collect();
         let writer = self.origin_writer();
         match writer == self.peers.address() {
@@ -207,15 +220,35 @@
             let reported = self.reported_services.replace(several.clone());
             for service in several.difference(&reported) {
                 log::info(LogLine::event("several_versions").with("service", service));
-                let table = self.table.borrow();
-                let own = table.own_of_service(now, service);
-                let message = |(request, origin, expires_at): (&Arc<str>, &Origin, Duration)| {
-                    (request.clone(), self.message(request, origin, expires_at))
-                };
-                let streams: Vec<_> = own.map(message).collect();
-                drop(table);
-                self.report(&streams);
+                self.report_own_streams(service, true);
             }
+            self.observe_silence(now);
+        }
+    }
+
+    /// Reports the streams of a service whose first event this node forwarded.
+    fn report_own_streams(&self, service: &str, append_to_log: bool) {
+        let table = self.table.borrow();
+        let own = table.own_of_service(self.now(), service);
+        let message = |(request, origin, expires_at): (&Arc<str>, &Origin, Duration)| {
+            (request.clone(), self.message(request, origin, expires_at))
+        };
+        let streams: Vec<_> = own.map(message).collect();
+        drop(table);
+        self.report(&streams, append_to_log);
+    }
+
+    /// Reports the streams of all services to peers as soon as the store is silent.
+    fn observe_silence(&self, now: Duration) {
+        let is_silent = self.upstreams.records_age(now) > SILENT_AGE;
+        if self.is_store_silent.replace(is_silent) || !is_silent {
+            return;
+        }
+        let directory = self.upstreams.directory();
+        let services: Vec<_> = directory.versions().map(|(service, _)| service.clone()).collect();
+        drop(directory);
+        for service in services {
+            self.report_own_streams(&service, false);
         }
     }
 
