Retries are scheduled by the caller's time, not by that of a leaving node

A request that a leaving node refuses is retried at another one, so its pause may be a third of the caller's time, not of the time that the node has left. One method serves both places.

--- a/crates/fernring-gateway/src/serving/exchange/admitting.rs
+++ b/crates/fernring-gateway/src/serving/exchange/admitting.rs
@@ -148,8 +148,11 @@
         path: &[PoolPieces],
     ) -> Option<RetryForecast> {
         let part = path.iter().find(|part| part.pool == limit.pool)?;
-        let refused =
-            RefusedRequest { rank: self.rank(), pieces: part.pieces, time_left: self.time_left() };
+        let refused = RefusedRequest {
+            rank: self.rank(),
+            pieces: part.pieces,
+            time_left: self.caller_time_left(),
+        };
         let draw = rand::rng().random_range(0.0..1.0);
         let shares = self.serving.stages.shares();
         let now = self.serving.now();
--- a/crates/fernring-gateway/src/serving/exchange/mod.rs
+++ b/crates/fernring-gateway/src/serving/exchange/mod.rs
@@ -370,6 +370,11 @@
         self.end_at().saturating_sub(self.serving.now())
     }
 
+    /// Returns the time left until the deadline, in which the caller may retry at another node.
+    fn caller_time_left(&self) -> Duration {
+        self.deadline_at.saturating_sub(self.serving.now())
+    }
+
     /// Returns when the request has to be answered: by its deadline, or before this node shuts down.
     /// A stream that has begun may go on until the process ends.
     pub fn end_at(&self) -> Duration {
@@ -531,8 +536,8 @@
             };
         };
         let draw = rand::rng().random_range(0.0..1.0);
-        let caller_time_left = self.deadline_at.saturating_sub(self.serving.now());
-        let after = retry_after(forecast, caller_time_left, rank_index(self.priority()), draw);
+        let time_left = self.caller_time_left();
+        let after = retry_after(forecast, time_left, rank_index(self.priority()), draw);
         Refusal::not_run(not_run, code, after, detail)
     }
 
